--- /dev/null
+++ b/pistachiodeal/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: declared once as typed fields, checked at load."""
--- /dev/null
+++ b/pistachiodeal/exceptions.py
@@ -0,0 +1,149 @@
+"""Every error that crosses a module border, each with a code, a step and a peer."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """What is known of a request's or write's effect when it ends without success."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class PistachiodealError(Exception):
+    """Base of all errors of this project.
+
+    :cvar code: stable, machine-readable name of the error.
+    :param detail: one short sentence for a person.
+    :param step: what was being done, for example ``route`` or ``table.commit``.
+    :param peer: the other end's name or address, empty when there is none.
+    """
+
+    code = "internal"
+
+    def __init__(self, detail: str = "", *, step: str = "", peer: str = "") -> None:
+        super().__init__(detail or self.code)
+        self.detail = detail or self.code
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = f" step={self.step}" if self.step else ""
+        whom = f" peer={self.peer}" if self.peer else ""
+        return f"{self.code}: {self.detail}{where}{whom}"
+
+
+class SettingsError(PistachiodealError):
+    """The settings are wrong; all faults are listed in the detail."""
+
+    code = "settings"
+
+
+class ProtocolError(PistachiodealError):
+    """A peer sent something that is not of this protocol or version."""
+
+    code = "protocol"
+
+
+class FrameTooLargeError(ProtocolError):
+    """A peer announced a frame over the limit."""
+
+    code = "frame_too_large"
+
+
+class AuthenticationError(PistachiodealError):
+    """A peer or operator did not show the secret or token."""
+
+    code = "unauthenticated"
+
+
+class LinkClosedError(PistachiodealError):
+    """The link to a peer is closed, or was closed while waiting on it."""
+
+    code = "link_closed"
+
+
+class LinkSilentError(LinkClosedError):
+    """Nothing came from a peer for longer than the heartbeat allows."""
+
+    code = "link_silent"
+
+
+class StoreError(PistachiodealError):
+    """Base of the errors of the platform's table and object store.
+
+    :ivar retry_after: seconds after which asking again may help.
+    """
+
+    code = "store"
+
+    def __init__(
+        self,
+        detail: str = "",
+        *,
+        step: str = "",
+        peer: str = "",
+        retry_after: float = 1.0,
+    ) -> None:
+        super().__init__(detail, step=step, peer=peer)
+        self.retry_after = retry_after
+
+
+class StoreUnavailableError(StoreError):
+    """The store refused or could not be reached: the call took no effect."""
+
+    code = "store_unavailable"
+
+
+class StoreUncertainError(StoreError):
+    """The answer was lost or late: a write may or may not have taken effect."""
+
+    code = "store_uncertain"
+
+
+class WorkerError(PistachiodealError):
+    """The worker's runtime refused a call, or could not be reached."""
+
+    code = "worker"
+
+
+class WorkerFencedError(WorkerError):
+    """Another agent has taken over this worker; this one must stop."""
+
+    code = "worker_fenced"
+
+
+class RequestError(PistachiodealError):
+    """A caller's request that ends in a problem document (RFC 9457).
+
+    :ivar status: HTTP status.
+    :ivar outcome: what is known of the request's effect.
+    :ivar retry_after: seconds after which to ask again, None where it will not help.
+    """
+
+    code = "request"
+    status = 500
+    outcome = Outcome.NOT_RUN
+
+    def __init__(
+        self,
+        detail: str = "",
+        *,
+        code: str = "",
+        status: int = 0,
+        outcome: Outcome | None = None,
+        retry_after: float | None = None,
+        step: str = "",
+        peer: str = "",
+    ) -> None:
+        if code:
+            self.code = code
+        if status:
+            self.status = status
+        if outcome is not None:
+            self.outcome = outcome
+        self.retry_after = retry_after
+        super().__init__(detail, step=step, peer=peer)
--- /dev/null
+++ b/pistachiodeal/model/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes shared by all parts: resources, tasks and policies."""
--- /dev/null
+++ b/pistachiodeal/model/resources.py
@@ -0,0 +1,49 @@
+"""Amounts of processors, memory and accelerators."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of a worker's resources.
+
+    :param cpu_milli: processors, in thousandths of a core.
+    :param memory_mib: memory, in MiB.
+    :param accelerators: whole accelerators.
+    """
+
+    cpu_milli: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mib + other.memory_mib,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_milli - other.cpu_milli,
+            self.memory_mib - other.memory_mib,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits(self, room: Resources) -> bool:
+        """Tell whether this amount fits into ``room``."""
+        return (
+            self.cpu_milli <= room.cpu_milli
+            and self.memory_mib <= room.memory_mib
+            and self.accelerators <= room.accelerators
+        )
+
+    def enlarge(self, other: Resources) -> Resources:
+        """Return the larger of both amounts, field by field."""
+        return Resources(
+            max(self.cpu_milli, other.cpu_milli),
+            max(self.memory_mib, other.memory_mib),
+            max(self.accelerators, other.accelerators),
+        )
--- /dev/null
+++ b/pistachiodeal/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 by h11, on both sides."""
