Add the agent: runners, interactive requests, links to entries, reports

Cause: targets announce themselves, so something beside each worker has to take their word, be the only authority on what that worker takes on, and keep the entries informed.

Ruled out: - A time-out for each waiting request (8 us each in curio): one timer task per service, which ticks only while something waits. - Blaming a runner for every failed call: only an unreachable one is out at once (until it announces itself after a backoff); one that takes requests and answers none is out after five in a row.

Change: agent/{announce,runners} (local HTTP port, ledger room, expiry that excuses our own freeze), agent/{requests,queueing,admission,latency} (queue by deadline, refusal at once or before the deadline, withdrawals, not_run/unknown/ ran from how far the call got), agent/{links,directory} (subset by rendezvous hashing, substitutes, owners of held runs, make before break), agent/{reporting, dispatch,evidence}, agent/{app,cli} (supervisor tree, drain, SIGUSR1/--leave for a worker that leaves for good, fenced agents stop with status 1).

Tests: 41 in tests/unit/test_agent_{requests,runners,directory,links,app}.py, passed. No mutation of mechanisms was tried yet.

Cost per request has not been measured.

--- /dev/null
+++ b/pistachiodeal/agent/announce.py
@@ -0,0 +1,134 @@
+"""The local HTTP port where runners announce themselves."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from ipaddress import IPv4Address
+from typing import Any
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+
+from pistachiodeal.agent.runners import RunnerTable, RunnerWord
+from pistachiodeal.config.common import ADDRESS_PATTERN, NODE_PATTERN
+from pistachiodeal.exceptions import RequestError
+from pistachiodeal.model.policies import NAME_PATTERN
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.web.messages import WebLimits, WebRequest, WebResponse, build_json
+
+LIMITS = WebLimits(head_bytes=8_192, body_bytes=16_384, connections=512)
+RUNNERS_PATH = "/runners/"
+STATUS_PATH = "/status"
+MAX_PORT = 65_535
+
+
+class Announcement(BaseModel):
+    """Body of ``PUT /runners/{name}``."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    service: str = Field(pattern=NAME_PATTERN)
+    address: str = Field(pattern=ADDRESS_PATTERN)
+    slots: int = Field(ge=1, le=1_024)
+    cpu_milli: int = Field(ge=0, le=10_000_000)
+    memory_mib: int = Field(ge=0, le=100_000_000)
+    accelerators: int = Field(0, ge=0, le=1_024)
+
+    @field_validator("address")
+    @classmethod
+    def check_address(cls, value: str) -> str:
+        """Check the numbers that the pattern lets through."""
+        host, _, port = value.rpartition(":")
+        IPv4Address(host)
+        if not 0 < int(port) <= MAX_PORT:
+            raise ValueError("no such port")
+        return value
+
+    def build_word(self, name: str) -> RunnerWord:
+        """Return it as the runner's word."""
+        size = Resources(self.cpu_milli, self.memory_mib, self.accelerators)
+        return RunnerWord(name, self.service, self.address, self.slots, size)
+
+
+class RunnerName(BaseModel):
+    """The name in the path."""
+
+    name: str = Field(pattern=NODE_PATTERN)
+
+
+class AnnounceApi:
+    """Answers the requests of the local port."""
+
+    def __init__(
+        self,
+        table: RunnerTable,
+        expiry_s: float,
+        build_status: Callable[[], dict[str, Any]],
+    ) -> None:
+        self._table = table
+        self._expiry_s = expiry_s
+        self._build_status = build_status
+
+    async def handle(self, request: WebRequest) -> WebResponse:
+        """Answer one request.
+
+        :raises RequestError: bad announcement, no room, or no such thing.
+        """
+        if request.path == STATUS_PATH:
+            _check_method(request, "GET")
+            return build_json(200, self._build_status())
+        if request.path.startswith(RUNNERS_PATH):
+            name = _read_name(request.path.removeprefix(RUNNERS_PATH))
+            if request.method == "DELETE":
+                return await self._remove(name)
+            _check_method(request, "PUT")
+            return await self._announce(name, request)
+        raise RequestError(code="not_found", status=404, step="announce")
+
+    async def _announce(self, name: str, request: WebRequest) -> WebResponse:
+        word = _read_announcement(request.body).build_word(name)
+        added = await self._table.announce(word)
+        document = {"name": name, "expiry_s": self._expiry_s}
+        return build_json(201 if added else 200, document)
+
+    async def _remove(self, name: str) -> WebResponse:
+        if not await self._table.remove(name):
+            raise RequestError(code="not_found", status=404, step="announce")
+        return WebResponse(204)
+
+
+def _check_method(request: WebRequest, method: str) -> None:
+    if request.method != method:
+        raise RequestError(code="method_not_allowed", status=405, step="announce")
+
+
+def _read_name(name: str) -> str:
+    try:
+        return RunnerName(name=name).name
+    except ValidationError as error:
+        raise _build_error(error) from error
+
+
+def _read_announcement(body: bytes) -> Announcement:
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise _build_bad_announcement("the body is not JSON") from error
+    if not isinstance(document, dict):
+        raise _build_bad_announcement("the body is no JSON object")
+    try:
+        return Announcement.model_validate(document)
+    except ValidationError as error:
+        raise _build_error(error) from error
+
+
+def _build_error(error: ValidationError) -> RequestError:
+    faults = (
+        f"{'.'.join(str(part) for part in fault['loc'])}: {fault['msg']}"
+        for fault in error.errors(include_url=False)
+    )
+    return _build_bad_announcement("; ".join(faults))
+
+
+def _build_bad_announcement(detail: str) -> RequestError:
+    return RequestError(detail, code="bad_announcement", status=400, step="announce")
--- /dev/null
+++ b/pistachiodeal/agent/evidence.py
@@ -0,0 +1,61 @@
+"""Exchange of what was learnt of interference with the entries."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Protocol
+
+import curio
+import logbook
+
+from pistachiodeal.wire.messages import Evidence, Message, PairEvidence
+
+log = logbook.Logger("agent")
+
+EXCHANGE_S = 10.0
+MAX_PAIRS = 2_000
+
+
+class EvidenceModel(Protocol):
+    """The part of the interference model that the exchange needs."""
+
+    def take_evidence(self) -> tuple[PairEvidence, ...]:
+        """Return what is new since the last call."""
+
+    def merge(self, pairs: Iterable[PairEvidence], now: float) -> None:
+        """Take in what others learnt."""
+
+
+class EvidenceExchange:
+    """Sends new evidence on one link now and then, merges what comes."""
+
+    def __init__(
+        self,
+        model: EvidenceModel,
+        send_to_any: Callable[[Message], Awaitable[bool]],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._model = model
+        self._send_to_any = send_to_any
+        self._clock = clock
+        self._unsent: list[PairEvidence] = []
+
+    async def run(self) -> None:
+        """Exchange evidence until cancelled."""
+        while True:
+            await curio.sleep(EXCHANGE_S)
+            await self.send()
+
+    async def send(self) -> None:
+        """Send what is new; what could not be sent is kept for the next time."""
+        self._unsent.extend(self._model.take_evidence())
+        del self._unsent[:-MAX_PAIRS]
+        if not self._unsent:
+            return
+        if await self._send_to_any(Evidence(tuple(self._unsent))):
+            self._unsent.clear()
+
+    def receive(self, message: Evidence) -> None:
+        """Merge what an entry gathered from all agents."""
+        self._model.merge(message.pairs, self._clock())
--- /dev/null
+++ b/pistachiodeal/agent/links.py
@@ -0,0 +1,309 @@
+"""Links to entries: to a subset for requests, and to the owners of held runs."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import curio
+import logbook
+
+from pistachiodeal.agent.directory import AgentDirectory, choose_entries
+from pistachiodeal.config.agent import AgentSettings
+from pistachiodeal.exceptions import (
+    LinkClosedError,
+    LinkSilentError,
+    PistachiodealError,
+)
+from pistachiodeal.wire.identity import Identity
+from pistachiodeal.wire.link import Link, LinkTimings, dial_link
+from pistachiodeal.wire.messages import Goodbye, Message
+
+log = logbook.Logger("agent")
+
+REVIEW_S = 0.5
+SEND_S = 0.5
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 5.0
+STABLE_S = 5.0
+FAILURES_BEFORE_SUBSTITUTE = 2
+AVOID_AFTER_GOODBYE_S = 5.0
+LEAVE_GRACE_S = 1.0
+
+
+class LinkHandler(Protocol):
+    """What is done with links and the messages that come by them."""
+
+    async def greet(self, link: Link) -> None:
+        """Act on a link that is open now."""
+
+    async def receive(self, link: Link, message: Message) -> None:
+        """Act on a message."""
+
+    async def part(self, link: Link) -> None:
+        """Act on a link that is closed now."""
+
+    def count_open(self, link: Link) -> int:
+        """Return the number of requests that the link waits for."""
+
+
+class Pauses:
+    """Growing pauses between dials, with jitter.
+
+    After an entry's death, or a store outage, all agents dial at the same
+    moment; without jitter they would do so again and again in one wave.
+    """
+
+    def __init__(self, choose: Callable[[float, float], float] | None = None) -> None:
+        self._choose = choose or random.uniform
+        self._limit = FIRST_PAUSE_S
+
+    def reset(self) -> None:
+        """Start with short pauses again."""
+        self._limit = FIRST_PAUSE_S
+
+    def take(self) -> float:
+        """Return the next pause, in seconds."""
+        pause = self._choose(0.0, self._limit)
+        self._limit = min(self._limit * 2, MAX_PAUSE_S)
+        return pause
+
+
+@dataclass(slots=True, eq=False)
+class EntryPeer:
+    """One entry's address, and the state of the link to it.
+
+    :param failures: dials that failed in a row.
+    :param avoid_until: the entry said goodbye; another one is chosen until then.
+    :param leaving_since: when the link was found to be no longer wanted.
+    """
+
+    address: str
+    link: Link | None = None
+    task: curio.Task | None = None
+    failures: int = 0
+    avoid_until: float = 0.0
+    leaving_since: float | None = None
+    pauses: Pauses = field(default_factory=Pauses)
+
+
+class LinkKeeper:
+    """Keeps the links that are wanted, one task for each."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        identity: Identity,
+        directory: AgentDirectory,
+        list_held_partitions: Callable[[], set[int]],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._settings = settings
+        self._identity = identity
+        self._directory = directory
+        self._list_held_partitions = list_held_partitions
+        self._clock = clock
+        self._timings = LinkTimings(**settings.link.model_dump())
+        self._handler: LinkHandler | None = None
+        self._peers: dict[str, EntryPeer] = {}
+        self._changed = curio.Event()
+        self._draining = False
+
+    @property
+    def links(self) -> list[Link]:
+        """Return the open links."""
+        peers = self._peers.values()
+        return [peer.link for peer in peers if peer.link and not peer.link.closed]
+
+    def set_handler(self, handler: LinkHandler) -> None:
+        """Set who acts on messages; to be called before :meth:`run`."""
+        self._handler = handler
+
+    async def run(self) -> None:
+        """Keep links until cancelled."""
+        try:
+            while True:
+                await self.review()
+                await curio.ignore_after(REVIEW_S, self._changed.wait)
+                self._changed.clear()
+        finally:
+            for peer in list(self._peers.values()):
+                await self._end(peer)
+
+    async def review(self) -> None:
+        """Dial what is wanted, and leave what is not."""
+        wanted = self.choose_addresses()
+        for address in wanted:
+            await self._want(address)
+        settled = any(self._is_in_use(a) for a in wanted)
+        for peer in list(self._peers.values()):
+            surplus = peer.address not in wanted and (settled or peer.link is None)
+            # An entry that was told goodbye counts this link as leaving, also
+            # if it is wanted again meanwhile: only a new link undoes that.
+            if surplus or peer.leaving_since is not None:
+                await self._leave(peer)
+
+    def choose_addresses(self) -> set[str]:
+        """Return the addresses to be linked to now."""
+        count = self._settings.entry_links
+        agent = self._settings.node
+        data_centre = self._settings.data_centre
+        entries = self._directory.entries
+        first = choose_entries(agent, data_centre, entries, count)
+        # A chosen entry that is dead or leaving goes on being dialled, while a
+        # substitute keeps the number of links that are of use.
+        avoided = self._list_avoided()
+        second = choose_entries(agent, data_centre, entries, count, avoided)
+        wanted = {entry.address for entry in (*first, *second)}
+        wanted |= self._list_owner_addresses()
+        if not any(peer.link for peer in self._peers.values()):
+            # All entries may have been replaced while this agent was cut off:
+            # then only the addresses from the settings still lead to one.
+            wanted |= self._choose_seeds(count)
+        return wanted
+
+    async def send_to_owner(self, partition: int, message: Message) -> bool:
+        """Send to a partition's owner; False when there is no link to it now."""
+        owner = self._directory.get_owner(partition)
+        if owner is None:
+            return False
+        for link in self.links:
+            if link.peer.node == owner.node:
+                return await self.send(link, message)
+        return False
+
+    async def send_to_any(self, message: Message) -> bool:
+        """Send on one link, each time another; False when there is none."""
+        links = self.links
+        return bool(links) and await self.send(random.choice(links), message)
+
+    async def send_to_all(self, message: Message, but: Link | None = None) -> None:
+        """Send on all links, one excepted."""
+        for link in self.links:
+            if link is not but:
+                await self.send(link, message)
+
+    async def note_goodbye(self, link: Link) -> None:
+        """Look for a substitute for an entry that is leaving."""
+        for peer in self._peers.values():
+            if peer.link is link:
+                peer.avoid_until = self._clock() + AVOID_AFTER_GOODBYE_S
+        await self._changed.set()
+
+    async def note_directory(self) -> None:
+        """Look again at which links are wanted."""
+        await self._changed.set()
+
+    async def say_goodbye(self, reason: str) -> None:
+        """Tell all entries that this agent takes nothing new."""
+        self._draining = True
+        await self.send_to_all(Goodbye(reason))
+
+    async def send(self, link: Link, message: Message) -> bool:
+        """Send on one link; False when it takes nothing."""
+        # One link that takes nothing may not hold up what goes to the others.
+        async with curio.ignore_after(SEND_S):
+            try:
+                await link.send(message)
+            except LinkClosedError:
+                return False
+            return True
+        return False
+
+    def _list_avoided(self) -> set[str]:
+        now = self._clock()
+        return {
+            peer.address
+            for peer in self._peers.values()
+            if peer.failures >= FAILURES_BEFORE_SUBSTITUTE or peer.avoid_until > now
+        }
+
+    def _list_owner_addresses(self) -> set[str]:
+        owners = map(self._directory.get_owner, self._list_held_partitions())
+        return {owner.address for owner in owners if owner and owner.address}
+
+    def _is_in_use(self, address: str) -> bool:
+        peer = self._peers.get(address)
+        return peer is not None and bool(peer.link) and peer.leaving_since is None
+
+    def _choose_seeds(self, count: int) -> set[str]:
+        known = [a for a in self._settings.entries if a in self._peers]
+        if len(known) >= min(count, len(self._settings.entries)):
+            return set(known)
+        seeds = self._settings.entries
+        return set(known) | set(random.sample(seeds, min(count, len(seeds))))
+
+    async def _want(self, address: str) -> None:
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = EntryPeer(address)
+            peer.task = await curio.spawn(self._keep, peer, daemon=True)
+
+    async def _leave(self, peer: EntryPeer) -> None:
+        """Say goodbye on a link, and end it once its answers are sent."""
+        now = self._clock()
+        if peer.link is None or self._handler is None:
+            await self._end(peer)
+            return
+        if peer.leaving_since is None:
+            peer.leaving_since = now
+            await self.send(peer.link, Goodbye("other entries are nearer"))
+            return
+        spent = now - peer.leaving_since
+        idle = self._handler.count_open(peer.link) == 0
+        if (idle and spent >= LEAVE_GRACE_S) or spent >= self._settings.drain_s:
+            await self._end(peer)
+
+    async def _end(self, peer: EntryPeer) -> None:
+        self._peers.pop(peer.address, None)
+        if peer.task:
+            await peer.task.cancel()
+
+    async def _keep(self, peer: EntryPeer) -> None:
+        """Keep one link, for ever: dial, serve, and dial again."""
+        await curio.sleep(peer.pauses.take())
+        while True:
+            opened_at = self._clock()
+            try:
+                await self._dial(peer)
+            except LinkSilentError as error:
+                log.warning("agent: link replaced, {}", error)
+                continue
+            except (PistachiodealError, OSError) as error:
+                log.info("agent: link ended, {}", error)
+            except Exception as error:
+                log.error("agent: link to {} failed: {!r}", peer.address, error)
+                log.debug("agent: trace of {}", peer.address, exc_info=True)
+            if self._clock() - opened_at >= STABLE_S:
+                peer.pauses.reset()
+            await self._changed.set()
+            await curio.sleep(peer.pauses.take())
+
+    async def _dial(self, peer: EntryPeer) -> None:
+        peer.failures += 1
+        async with dial_link(
+            peer.address, self._identity, self._settings.secret, self._timings
+        ) as link:
+            peer.failures = 0
+            peer.avoid_until = 0.0
+            peer.link = link
+            log.notice("agent: linked to {} at {}", link.peer.node, peer.address)
+            try:
+                await self._serve(link)
+            finally:
+                peer.link = None
+                if self._handler:
+                    await self._handler.part(link)
+
+    async def _serve(self, link: Link) -> None:
+        if self._handler is None:
+            return
+        await self._changed.set()
+        await self._handler.greet(link)
+        if self._draining:
+            await link.send(Goodbye("draining"))
+        while True:
+            await self._handler.receive(link, await link.receive())
--- /dev/null
+++ b/pistachiodeal/agent/requests.py
@@ -0,0 +1,330 @@
+"""Callers' requests on the agent: admitted or refused, queued, handed to runners."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import curio
+import logbook
+
+from pistachiodeal.agent.admission import PolicySource, RequestAdmission
+from pistachiodeal.agent.queueing import (
+    Origin,
+    Pending,
+    ServiceQueue,
+    create_pending,
+)
+from pistachiodeal.agent.runners import Runner, RunnerTable
+from pistachiodeal.exceptions import LinkClosedError, Outcome
+from pistachiodeal.metrics import Metrics
+from pistachiodeal.web.client import CallError, UnsendableError
+from pistachiodeal.web.messages import WebResponse
+from pistachiodeal.wire.messages import (
+    Failure,
+    Message,
+    Request,
+    Response,
+    ServiceLoad,
+)
+
+log = logbook.Logger("agent")
+
+TICK_S = 0.005
+LATE_LIMIT_S = 2.0
+MAX_HANDOVERS = 3
+LATENCY_WINDOW_S = 5.0
+
+
+class RequestDesk:
+    """The only authority on which requests this worker's runners get."""
+
+    def __init__(
+        self,
+        runners: RunnerTable,
+        policies: PolicySource,
+        metrics: Metrics,
+        *,
+        window_s: float = LATENCY_WINDOW_S,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._runners = runners
+        self._metrics = metrics
+        self._admission = RequestAdmission(runners, policies, metrics, window_s, clock)
+        self._queues = self._admission.queues
+        self._clock = clock
+        self._open: dict[tuple[int, int], Pending] = {}
+        self._slot_tasks: set[curio.Task] = set()
+        self._sequence = 0
+        self._idle = curio.Event()
+
+    @property
+    def open_count(self) -> int:
+        """Return the number of requests without an answer."""
+        return len(self._open)
+
+    def count_open(self, origin: Origin) -> int:
+        """Return the number of requests of one link without an answer."""
+        return sum(1 for pending in self._open.values() if pending.origin is origin)
+
+    async def handle(self, origin: Origin, request: Request) -> None:
+        """Take a request, or refuse it at once; the answer goes to ``origin``."""
+        self._sequence += 1
+        pending = create_pending(origin, request, self._clock(), self._sequence)
+        if pending.key in self._open:
+            self._metrics.count("agent.requests.repeated_id")
+            return
+        self._metrics.count("agent.requests")
+        refusal = self._admission.find_refusal(pending)
+        if refusal:
+            await self._send(origin, refusal)
+            return
+        queue = self._admission.get_queue(request.service)
+        self._open[pending.key] = pending
+        queue.add(pending)
+        await self._pump(request.service)
+        if pending.waiting:
+            await self._start_timer(queue)
+
+    async def withdraw(self, origin: Origin, request_id: int) -> None:
+        """Refuse a request that waits; one that was handed on goes its way."""
+        pending = self._open.get((id(origin), request_id))
+        if pending is None:
+            return
+        pending.withdrawn = True
+        if pending.waiting:
+            self._queues[pending.request.service].discard(pending)
+            await self._refuse(pending, "withdrawn")
+
+    async def close_origin(self, origin: Origin) -> None:
+        """Drop what still waits from a link that is closed."""
+        for pending in list(self._open.values()):
+            if pending.origin is origin and pending.waiting:
+                self._queues[pending.request.service].discard(pending)
+                self._metrics.count("agent.requests.dropped")
+                await self._finish(pending)
+
+    async def note_change(self, runner: Runner) -> None:
+        """Act on a runner that came, left, or is usable again."""
+        if runner.gone:
+            while runner.parked:
+                await runner.parked.pop().put(None)
+        service = runner.word.service
+        await self._pump(service)
+        if not self._runners.list_runners(service):
+            await self._refuse_all(service, "no_runner")
+
+    async def refuse_late(self, queue: ServiceQueue) -> None:
+        """Refuse the waiting requests that no slot can serve in time any more."""
+        while pending := queue.take_late(self._clock()):
+            await self._refuse(pending, "deadline")
+
+    def figures(self) -> tuple[ServiceLoad, ...]:
+        """Return the load of each service that has runners here."""
+        return tuple(
+            self._admission.build_load(service) for service in self._runners.services
+        )
+
+    def latency(self, service: str) -> float:
+        """Return the recent time of answers at the profile's percentile, seconds."""
+        queue = self._queues.get(service)
+        if queue is None:
+            return 0.0
+        return queue.latency.estimate(self._admission.get_profile(service).percentile)
+
+    def start_draining(self) -> None:
+        """Refuse whatever is new from now on."""
+        self._admission.draining = True
+
+    async def drain(self, timeout: float) -> bool:
+        """Refuse what is new, wait for what is open; False when time ran out."""
+        self.start_draining()
+        if self._open:
+            await curio.ignore_after(timeout, self._idle.wait)
+        return not self._open
+
+    async def stop(self) -> None:
+        """End all tasks, and tell the truth of what is still open."""
+        for pending in list(self._open.values()):
+            if pending.waiting:
+                await self._refuse(pending, "draining")
+            else:
+                await self._fail(pending, Outcome.UNKNOWN, "agent_stopped", "")
+        for queue in self._queues.values():
+            if queue.timer:
+                await queue.timer.cancel()
+        for task in list(self._slot_tasks):
+            await task.cancel()
+
+    async def _pump(self, service: str) -> None:
+        queue = self._queues.get(service)
+        while queue:
+            runner = self._choose_runner(service)
+            if runner is None:
+                return
+            runner.busy += 1
+            await self._hand_over(runner, queue.take())
+
+    def _choose_runner(self, service: str) -> Runner | None:
+        free = [r for r in self._runners.list_runners(service) if r.has_room]
+        if not free:
+            return None
+        return min(free, key=lambda runner: runner.busy / runner.word.slots)
+
+    async def _hand_over(self, runner: Runner, pending: Pending) -> None:
+        if runner.parked:
+            await runner.parked.pop().put(pending)
+            return
+        task = await curio.spawn(self._run_slot, runner, pending, daemon=True)
+        self._slot_tasks.add(task)
+
+    async def _run_slot(self, runner: Runner, first: Pending) -> None:
+        """Serve one slot of a runner until the runner is gone."""
+        inbox: curio.Queue = curio.Queue()
+        pending: Pending | None = first
+        while pending is not None:
+            await self._call_runner(runner, pending)
+            pending = await self._take_next(runner)
+            if pending is None and not runner.gone:
+                runner.parked.append(inbox)
+                pending = await inbox.get()
+        self._slot_tasks.discard(await curio.current_task())
+        await self._runners.retire_if_idle(runner)
+
+    async def _take_next(self, runner: Runner) -> Pending | None:
+        """Return what the slot does next; the slot is free when that is nothing."""
+        service = runner.word.service
+        queue = self._queues.get(service)
+        if queue:
+            await self.refuse_late(queue)
+        if queue and runner.usable and not runner.gone:
+            return queue.take()
+        runner.busy -= 1
+        return None
+
+    async def _call_runner(self, runner: Runner, pending: Pending) -> None:
+        started = self._clock()
+        if started >= pending.refuse_at:
+            await self._refuse(pending, "deadline")
+            return
+        request = pending.request
+        pending.handovers += 1
+        try:
+            answer = await runner.client.call(
+                request.method,
+                request.target,
+                headers=request.headers,
+                body=request.body,
+                timeout=pending.deadline - started + LATE_LIMIT_S,
+            )
+        except UnsendableError:
+            await self._refuse(pending, "unsendable")
+        except CallError as error:
+            await self._settle_error(runner, pending, error, started)
+        except Exception as error:
+            log.error("agent: call of {} failed: {!r}", runner.word.name, error)
+            await self._fail(pending, Outcome.UNKNOWN, "internal", repr(error))
+        else:
+            await self._settle_answer(runner, pending, answer, started)
+
+    async def _settle_answer(
+        self, runner: Runner, pending: Pending, answer: WebResponse, started: float
+    ) -> None:
+        now = self._clock()
+        queue = self._queues.get(runner.word.service)
+        if queue is not None:
+            queue.service_time.record(now - started)
+            queue.latency.record(now - pending.received_at)
+        self._metrics.time("agent.runner_time", now - started)
+        self._runners.note_success(runner)
+        message = Response(
+            pending.request.request_id, answer.status, answer.headers, answer.body
+        )
+        await self._finish(pending, message)
+
+    async def _settle_error(
+        self, runner: Runner, pending: Pending, error: CallError, started: float
+    ) -> None:
+        connected = error.outcome is not Outcome.NOT_RUN
+        self._runners.note_failure(runner, connected)
+        if not connected:
+            await self._put_back(pending)
+            return
+        now = self._clock()
+        queue = self._queues.get(runner.word.service)
+        if queue is not None:
+            queue.service_time.record_failure(now - started)
+            queue.latency.record(now - pending.received_at)
+        cut = error.outcome is Outcome.RAN
+        code = "answer_cut" if cut else "no_answer"
+        await self._fail(pending, error.outcome, code, str(error))
+
+    async def _put_back(self, pending: Pending) -> None:
+        """Queue a request again that reached no runner, or refuse it."""
+        service = pending.request.service
+        if pending.withdrawn:
+            await self._refuse(pending, "withdrawn")
+        elif self._clock() >= pending.refuse_at:
+            await self._refuse(pending, "deadline")
+        elif pending.handovers >= MAX_HANDOVERS or not self._admission.count_slots(
+            service
+        ):
+            await self._refuse(pending, "no_runner")
+        else:
+            queue = self._admission.get_queue(service)
+            queue.add(pending)
+            await self._pump(service)
+            if pending.waiting:
+                await self._start_timer(queue)
+
+    async def _refuse_all(self, service: str, code: str) -> None:
+        queue = self._queues.get(service)
+        if queue is None:
+            return
+        while queue:
+            await self._refuse(queue.take(), code)
+        if not self._runners.list_runners(service):
+            self._queues.pop(service, None)
+            if queue.timer:
+                await queue.timer.cancel()
+
+    async def _refuse(self, pending: Pending, code: str) -> None:
+        await self._finish(pending, self._admission.build_refusal(pending, code))
+
+    async def _fail(
+        self, pending: Pending, outcome: Outcome, code: str, detail: str
+    ) -> None:
+        self._metrics.count(f"agent.failures.{code}")
+        message = Failure(
+            pending.request.request_id, str(outcome), code, "runner", detail
+        )
+        await self._finish(pending, message)
+
+    async def _finish(self, pending: Pending, message: Message | None = None) -> None:
+        if self._open.pop(pending.key, None) is None:
+            return
+        if message is not None:
+            await self._send(pending.origin, message)
+        if self._admission.draining and not self._open:
+            await self._idle.set()
+
+    async def _send(self, origin: Origin, message: Message) -> None:
+        try:
+            await origin.send(message)
+        except LinkClosedError:
+            self._metrics.count("agent.answers.dropped")
+
+    async def _start_timer(self, queue: ServiceQueue) -> None:
+        if queue.timer is None:
+            queue.timer = await curio.spawn(self._watch, queue, daemon=True)
+        if not queue.filled.is_set():
+            await queue.filled.set()
+
+    async def _watch(self, queue: ServiceQueue) -> None:
+        """Refuse late requests of one service; sleeps while none waits."""
+        while True:
+            await queue.filled.wait()
+            while queue:
+                await self.refuse_late(queue)
+                await curio.sleep(TICK_S)
+            queue.filled.clear()
--- /dev/null
+++ b/pistachiodeal/agent/runners.py
@@ -0,0 +1,261 @@
+"""The runners that announced themselves to this agent."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import curio
+import logbook
+
+from pistachiodeal.exceptions import RequestError
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.web.client import WebClient, create_client
+
+log = logbook.Logger("agent")
+
+MAX_RUNNERS = 256
+SWEEPS_PER_EXPIRY = 6
+FIRST_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 5.0
+FAILURES_IN_A_ROW = 5
+NO_ROOM_RETRY_S = 5.0
+
+
+class RoomLedger(Protocol):
+    """The part of the ledger that the table needs."""
+
+    def reserve(self, name: str, size: Resources) -> bool:
+        """Reserve room, or change nothing and return False."""
+
+    def release(self, name: str) -> None:
+        """Give room back."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerWord:
+    """What a runner says of itself."""
+
+    name: str
+    service: str
+    address: str
+    slots: int
+    size: Resources
+
+
+@dataclass(slots=True, eq=False)
+class Runner:
+    """A runner and what is going on there.
+
+    :param heard_at: when it announced itself last.
+    :param busy: slots in use.
+    :param parked: inboxes of slot tasks without work.
+    :param usable: False after failures, until it announces itself again.
+    :param usable_at: no announcement makes it usable before this time.
+    :param gone: it left, expired or was replaced; it gets nothing new.
+    """
+
+    word: RunnerWord
+    client: WebClient
+    heard_at: float
+    busy: int = 0
+    parked: list[curio.Queue] = field(default_factory=list)
+    usable: bool = True
+    usable_at: float = 0.0
+    failures: int = 0
+    backoff_s: float = FIRST_BACKOFF_S
+    gone: bool = False
+
+    @property
+    def has_room(self) -> bool:
+        """Tell whether a slot can take a request."""
+        return self.usable and not self.gone and self.busy < self.word.slots
+
+
+class RunnerTable:
+    """Runners by name; each has its size reserved in the ledger.
+
+    :ivar on_change: awaited after a runner came, left, or is usable again.
+    """
+
+    def __init__(
+        self,
+        expiry_s: float,
+        clock: Callable[[], float] = time.monotonic,
+        connect: Callable[[RunnerWord], WebClient] | None = None,
+    ) -> None:
+        self.on_change: Callable[[Runner], Awaitable[None]] | None = None
+        self._expiry_s = expiry_s
+        self._clock = clock
+        self._connect = connect or _connect_runner
+        self._ledger: RoomLedger | None = None
+        self._runners: dict[str, Runner] = {}
+        self._services: dict[str, list[Runner]] = {}
+        self._reserved: dict[str, Runner] = {}
+        self._swept_at = clock()
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the ledger is known, so that runners can be taken."""
+        return self._ledger is not None
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return the services that have a runner here."""
+        return tuple(self._services)
+
+    def list_runners(self, service: str) -> list[Runner]:
+        """Return a service's runners, not to be changed."""
+        return self._services.get(service, [])
+
+    def open_for_runners(self, ledger: RoomLedger) -> None:
+        """Take runners from now on, with room from this ledger."""
+        self._ledger = ledger
+
+    async def announce(self, word: RunnerWord) -> bool:
+        """Take a runner's word; return True when the runner is new.
+
+        :raises RequestError: ``no_room``, ``too_many_runners`` or ``not_ready``.
+        """
+        now = self._clock()
+        runner = self._runners.get(word.name)
+        if runner and runner.word == word:
+            runner.heard_at = now
+            await self._readmit(runner, now)
+            return False
+        added = self._replace(runner, word, now)
+        await self._tell(added)
+        if runner:
+            await self._tell(runner)
+            await self.retire_if_idle(runner)
+        log.notice("agent: runner {} of {} announced", word.name, word.service)
+        return True
+
+    async def remove(self, name: str) -> bool:
+        """Take a runner out; False when there is none of this name."""
+        runner = self._runners.get(name)
+        if runner is None:
+            return False
+        self._take_out(runner)
+        await self._tell(runner)
+        await self.retire_if_idle(runner)
+        log.notice("agent: runner {} of {} left", name, runner.word.service)
+        return True
+
+    async def run(self) -> None:
+        """Drop silent runners until cancelled."""
+        self._swept_at = self._clock()
+        while True:
+            await curio.sleep(self._expiry_s / SWEEPS_PER_EXPIRY)
+            await self.sweep()
+
+    async def sweep(self) -> None:
+        """Drop runners whose word has expired."""
+        now = self._clock()
+        self._excuse_pause(now)
+        for runner in list(self._runners.values()):
+            if now - runner.heard_at > self._expiry_s:
+                log.warning("agent: runner {} is silent", runner.word.name)
+                await self.remove(runner.word.name)
+
+    async def retire_if_idle(self, runner: Runner) -> None:
+        """Give a gone runner's room back once nothing runs there any more."""
+        if not runner.gone or runner.busy:
+            return
+        name = runner.word.name
+        if self._reserved.get(name) is runner and self._ledger:
+            del self._reserved[name]
+            self._ledger.release(_name_reservation(runner))
+        await runner.client.close()
+
+    def note_success(self, runner: Runner) -> None:
+        """Count an answer."""
+        runner.failures = 0
+        runner.backoff_s = FIRST_BACKOFF_S
+
+    def note_failure(self, runner: Runner, connected: bool) -> None:
+        """Count a failure; take the runner out of use when it is to blame.
+
+        :param connected: False when not even a connection was made.
+        """
+        runner.failures += 1
+        if connected and runner.failures < FAILURES_IN_A_ROW:
+            return
+        if not runner.usable:
+            return
+        runner.usable = False
+        runner.usable_at = self._clock() + runner.backoff_s
+        runner.backoff_s = min(runner.backoff_s * 2, MAX_BACKOFF_S)
+        log.warning("agent: runner {} fails, out of use", runner.word.name)
+
+    async def close(self) -> None:
+        """Close the connections to all runners."""
+        for runner in self._runners.values():
+            await runner.client.close()
+
+    def _replace(self, old: Runner | None, word: RunnerWord, now: float) -> Runner:
+        if self._ledger is None:
+            raise RequestError(
+                "the worker's runs are not known yet",
+                code="not_ready",
+                status=503,
+                retry_after=1.0,
+                step="announce",
+            )
+        if old is None and len(self._runners) >= MAX_RUNNERS:
+            raise RequestError(code="too_many_runners", status=409, step="announce")
+        runner = Runner(word, self._connect(word), now)
+        if not self._ledger.reserve(_name_reservation(runner), word.size):
+            raise RequestError(
+                f"no room for {word.size} on this worker",
+                code="no_room",
+                status=409,
+                retry_after=NO_ROOM_RETRY_S,
+                step="announce",
+                peer=word.address,
+            )
+        self._reserved[word.name] = runner
+        if old:
+            self._take_out(old)
+        self._runners[word.name] = runner
+        self._services.setdefault(word.service, []).append(runner)
+        return runner
+
+    def _take_out(self, runner: Runner) -> None:
+        runner.gone = True
+        del self._runners[runner.word.name]
+        service = runner.word.service
+        self._services[service].remove(runner)
+        if not self._services[service]:
+            del self._services[service]
+
+    async def _readmit(self, runner: Runner, now: float) -> None:
+        if runner.usable or now < runner.usable_at:
+            return
+        runner.usable = True
+        runner.failures = 0
+        await self._tell(runner)
+
+    async def _tell(self, runner: Runner) -> None:
+        if self.on_change:
+            await self.on_change(runner)
+
+    def _excuse_pause(self, now: float) -> None:
+        # After a freeze of this process every runner looks silent although
+        # their words wait in its sockets; dropping them would refuse all
+        # requests for a second. Time that we slept through does not count.
+        lost = now - self._swept_at - 2 * self._expiry_s / SWEEPS_PER_EXPIRY
+        self._swept_at = now
+        if lost > 0:
+            for runner in self._runners.values():
+                runner.heard_at += lost
+
+
+def _name_reservation(runner: Runner) -> str:
+    return f"runner:{runner.word.name}"
+
+
+def _connect_runner(word: RunnerWord) -> WebClient:
+    return create_client(word.address, connections=word.slots)
--- a/pistachiodeal/config/agent.py
+++ b/pistachiodeal/config/agent.py
@@ -38,9 +38,13 @@
     period_s: float = Field(0.5, gt=0, description="time between decisions, s")
     high: float = Field(0.9, gt=0, description="share of the promise: act above it")
     low: float = Field(0.6, gt=0, description="share of the promise: ease below it")
+    tolerance: float = Field(
+        1.08, ge=1, description="slow-down by batch work borne above the low mark"
+    )
     min_share: float = Field(0.1, gt=0, le=1, description="strongest throttle")
     evict_after: int = Field(4, ge=1, description="decisions at it before an eviction")
-    settle_s: float = Field(2.0, gt=0, description="time until a step shows, s")
+    window_s: float = Field(5.0, ge=0, description="time a latency reading covers, s")
+    settle_s: float = Field(6.0, gt=0, description="time until a step shows, s")
     ease_s: float = Field(5.0, gt=0, description="calm before easing, s")
 
 
--- a/pistachiodeal/web/client.py
+++ b/pistachiodeal/web/client.py
@@ -11,7 +11,7 @@
 from curio.io import Socket
 
 from pistachiodeal.exceptions import Outcome, PistachiodealError
-from pistachiodeal.web.connection import decode_headers
+from pistachiodeal.web.connection import decode_headers, encode_headers
 from pistachiodeal.web.messages import Headers, WebResponse
 
 READ_BYTES = 65_536
@@ -35,6 +35,12 @@
         self.outcome = outcome
 
 
+class UnsendableError(CallError):
+    """The request itself cannot be sent as HTTP; the peer is not to blame."""
+
+    code = "unsendable"
+
+
 class _Exchange:
     """One request on one connection, and how far it got."""
 
@@ -175,9 +181,11 @@
             own.append(("content-length", str(len(body))))
         kept = [pair for pair in headers if pair[0] not in OWN_HEADERS]
         try:
-            return h11.Request(method=method, target=target, headers=own + kept)
-        except h11.LocalProtocolError as error:
-            raise CallError(
+            return h11.Request(
+                method=method, target=target, headers=encode_headers(own + kept)
+            )
+        except (h11.LocalProtocolError, UnicodeError) as error:
+            raise UnsendableError(
                 str(error), Outcome.NOT_RUN, step="http.call", peer=self._address
             ) from None
 
--- a/pistachiodeal/web/connection.py
+++ b/pistachiodeal/web/connection.py
@@ -203,7 +203,9 @@
             headers.append(("content-length", length))
         if last:
             headers.append(("connection", "close"))
-        head = h11.Response(status_code=response.status, headers=headers)
+        head = h11.Response(
+            status_code=response.status, headers=encode_headers(headers)
+        )
         data = self._h11.send(head) or b""
         if not bodyless and response.body:
             data += self._h11.send(h11.Data(data=response.body)) or b""
@@ -215,3 +217,11 @@
     return tuple(
         (name.decode("ascii"), value.decode("latin-1")) for name, value in headers
     )
+
+
+def encode_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
+    """Return headers as bytes; the reverse of :func:`decode_headers`.
+
+    :raises UnicodeError: a name is not ASCII, or a value not latin-1.
+    """
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
--- /dev/null
+++ b/tests/unit/test_agent_app.py
@@ -0,0 +1,194 @@
+"""What an agent tells entries, and what it does with what they tell it."""
+
+from __future__ import annotations
+
+import os
+import signal
+from types import SimpleNamespace
+from typing import Any, cast
+
+import curio
+import pytest
+
+from pistachiodeal.agent.app import open_agent
+from pistachiodeal.agent.directory import AgentDirectory
+from pistachiodeal.agent.dispatch import MessageDispatch
+from pistachiodeal.agent.evidence import EvidenceExchange
+from pistachiodeal.agent.reporting import Reporter
+from pistachiodeal.config.agent import AgentSettings
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.profiles.cache import create_policy_cache
+from pistachiodeal.signals import watch_signals
+from pistachiodeal.wire.messages import (
+    Directory,
+    Evidence,
+    PairEvidence,
+    PartitionOwner,
+    Policies,
+    PolicyPart,
+    Report,
+    TaskRef,
+)
+
+PROFILE = '{"name":"quotes"}'
+
+
+class FakeTasks:
+    """A task keeper with one run in partition 7."""
+
+    def __init__(self, log: list[Any]) -> None:
+        self._log = log
+        self.ledger = SimpleNamespace(capacity=Resources(1000, 1000))
+        self.room = Resources(-200, 500)
+
+    def note_beat(self, beat: int, sent_at: float) -> None:
+        self._log.append((beat, sent_at))
+
+    def refs(self, partitions: set[int]) -> tuple[TaskRef, ...]:
+        return (TaskRef("t", 1, 4),) if 7 in partitions else ()
+
+
+class FakeLinks:
+    """Two links whose messages end up in one log."""
+
+    def __init__(self, log: list[Any]) -> None:
+        self._log = log
+        self.links = [self._build_link("e1"), self._build_link("e2")]
+
+    def _build_link(self, node: str) -> Any:
+        async def send(message: Any) -> None:
+            self._log.append((node, message))
+
+        return SimpleNamespace(peer=SimpleNamespace(node=node), send=send)
+
+    async def send(self, link: Any, message: Any) -> bool:
+        await link.send(message)
+        return True
+
+    async def send_to_all(self, message: Any, but: Any = None) -> None:
+        for link in self.links:
+            if link is not but:
+                await link.send(message)
+
+
+def create_reporter(log: list[Any], links: Any, now: float = 5.0) -> Reporter:
+    directory = AgentDirectory()
+    directory.note("e2", Directory((), (PartitionOwner(7, 4, "e2", "x"),)))
+    return Reporter(
+        0.5,
+        tasks=cast(Any, FakeTasks(log)),
+        list_loads=tuple,
+        directory=directory,
+        links=links,
+        clock=lambda: now,
+    )
+
+
+def test_a_beat_is_remembered_before_it_is_sent() -> None:
+    """Symptom: a task runs on when its lease has run out for its owner.
+
+    Sequence: the agent is frozen between sending a report and noting the time.
+    Cause: the lease was counted from the note, which came after the sending.
+    """
+    log: list[Any] = []
+    curio.run(create_reporter(log, FakeLinks(log)).report)
+    (beat, sent_at), *sent = log
+    reports: list[Report] = [message for _, message in sent]
+    assert sent_at == 5.0
+    assert {report.beat for report in reports} == {beat}
+    assert [report.tasks for report in reports] == [(), (TaskRef("t", 1, 4),)]
+    assert reports[0].free == Resources(0, 500), "overfull is no room, not less"
+
+
+def test_a_restarted_agent_uses_no_beat_again() -> None:
+    """Symptom: a frozen owner's old message extends a lease.
+
+    Sequence: the agent restarts; a start with its earlier beat arrives late.
+    Cause: beats began at 1 again, so the old number named a fresh beat.
+    """
+    log: list[Any] = []
+    earlier = create_reporter(log, FakeLinks([]), now=5.0)
+    for _ in range(100):
+        curio.run(earlier.report)
+    curio.run(create_reporter(log, FakeLinks([]), now=5.1).report)
+    beats = [beat for beat, _ in log]
+    assert beats == sorted(set(beats))
+
+
+def test_policies_are_told_to_new_links_and_passed_on_once() -> None:
+    """Symptom: an entry serves an older profile than one already in force.
+
+    Sequence: it starts while the table is down; only agents know the newest.
+    Cause: agents took policies in and told nobody.
+    """
+
+    async def main() -> None:
+        log: list[Any] = []
+        links = FakeLinks(log)
+        dispatch = MessageDispatch(
+            desk=cast(Any, None),
+            tasks=cast(Any, None),
+            directory=AgentDirectory(),
+            links=cast(Any, links),
+            policies=create_policy_cache(),
+            evidence=cast(Any, None),
+            reporter=create_reporter([], links),
+            metrics=cast(Any, None),
+        )
+        first, second = links.links
+        new = Policies((PolicyPart("orders", 5, PROFILE),))
+        old = Policies((PolicyPart("orders", 4, PROFILE),))
+        await dispatch.receive(first, new)
+        await dispatch.receive(second, new)
+        await dispatch.receive(second, old)
+        assert log == [("e2", new)]
+        await dispatch.greet(first)
+        assert log[1] == ("e1", new)
+
+    curio.run(main)
+
+
+def test_evidence_that_could_not_be_sent_is_kept() -> None:
+    pair = PairEvidence("orders", "plan", 100, 1000)
+    news = [(pair,), (), ()]
+    sent: list[Any] = []
+
+    async def send(message: Any) -> bool:
+        sent.append(message)
+        return len(sent) > 1
+
+    async def main() -> None:
+        model = cast(Any, SimpleNamespace(take_evidence=lambda: news.pop(0)))
+        exchange = EvidenceExchange(model, send)
+        for _ in range(3):
+            await exchange.send()
+
+    curio.run(main)
+    assert sent == [Evidence((pair,))] * 2
+
+
+@pytest.mark.parametrize("signals", [1, 2])
+def test_signals_end_an_agent_whose_worker_is_away(signals: int) -> None:
+    settings = AgentSettings.model_validate(
+        {
+            "node": "a1",
+            "worker": "w1",
+            "data_centre": "dc1",
+            "rack": "k1",
+            "secret": "s" * 16,
+            "entries": ["127.0.0.1:1"],
+            "announce": {"port": 0},
+            "runtime": {"worker": "127.0.0.1:1", "objects": "127.0.0.1:1"},
+            "drain_s": 0.0 if signals == 1 else 60.0,
+        }
+    )
+
+    async def main() -> int:
+        with watch_signals() as watch:
+            async with open_agent(settings) as app:
+                assert app.port > 0
+                for _ in range(signals):
+                    os.kill(os.getpid(), signal.SIGTERM)
+                return await app.run(watch)
+
+    assert curio.run(main) == signals - 1
--- a/tests/unit/test_web.py
+++ b/tests/unit/test_web.py
@@ -5,7 +5,7 @@
 from curio.io import Socket
 
 from pistachiodeal.exceptions import Outcome, RequestError
-from pistachiodeal.web.client import CallError, create_client
+from pistachiodeal.web.client import CallError, UnsendableError, create_client
 from pistachiodeal.web.messages import WebLimits, WebRequest, WebResponse
 from pistachiodeal.web.server import bind_listener, create_server
 
@@ -202,3 +202,24 @@
         listener.close()
 
     curio.run(main)
+
+
+def test_header_values_pass_as_they_came():
+    """Symptom: `unknown` for a request with an accented letter in a header.
+
+    Sequence: a caller sends a latin-1 header value; it is passed on by the client.
+    Cause: values decoded as latin-1 and encoded as ASCII.
+    """
+
+    async def main():
+        async def handle(request: WebRequest) -> WebResponse:
+            return WebResponse(200, (("x-back", request.header("x-there")),))
+
+        _, task, client = await start(handle)
+        answer = await client.call("GET", "/", headers=(("x-there", "Z\xe1horie"),))
+        assert answer.header("x-back") == "Z\xe1horie"
+        with pytest.raises(UnsendableError):
+            await client.call("GET", "/", headers=(("x-there", "\u4e2d"),))
+        await task.cancel()
+
+    curio.run(main)
