Add the entry process: links, interactive routing, drain

Cause: nothing took callers' requests in. An entry now accepts agents' links, routes interactive requests to them, and puts batch, profiles and claims behind one HTTP port.

Change: - routing/: power of two choices over own outstanding requests plus the agents' late figures, latency only among targets with room (Prequal), own data centre first with spill-over, slow start, back-off after refusals, a decaying debt for failures (black holes), retry budgets (Finagle), limits per caller. - entry/: one session a link; ids never used again; a newer link retires the older one, whose open requests still get their answers; outcome of a call only gets worse over its attempts; Withdraw at the deadline; claims before what must not repeat; task messages go through a bounded inbox, so that a slow table does not hold up answers on the same link; graceful drain, second signal ends at once.

Ruled out: closing a session's socket from another task than its reader (seen: the reader waits for ever, as the selector drops a closed descriptor silently); the reader is cancelled instead. Handing merged evidence back to all agents (each would count its own again): the relay leaves the sender out. One time-out for each attempt: there is one for each request.

--- /dev/null
+++ b/pistachiodeal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers' and operators' HTTP, links, interactive requests."""
--- /dev/null
+++ b/pistachiodeal/entry/app.py
@@ -0,0 +1,89 @@
+"""A running entry, and the order in which it stops."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+
+import curio
+from logbook import Logger
+
+from pistachiodeal.claims.keeper import ClaimKeeper
+from pistachiodeal.config.entry import EntrySettings
+from pistachiodeal.entry.dispatch import Dispatcher
+from pistachiodeal.entry.links import LinkServer
+from pistachiodeal.entry.protocols import TaskService
+from pistachiodeal.exceptions import PistachiodealError
+from pistachiodeal.histograms import Histograms
+from pistachiodeal.supervisor import Supervisor
+from pistachiodeal.web.server import WebServer
+
+log = Logger("entry")
+
+CLAIM_FLUSH_S = 1.0
+BATCH_DRAIN_SHARE = 0.3
+
+
+@dataclass(slots=True)
+class EntryApp:
+    """A running entry; made by :func:`open_entry`."""
+
+    settings: EntrySettings
+    supervisor: Supervisor
+    web: WebServer
+    links: LinkServer
+    batch: TaskService
+    claims: ClaimKeeper
+    dispatcher: Dispatcher
+    histograms: Histograms
+    draining: bool = False
+
+    @property
+    def in_flight(self) -> int:
+        """Return the interactive requests that have no answer yet."""
+        return self.dispatcher.in_flight
+
+    async def run(self) -> None:
+        """Serve until cancelled.
+
+        :raises PistachiodealError: a child failed too often.
+        """
+        await self.supervisor.run()
+
+    async def drain(self) -> bool:
+        """Hand over what this entry holds and end what is in flight.
+
+        :returns: False when requests were still open at the end of the time.
+        """
+        self.draining = True
+        until = time.monotonic() + self.settings.drain_s
+        log.notice("entry: draining, {} requests in flight", self.in_flight)
+        await self._drain_batch(self.settings.drain_s * BATCH_DRAIN_SHARE)
+        await self.links.say_goodbye("entry is leaving")
+        whole = await self.web.drain(max(0.0, until - time.monotonic()))
+        if not whole:
+            log.warning("entry: time is up, {} requests cut", self.in_flight)
+        if not await self.claims.flush(CLAIM_FLUSH_S):
+            log.warning("entry: {} claims have no end written", self.claims.pending)
+        return whole
+
+    def write_histograms(self) -> None:
+        """Write the histograms to the file of the settings, if there is one."""
+        path = self.settings.histogram_file
+        if not path:
+            return
+        try:
+            self.histograms.write(path)
+        except OSError as error:
+            log.error("entry: histograms not written: {!r}", error)
+
+    async def _drain_batch(self, seconds: float) -> None:
+        # The hand-over needs the table, which may be down; the requests in
+        # flight need the rest of the time.
+        try:
+            async with curio.ignore_after(seconds) as limit:
+                await self.batch.drain()
+            if limit.expired:
+                log.warning("entry: partitions not handed over in {:.1f} s", seconds)
+        except PistachiodealError as error:
+            log.warning("entry: partitions not handed over: {}", error)
--- /dev/null
+++ b/pistachiodeal/entry/dispatch.py
@@ -0,0 +1,302 @@
+"""One interactive request, from its arrival to its final answer."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import curio
+from logbook import Logger
+
+from pistachiodeal.claims.keeper import Claimed, ClaimKeeper, Replayed
+from pistachiodeal.config.entry import RequestSettings
+from pistachiodeal.entry.calls import (
+    Call,
+    parse_call,
+    strip_request_headers,
+    strip_response_headers,
+)
+from pistachiodeal.entry.journey import DEADLINE, STEP_ROUTE, Journey
+from pistachiodeal.entry.pending import Answer
+from pistachiodeal.entry.services import ServiceTable
+from pistachiodeal.entry.sessions import SessionTable
+from pistachiodeal.entry.targets import TargetTable
+from pistachiodeal.exceptions import LinkClosedError, Outcome, RequestError
+from pistachiodeal.histograms import Histograms
+from pistachiodeal.metrics import Metrics
+from pistachiodeal.model.policies import Profile
+from pistachiodeal.routing.admission import (
+    CallerLimits,
+    create_caller_limits,
+    estimate_wait,
+)
+from pistachiodeal.routing.candidate import Candidate
+from pistachiodeal.routing.choice import Chooser
+from pistachiodeal.web.messages import WebRequest, WebResponse
+from pistachiodeal.wire.messages import Refusal, Request, Response, Withdraw
+
+log = Logger("entry")
+
+SHORTEST_BUDGET_S = 0.001
+SERVER_FAILURE = 500
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchParts:
+    """What a dispatcher works with.
+
+    :param claim_timeout: seconds that one claim may take.
+    """
+
+    settings: RequestSettings
+    sessions: SessionTable
+    targets: TargetTable
+    services: ServiceTable
+    claims: ClaimKeeper
+    chooser: Chooser
+    metrics: Metrics
+    histograms: Histograms
+    claim_timeout: float
+
+
+class Dispatcher:
+    """Routes callers' requests to agents and brings the answers back."""
+
+    def __init__(self, parts: DispatchParts, clock: Callable[[], float]) -> None:
+        self._settings = parts.settings
+        self._sessions = parts.sessions
+        self._targets = parts.targets
+        self._services = parts.services
+        self._claims = parts.claims
+        self._chooser = parts.chooser
+        self._metrics = parts.metrics
+        self._histograms = parts.histograms
+        self._claim_timeout = parts.claim_timeout
+        self._clock = clock
+        self._callers: CallerLimits = create_caller_limits(
+            parts.settings.caller_in_flight
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests that were taken in and have no answer yet."""
+        return self._callers.total
+
+    async def handle(self, service: str, request: WebRequest) -> WebResponse:
+        """Return the whole answer of a runner.
+
+        :raises RequestError: there is none; says what is known of the outcome.
+        """
+        started = self._clock()
+        call = parse_call(service, request, self._settings, started)
+        profile = self._services.find_profile(service)
+        self._admit(call)
+        try:
+            response = await self._answer(call, profile)
+            self._histograms.record(call.caller, service, self._clock() - started)
+            self._metrics.count("entry.answered")
+            return response
+        except RequestError as error:
+            self._note_error(call, error, self._clock() - started)
+            raise
+        finally:
+            self._callers.leave(call.caller, self._clock() - started)
+
+    def _admit(self, call: Call) -> None:
+        if self._callers.enter(call.caller):
+            return
+        self._metrics.count("entry.caller_limit")
+        raise RequestError(
+            f"caller {call.caller} has too many open requests",
+            code="caller_limit",
+            status=429,
+            retry_after=self._callers.estimate_retry_after(),
+            step="entry.admit",
+        )
+
+    def _note_error(self, call: Call, error: RequestError, seconds: float) -> None:
+        self._metrics.count(f"entry.problem.{error.code}")
+        self._metrics.count(f"entry.outcome.{error.outcome}")
+        if error.outcome is not Outcome.NOT_RUN or error.code == DEADLINE:
+            # Quick refusals would flatter the percentiles of those who waited.
+            self._histograms.record(call.caller, call.service, seconds)
+
+    async def _answer(self, call: Call, profile: Profile) -> WebResponse:
+        if call.key and not call.is_repeatable(profile):
+            return await self._answer_once(call, profile)
+        return await self._answer_in_time(call, profile)
+
+    async def _answer_once(self, call: Call, profile: Profile) -> WebResponse:
+        """Claim the key first, so that no entry runs this request a second time."""
+        timeout = min(self._claim_timeout, call.deadline - self._clock())
+        claim = await self._claims.claim(
+            call.service, call.claim_key, call.compute_fingerprint(), timeout
+        )
+        if isinstance(claim, Replayed):
+            self._metrics.count("entry.replayed")
+            return claim.response
+        try:
+            response = await self._answer_in_time(call, profile)
+        except RequestError as error:
+            await self._close_claim(claim, error)
+            raise
+        await self._claims.record(claim, response)
+        return response
+
+    async def _close_claim(self, claim: Claimed, error: RequestError) -> None:
+        if error.outcome is Outcome.NOT_RUN:
+            await self._claims.release(claim)
+        else:
+            await self._claims.mark_unknown(claim)
+
+    async def _answer_in_time(self, call: Call, profile: Profile) -> WebResponse:
+        journey = Journey(call)
+        left = call.deadline - self._clock()
+        if left <= 0:
+            raise journey.give_up()
+        try:
+            async with curio.timeout_after(left):
+                return await self._try_until_answered(journey, profile)
+        except curio.TaskTimeout:
+            response = await self._give_up(journey)
+            if response is None:
+                raise journey.give_up() from None
+            return response
+        except RequestError:
+            raise
+        except Exception as error:
+            # The web server would tell ``not_run`` of any error it does not
+            # know, also of one that came up after a runner had the request.
+            log.exception("entry: dispatch failed")
+            raise journey.fail(type(error).__name__) from error
+
+    async def _give_up(self, journey: Journey) -> WebResponse | None:
+        """Withdraw the open attempt; return its answer if it has just come."""
+        session, pending = journey.session, journey.pending
+        if session is None or pending is None:
+            return None
+        answer = pending.answer
+        if answer is None:
+            await session.post(Withdraw(pending.request_id))
+            return None
+        journey.end()
+        if isinstance(answer, Response):
+            return self._build_response(journey, answer)
+        journey.note_answer(session.node, answer)
+        return None
+
+    async def _try_until_answered(
+        self, journey: Journey, profile: Profile
+    ) -> WebResponse:
+        budget = self._services.find_budget(journey.call.service, profile)
+        budget.note_request()
+        while True:
+            candidate = self._choose(journey)
+            answer = await self._attempt(journey, candidate)
+            if isinstance(answer, Response):
+                return self._build_response(journey, answer)
+            may_run_again = journey.call.is_repeatable(profile)
+            if journey.outcome is not Outcome.NOT_RUN and not may_run_again:
+                break
+            if journey.attempts >= self._settings.attempts or not budget.take():
+                break
+            self._metrics.count("entry.retries")
+        assert journey.error is not None
+        raise journey.error
+
+    def _choose(self, journey: Journey) -> Candidate:
+        candidates = self._targets.find(journey.call.service)
+        if journey.tried:
+            candidates = [one for one in candidates if one.node not in journey.tried]
+        now = self._clock()
+        chosen = self._chooser.choose(candidates, now)
+        if chosen is None:
+            raise journey.error or self._services.build_no_runner(journey.call.service)
+        left = journey.call.deadline - now
+        if estimate_wait(chosen) <= left:
+            return chosen
+        return self._choose_shortest_wait(journey, candidates, left)
+
+    def _choose_shortest_wait(
+        self, journey: Journey, candidates: Sequence[Candidate], left: float
+    ) -> Candidate:
+        usable = [one for one in candidates if one.slots > 0]
+        shortest = min(usable, key=estimate_wait)
+        wait = estimate_wait(shortest)
+        if wait <= left:
+            return shortest
+        raise journey.error or RequestError(
+            f"a slot is free in {wait:.3f} s at the earliest",
+            code="overloaded",
+            status=503,
+            retry_after=wait - left,
+            step=STEP_ROUTE,
+        )
+
+    async def _attempt(self, journey: Journey, candidate: Candidate) -> Answer | None:
+        """Hand the call to one agent; return its answer, None when it never left."""
+        session = self._sessions.get(candidate.node)
+        if session is None:
+            journey.note_unsent(candidate.node, "no link to the agent")
+            return None
+        pending = session.open_request()
+        candidate.outstanding += 1
+        try:
+            message = self._build_request(journey.call, pending.request_id)
+            journey.begin(session, pending)
+            try:
+                await session.send(message)
+            except LinkClosedError as error:
+                journey.end()
+                journey.note_unsent(candidate.node, error.detail)
+                return None
+            answer = await pending.wait()
+        finally:
+            candidate.outstanding -= 1
+            session.close_request(pending)
+        journey.end()
+        self._note_answer(journey, candidate, answer)
+        return answer
+
+    def _note_answer(
+        self, journey: Journey, candidate: Candidate, answer: Answer
+    ) -> None:
+        now = self._clock()
+        if isinstance(answer, Response):
+            candidate.note_answer()
+            if answer.status >= SERVER_FAILURE:
+                candidate.note_failure(now)
+            return
+        if isinstance(answer, Refusal):
+            retry_after = answer.retry_after_ms / 1000.0
+            candidate.note_refusal(now, retry_after, random.random())
+        else:
+            candidate.note_failure(now)
+        journey.note_answer(candidate.node, answer)
+
+    def _build_request(self, call: Call, request_id: int) -> Request:
+        left = max(SHORTEST_BUDGET_S, call.deadline - self._clock())
+        return Request(
+            request_id=request_id,
+            service=call.service,
+            caller=call.caller,
+            method=call.request.method,
+            target=call.request.target,
+            headers=strip_request_headers(call.request.headers),
+            body=call.request.body,
+            budget_ms=int(left * 1000),
+        )
+
+    def _build_response(self, journey: Journey, answer: Response) -> WebResponse:
+        method = journey.call.request.method
+        headers = strip_response_headers(answer.headers, method)
+        return WebResponse(answer.status, headers, answer.body)
+
+
+def create_dispatcher(
+    parts: DispatchParts, clock: Callable[[], float] = time.monotonic
+) -> Dispatcher:
+    """Return a dispatcher with nothing in flight."""
+    return Dispatcher(parts, clock)
--- /dev/null
+++ b/pistachiodeal/entry/evidence.py
@@ -0,0 +1,122 @@
+"""Passes on between agents what each learnt of services beside kinds of task."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from pistachiodeal.wire.messages import Evidence, PairEvidence
+
+HALF_LIFE_S = 600.0
+PAIR_LIMIT = 512
+RECENT_LIMIT = 4096
+GREETED_LIMIT = 10_000
+SMALLEST_WEIGHT_MILLI = 1
+
+
+@dataclass(frozen=True, slots=True)
+class _Item:
+    node: str
+    pair: PairEvidence
+
+
+@dataclass(slots=True)
+class _Total:
+    """Decaying sum of a pair's evidence, in thousandths, as of a time."""
+
+    at: float
+    slowdown: float = 0.0
+    weight: float = 0.0
+
+    def decay(self, now: float) -> None:
+        factor = 0.5 ** ((now - self.at) / HALF_LIFE_S)
+        self.slowdown *= factor
+        self.weight *= factor
+        self.at = now
+
+    def add(self, pair: PairEvidence, now: float) -> None:
+        self.decay(now)
+        self.slowdown += pair.slowdown_sum_milli
+        self.weight += pair.weight_milli
+
+
+class EvidenceRelay:
+    """Collects evidence, and hands each agent what the others sent.
+
+    An agent must not get its own evidence back: it would count it twice, and
+    again at each round, until one early measurement outweighed all later ones.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._recent: deque[_Item] = deque(maxlen=RECENT_LIMIT)
+        self._totals: dict[tuple[str, str], _Total] = {}
+        self._greeted: dict[str, int] = {}
+
+    def accept(self, node: str, evidence: Evidence) -> None:
+        """Take an agent's new evidence."""
+        now = self._clock()
+        for pair in evidence.pairs[:PAIR_LIMIT]:
+            self._recent.append(_Item(node, pair))
+            self._add_total(pair, now)
+
+    def greet(self, node: str, incarnation: int) -> Evidence | None:
+        """Return all that is known for an agent that has just started.
+
+        :param incarnation: an agent that merely dialled again gets nothing.
+        """
+        if self._greeted.get(node) == incarnation:
+            return None
+        if len(self._greeted) >= GREETED_LIMIT:
+            self._greeted.clear()
+        self._greeted[node] = incarnation
+        now = self._clock()
+        for total in self._totals.values():
+            total.decay(now)
+        return _build_evidence(
+            PairEvidence(*key, int(total.slowdown), int(total.weight))
+            for key, total in self._totals.items()
+        )
+
+    def build_for(self, node: str) -> Evidence | None:
+        """Return what agents other than this one sent since the last round."""
+        sums: dict[tuple[str, str], tuple[int, int]] = {}
+        for item in self._recent:
+            if item.node == node:
+                continue
+            pair = item.pair
+            key = (pair.service, pair.kind)
+            slowdown, weight = sums.get(key, (0, 0))
+            slowdown += pair.slowdown_sum_milli
+            sums[key] = (slowdown, weight + pair.weight_milli)
+        return _build_evidence(PairEvidence(*key, *sum_) for key, sum_ in sums.items())
+
+    def end_round(self) -> None:
+        """Forget what was handed on."""
+        self._recent.clear()
+
+    def _add_total(self, pair: PairEvidence, now: float) -> None:
+        key = (pair.service, pair.kind)
+        total = self._totals.get(key)
+        if total is None:
+            if len(self._totals) >= PAIR_LIMIT:
+                self._drop_oldest()
+            total = self._totals[key] = _Total(now)
+        total.add(pair, now)
+
+    def _drop_oldest(self) -> None:
+        del self._totals[min(self._totals, key=lambda key: self._totals[key].at)]
+
+
+def _build_evidence(pairs: Iterable[PairEvidence]) -> Evidence | None:
+    kept = [pair for pair in pairs if pair.weight_milli >= SMALLEST_WEIGHT_MILLI]
+    return Evidence(tuple(kept[:PAIR_LIMIT])) if kept else None
+
+
+def create_evidence_relay(
+    clock: Callable[[], float] = time.monotonic,
+) -> EvidenceRelay:
+    """Return a relay that has nothing to hand on."""
+    return EvidenceRelay(clock)
--- /dev/null
+++ b/pistachiodeal/entry/front.py
@@ -0,0 +1,120 @@
+"""Where each HTTP request goes: operators, batch tasks, or a service."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from pistachiodeal.entry.dispatch import Dispatcher
+from pistachiodeal.entry.protocols import TaskService
+from pistachiodeal.exceptions import RequestError
+from pistachiodeal.histograms import Histograms
+from pistachiodeal.profiles.api import ProfileApi
+from pistachiodeal.web.messages import WebRequest, WebResponse, build_json
+
+OPERATORS = "-"
+TASKS = "tasks"
+HEALTH = "/-/health"
+STATUS = "/-/status"
+HISTOGRAMS = "/-/histograms"
+PROFILE_PARTS = frozenset(("profiles", "services"))
+BEARER = "bearer "
+STEP = "entry.front"
+OK = 200
+UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, slots=True)
+class FrontParts:
+    """What answers the requests.
+
+    :param read_status: builds the status document.
+    :param is_draining: tells whether this process is leaving.
+    """
+
+    operator_token: str
+    dispatcher: Dispatcher
+    batch: TaskService
+    profiles: ProfileApi
+    histograms: Histograms
+    read_status: Callable[[], dict[str, Any]]
+    is_draining: Callable[[], bool]
+
+
+class Front:
+    """Routes by the first part of the path."""
+
+    def __init__(self, parts: FrontParts) -> None:
+        self._token = parts.operator_token.encode()
+        self._dispatcher = parts.dispatcher
+        self._batch = parts.batch
+        self._profiles = parts.profiles
+        self._histograms = parts.histograms
+        self._read_status = parts.read_status
+        self._is_draining = parts.is_draining
+
+    async def handle(self, request: WebRequest) -> WebResponse:
+        """Answer one request.
+
+        :raises RequestError: turned into a problem document by the web server.
+        """
+        path = request.path
+        if not path.startswith("/"):
+            raise RequestError(
+                "the target is no path", code="bad_target", status=400, step=STEP
+            )
+        first = path[1:].partition("/")[0]
+        if first == OPERATORS:
+            return await self._handle_operator(request)
+        if first == TASKS:
+            return await self._batch.handle(request)
+        return await self._dispatcher.handle(first, request)
+
+    async def _handle_operator(self, request: WebRequest) -> WebResponse:
+        path = request.path
+        if path == HEALTH:
+            return self._answer_health()
+        self._check_token(request)
+        if path.removeprefix("/-/").partition("/")[0] in PROFILE_PARTS:
+            return await self._profiles.handle(request)
+        if path not in (STATUS, HISTOGRAMS):
+            raise RequestError(
+                f"no operators' page {path[:80]!r}",
+                code="not_found",
+                status=404,
+                step=STEP,
+            )
+        if request.method not in ("GET", "HEAD"):
+            raise RequestError(
+                "only GET", code="method_not_allowed", status=405, step=STEP
+            )
+        if path == STATUS:
+            return build_json(OK, self._read_status())
+        return build_json(OK, self._histograms.build_document())
+
+    def _answer_health(self) -> WebResponse:
+        """Answer the balancer, which has no token."""
+        if self._is_draining():
+            return build_json(UNAVAILABLE, {"health": "draining"})
+        return build_json(OK, {"health": "ok"})
+
+    def _check_token(self, request: WebRequest) -> None:
+        given = request.header("authorization")
+        scheme, token = given[: len(BEARER)], given[len(BEARER) :]
+        # compare_digest takes the same time wherever the first difference is;
+        # with == a token could be guessed byte by byte from the answer times.
+        matches = hmac.compare_digest(token.encode(), self._token)
+        if scheme.lower() != BEARER or not matches:
+            raise RequestError(
+                "a bearer token of an operator is needed",
+                code="unauthenticated",
+                status=401,
+                step=STEP,
+            )
+
+
+def create_front(parts: FrontParts) -> Front:
+    """Return the router of an entry's HTTP port."""
+    return Front(parts)
--- /dev/null
+++ b/pistachiodeal/entry/journey.py
@@ -0,0 +1,134 @@
+"""What happened to one call so far, and what its caller may be told."""
+
+from __future__ import annotations
+
+from logbook import Logger
+
+from pistachiodeal.entry.calls import Call
+from pistachiodeal.entry.pending import LinkLost, Pending
+from pistachiodeal.entry.sessions import Session
+from pistachiodeal.exceptions import Outcome, RequestError
+from pistachiodeal.wire.messages import Failure, Refusal
+
+log = Logger("entry")
+
+STEP_SEND = "entry.send"
+STEP_ROUTE = "entry.route"
+STEP_ACCEPT = "agent.accept"
+REFUSED = "refused"
+AGENT_LOST = "agent_lost"
+DEADLINE = "deadline"
+INTERNAL = "internal"
+OUTCOMES = {str(outcome): outcome for outcome in Outcome}
+SHORTEST_RETRY_S = 0.05
+
+
+class Journey:
+    """Keeps the attempts of one call and the worst outcome that is possible.
+
+    A refusal of a later attempt says nothing about an earlier one whose answer
+    was lost. Told by the last refusal alone, the caller would read ``not_run``
+    for work that ran; so the outcome only ever gets worse.
+
+    :ivar attempts: how often the call was handed to an agent.
+    :ivar tried: nodes that had it.
+    :ivar error: what the caller is told when nothing else is tried.
+    """
+
+    def __init__(self, call: Call) -> None:
+        self.call = call
+        self.attempts = 0
+        self.tried: set[str] = set()
+        self.outcome = Outcome.NOT_RUN
+        self.error: RequestError | None = None
+        self.session: Session | None = None
+        self.pending: Pending | None = None
+        self._retry_after: float | None = None
+
+    def begin(self, session: Session, pending: Pending) -> None:
+        """Note that an attempt is about to be handed to an agent."""
+        self.attempts += 1
+        self.tried.add(session.node)
+        self.session = session
+        self.pending = pending
+
+    def end(self) -> None:
+        """Note that the attempt has its answer, or will not have one."""
+        self.session = None
+        self.pending = None
+
+    def note_unsent(self, node: str, detail: str) -> None:
+        """Note that the request never left: it is as good as refused."""
+        self.tried.add(node)
+        log.debug("entry: nothing sent to {}: {}", node, detail)
+        detail = "the link to the agent is closed"
+        self.error = self._build(detail, AGENT_LOST, 503, STEP_SEND, node)
+
+    def note_answer(self, node: str, answer: Refusal | Failure | LinkLost) -> None:
+        """Note an answer that is not a response."""
+        if isinstance(answer, Refusal):
+            self._note_refusal(node, answer)
+        elif isinstance(answer, Failure):
+            self._note_failure(node, answer)
+        else:
+            self._note_lost(answer)
+
+    def give_up(self) -> RequestError:
+        """Return the error for a call whose deadline has passed."""
+        node = self._abandon()
+        return self._build("no answer in time", DEADLINE, 504, STEP_ROUTE, node)
+
+    def fail(self, detail: str) -> RequestError:
+        """Return the error for a call that a fault of this process ended."""
+        node = self._abandon()
+        return self._build(detail, INTERNAL, 500, STEP_ROUTE, node)
+
+    def _abandon(self) -> str:
+        """Leave the open attempt to its fate; return the node that has it."""
+        if self.session is None:
+            return ""
+        self._worsen(Outcome.UNKNOWN)
+        return self.session.node
+
+    def _note_refusal(self, node: str, refusal: Refusal) -> None:
+        """Note a refusal; the shortest time to come back is the one to tell."""
+        retry_after = max(SHORTEST_RETRY_S, refusal.retry_after_ms / 1000.0)
+        if self._retry_after is None or retry_after < self._retry_after:
+            self._retry_after = retry_after
+        code = refusal.code or REFUSED
+        self.error = self._build(refusal.detail, code, 503, STEP_ACCEPT, node)
+
+    def _note_lost(self, lost: LinkLost) -> None:
+        """Note that the link broke while the answer was awaited."""
+        self._worsen(Outcome.UNKNOWN)
+        log.debug("entry: link to {} lost: {}", lost.peer, lost.detail)
+        detail = "the link to the agent broke"
+        self.error = self._build(detail, AGENT_LOST, 502, STEP_SEND, lost.peer)
+
+    def _note_failure(self, node: str, failure: Failure) -> None:
+        """Note that a runner had the request and gave no whole answer."""
+        self._worsen(OUTCOMES.get(failure.outcome, Outcome.UNKNOWN))
+        # The agent's detail holds addresses, which are no business of callers.
+        log.debug("entry: failure at {}: {}", node, failure.detail)
+        detail = "the runner gave no whole answer"
+        self.error = self._build(detail, failure.code, 502, failure.step, node)
+
+    def _worsen(self, outcome: Outcome) -> None:
+        if self.outcome is not Outcome.RAN and outcome is not Outcome.NOT_RUN:
+            self.outcome = outcome
+
+    def _build(
+        self, detail: str, code: str, status: int, step: str, peer: str
+    ) -> RequestError:
+        retry_after = None
+        if self.outcome is Outcome.NOT_RUN:
+            retry_after = self._retry_after or SHORTEST_RETRY_S
+        return RequestError(
+            detail,
+            code=code,
+            status=status,
+            outcome=self.outcome,
+            retry_after=retry_after,
+            step=step,
+            peer=peer,
+        )
--- /dev/null
+++ b/pistachiodeal/entry/status.py
@@ -0,0 +1,78 @@
+"""The status document for operators."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from pistachiodeal.entry.dispatch import Dispatcher
+from pistachiodeal.entry.protocols import TaskService
+from pistachiodeal.entry.sessions import Session, SessionTable
+from pistachiodeal.entry.targets import TargetTable
+from pistachiodeal.metrics import Metrics
+from pistachiodeal.profiles.keeper import ProfileKeeper
+from pistachiodeal.web.server import WebServer
+from pistachiodeal.wire.identity import Identity
+from pistachiodeal.wire.messages import ServiceLoad
+
+
+@dataclass(frozen=True, slots=True)
+class StatusParts:
+    """Where the figures come from.
+
+    :param started_at: monotonic time at which the process was put together.
+    """
+
+    identity: Identity
+    started_at: float
+    sessions: SessionTable
+    targets: TargetTable
+    keeper: ProfileKeeper
+    batch: TaskService
+    dispatcher: Dispatcher
+    web: WebServer
+    metrics: Metrics
+
+
+def build_status(parts: StatusParts, draining: bool) -> dict[str, Any]:
+    """Return what operators see of this process."""
+    counters = parts.web.counters
+    return {
+        "node": parts.identity.node,
+        "incarnation": parts.identity.incarnation,
+        "data_centre": parts.identity.data_centre,
+        "uptime_s": round(time.monotonic() - parts.started_at, 1),
+        "draining": draining,
+        "in_flight": parts.dispatcher.in_flight,
+        "http": {
+            "connections": counters.connections,
+            "open": counters.open_now,
+            "requests": counters.requests,
+            "rejected": counters.rejected,
+        },
+        "profiles_version": parts.keeper.version,
+        "policies": parts.keeper.describe(),
+        "agents": [_describe(session) for session in parts.sessions.list_all()],
+        "services": parts.targets.build_status(),
+        "counts": parts.metrics.counts(),
+        "batch": parts.batch.status(),
+    }
+
+
+def _describe(session: Session) -> dict[str, Any]:
+    return {
+        "node": session.node,
+        "worker": session.worker,
+        "data_centre": session.data_centre,
+        "rack": session.rack,
+        "incarnation": session.incarnation,
+        "draining": session.draining,
+        "retired": session.retired,
+        "outstanding": session.outstanding,
+        "services": [load.service for load in _list_loads(session)],
+    }
+
+
+def _list_loads(session: Session) -> tuple[ServiceLoad, ...]:
+    return session.report.services if session.report else ()
--- /dev/null
+++ b/pistachiodeal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decides where an interactive request goes, and whether it may go at all."""
--- /dev/null
+++ b/pistachiodeal/routing/budget.py
@@ -0,0 +1,69 @@
+"""Retry budgets: retries are a share of live traffic, not a count per request.
+
+Source: Finagle's ``RetryBudget`` (Twitter, Finagle User Guide, "Retries").
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+RESERVE = 10.0
+RESERVE_PER_S = 1.0
+LIMIT = 100.0
+
+
+class RetryBudget:
+    """Holds the retries that may still be made for one service.
+
+    Every request adds ``share`` of a retry, up to a limit. A small reserve that
+    refills slowly lets a service with little traffic retry at all.
+
+    :param share: retries per request, 0 for none.
+    """
+
+    def __init__(
+        self, share: float, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._share = share
+        self._clock = clock
+        self._balance = RESERVE
+        self._refilled_at = clock()
+
+    @property
+    def share(self) -> float:
+        """Return the retries per request."""
+        return self._share
+
+    @share.setter
+    def share(self, share: float) -> None:
+        self._share = share
+
+    def note_request(self) -> None:
+        """Add a new request's share; its retries don't count as requests."""
+        if self._balance < LIMIT:
+            self._balance += self._share
+
+    def take(self) -> bool:
+        """Take one retry out of the budget; tell whether there was one."""
+        if self._share <= 0.0:
+            return False
+        self._refill()
+        if self._balance < 1.0:
+            return False
+        self._balance -= 1.0
+        return True
+
+    def _refill(self) -> None:
+        now = self._clock()
+        added = (now - self._refilled_at) * RESERVE_PER_S
+        self._refilled_at = now
+        if self._balance < RESERVE:
+            self._balance = min(RESERVE, self._balance + added)
+
+
+def create_retry_budget(
+    share: float, clock: Callable[[], float] = time.monotonic
+) -> RetryBudget:
+    """Return a budget that holds its reserve."""
+    return RetryBudget(share, clock)
--- /dev/null
+++ b/tests/unit/test_entry_front.py
@@ -0,0 +1,82 @@
+"""Where HTTP requests go."""
+
+import curio
+import orjson
+import pytest
+
+from pistachiodeal.entry.front import FrontParts, create_front
+from pistachiodeal.exceptions import RequestError
+from pistachiodeal.histograms import create_histograms
+from pistachiodeal.web.messages import WebRequest, WebResponse
+
+TOKEN = "token-of-the-operators"
+
+
+class Named:
+    """Answers with its own name."""
+
+    def __init__(self, name):
+        self.name = name
+
+    async def handle(self, *args):
+        return WebResponse(200, (), self.name.encode())
+
+
+def call(target, *, token="", draining=False, method="GET"):
+    front = create_front(
+        FrontParts(
+            operator_token=TOKEN,
+            dispatcher=Named("service"),
+            batch=Named("tasks"),
+            profiles=Named("profiles"),
+            histograms=create_histograms(),
+            read_status=lambda: {"node": "e1"},
+            is_draining=lambda: draining,
+        )
+    )
+    headers = (("authorization", token),) if token else ()
+    return curio.run(front.handle, WebRequest(method, target, headers))
+
+
+@pytest.mark.parametrize(
+    ("target", "name"),
+    [
+        ("/orders", "service"),
+        ("/orders/a?b=/-/status", "service"),
+        ("/tasks", "tasks"),
+        ("/tasks/0001-x", "tasks"),
+    ],
+)
+def test_routes(target, name):
+    assert call(target).body == name.encode()
+
+
+@pytest.mark.parametrize("token", ["", "Bearer wrong", TOKEN, "Basic " + TOKEN])
+@pytest.mark.parametrize("target", ["/-/status", "/-/profiles/a", "/-/x", "/-", "/-/"])
+def test_operators_need_their_token(target, token):
+    with pytest.raises(RequestError) as caught:
+        call(target, token=token)
+    assert caught.value.status == 401
+
+
+def test_operators_pages():
+    token = f"Bearer {TOKEN}"
+    assert call("/-/profiles", token=token).body == b"profiles"
+    assert call("/-/services/orders", token=token).body == b"profiles"
+    assert orjson.loads(call("/-/status", token=token).body) == {"node": "e1"}
+    assert call("/-/histograms", token=token).status == 200
+    for target, method, status in (("/-", "GET", 404), ("/-/status", "PUT", 405)):
+        with pytest.raises(RequestError) as caught:
+            call(target, token=token, method=method)
+        assert caught.value.status == status
+
+
+def test_health_tells_the_balancer_of_a_drain():
+    assert call("/-/health").status == 200
+    assert call("/-/health", draining=True).status == 503
+
+
+def test_target_that_is_no_path():
+    with pytest.raises(RequestError) as caught:
+        call("*")
+    assert caught.value.code == "bad_target"
--- /dev/null
+++ b/tests/unit/test_entry_links.py
@@ -0,0 +1,277 @@
+"""Links of agents and entries over loopback."""
+
+from contextlib import asynccontextmanager
+
+import curio
+
+from pistachiodeal.entry.evidence import create_evidence_relay
+from pistachiodeal.entry.links import LinkParts, LinkServer
+from pistachiodeal.entry.pushing import Pusher
+from pistachiodeal.entry.sessions import create_session_table
+from pistachiodeal.entry.targets import create_target_table
+from pistachiodeal.metrics import MemoryMetrics
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.web.server import bind_listener
+from pistachiodeal.wire.identity import Identity
+from pistachiodeal.wire.link import LinkTimings, dial_link
+from pistachiodeal.wire.messages import (
+    Directory,
+    Evidence,
+    Goodbye,
+    PairEvidence,
+    Policies,
+    PolicyPart,
+    Report,
+    Request,
+    Response,
+    ServiceLoad,
+    TaskEnded,
+)
+
+SECRET = "a secret of the tests"
+TIMINGS = LinkTimings(ping_s=5.0, silent_s=30.0, handshake_s=10.0)
+SIZE = Resources()
+
+
+class FakeBatch:
+    """Notes what it is told; with ``gate`` set, takes nothing until it opens."""
+
+    def __init__(self):
+        self.events = []
+        self.gate = None
+
+    def session_opened(self, session):
+        self.events.append(("opened", session.incarnation))
+
+    def session_closed(self, session):
+        self.events.append(("closed", session.incarnation))
+
+    async def receive(self, session, message):
+        if self.gate:
+            await self.gate.wait()
+        self.events.append(type(message).__name__)
+
+    async def handle_forwarded(self, request):
+        return Response(request.request_id, 201, (), request.body)
+
+    def directory(self):
+        return Directory((), ())
+
+
+class FakeKeeper:
+    def __init__(self):
+        self.merged = []
+
+    def merge(self, parts):
+        self.merged.extend(parts)
+        return set()
+
+    def parts(self, services):
+        return tuple(PolicyPart(service, 3, "{}") for service in services)
+
+
+class Bench:
+    """A link server on a free loopback port."""
+
+    def __init__(self):
+        self.batch = FakeBatch()
+        self.keeper = FakeKeeper()
+        self.sessions = create_session_table()
+        self.targets = create_target_table()
+        self.metrics = MemoryMetrics()
+        self.listener = bind_listener("127.0.0.1", 0)
+        evidence = create_evidence_relay()
+        self.pusher = Pusher(self.sessions, self.keeper, evidence, self.batch.directory)
+        parts = LinkParts(
+            identity=Identity("entry", "e1", 1, "dc1"),
+            secret=SECRET,
+            timings=TIMINGS,
+            sessions=self.sessions,
+            targets=self.targets,
+            batch=self.batch,
+            keeper=self.keeper,
+            pusher=self.pusher,
+            evidence=evidence,
+            metrics=self.metrics,
+        )
+        self.server = LinkServer(self.listener, parts)
+        self.address = f"127.0.0.1:{self.server.port}"
+
+    def dial(self, node="a1", role="agent", incarnation=7):
+        identity = Identity(role, node, incarnation, "dc1", "w1", "r1")
+        return dial_link(self.address, identity, SECRET, TIMINGS)
+
+
+@asynccontextmanager
+async def run_bench():
+    bench = Bench()
+    task = await curio.spawn(bench.server.run)
+    try:
+        yield bench
+    finally:
+        await task.cancel()
+        bench.listener.close()
+
+
+def build_report(*services, draining=False):
+    loads = tuple(ServiceLoad(service, 8, 0, 0, 1000) for service in services)
+    return Report(1, draining, SIZE, SIZE, loads, ())
+
+
+async def receive(link, kind):
+    while True:
+        message = await link.receive()
+        if isinstance(message, kind):
+            return message
+
+
+async def wait_until(condition):
+    while not condition():
+        await curio.sleep(0)
+
+
+def test_agent_is_told_what_it_needs_and_becomes_a_target():
+    async def main():
+        async with run_bench() as bench, bench.dial() as link:
+            await receive(link, Directory)
+            await link.send(build_report("orders"))
+            policies = await receive(link, Policies)
+            assert policies.parts == (PolicyPart("orders", 3, "{}"),)
+            assert [one.node for one in bench.targets.find("orders")] == ["a1"]
+            await link.send(build_report())
+            await wait_until(lambda: not bench.targets.find("orders"))
+
+    curio.run(main)
+
+
+def test_leaving_or_lost_agent_is_no_target():
+    """Symptom: requests go to an agent that said goodbye, or whose link is gone.
+    Sequence: a report makes it a target; a goodbye, or the end of the link, follows.
+    Cause: the target stays in the table until somebody finds it useless.
+    """
+
+    async def main():
+        async with run_bench() as bench:
+            async with bench.dial() as link:
+                await link.send(build_report("orders"))
+                await wait_until(lambda: bench.targets.find("orders"))
+                await link.send(Goodbye("leaving"))
+                await link.send(build_report("orders"))
+                await wait_until(lambda: bench.batch.events.count("Report") == 2)
+                assert not bench.targets.find("orders")
+            await wait_until(lambda: len(bench.sessions) == 0)
+            async with bench.dial() as link:
+                await link.send(build_report("orders"))
+                await wait_until(lambda: bench.targets.find("orders"))
+            await wait_until(lambda: not bench.targets.find("orders"))
+
+    curio.run(main)
+
+
+def test_replaced_link_still_brings_its_answers():
+    """Symptom: a request fails though its runner answered it.
+    Sequence: an agent dials anew while a request is open; the answer then comes
+    on the older link.
+    Cause: the older link is closed, or forgotten, as soon as the newer is there.
+    """
+
+    async def main():
+        async with run_bench() as bench, bench.dial() as older:
+            await wait_until(lambda: bench.sessions.get("a1"))
+            first = bench.sessions.get("a1")
+            pending = first.open_request()
+            async with bench.dial() as newer:
+                await wait_until(lambda: bench.sessions.get("a1") is not first)
+                await bench.pusher.push_once()
+                response = Response(pending.request_id, 200, (), b"whole")
+                await older.send(response)
+                assert await pending.wait() == response
+                await bench.pusher.push_once()
+                await wait_until(lambda: first.closed)
+                await newer.send(build_report("orders"))
+                await wait_until(lambda: bench.targets.find("orders"))
+            await wait_until(lambda: len(bench.sessions) == 0)
+            names = [event[0] for event in bench.batch.events if event != "Report"]
+            assert names == ["opened", "closed", "opened", "closed"]
+
+    curio.run(main)
+
+
+def test_slow_table_holds_up_no_answers():
+    """Symptom: interactive latency follows the table's.
+    Sequence: an agent says that a task ended; the table is slow; an answer follows.
+    Cause: the task that reads the link waits until the end is journaled.
+    """
+
+    async def main():
+        async with run_bench() as bench, bench.dial() as link:
+            bench.batch.gate = curio.Event()
+            await wait_until(lambda: bench.sessions.get("a1"))
+            pending = bench.sessions.get("a1").open_request()
+            await link.send(TaskEnded("t", 1, "finished", "", "", SIZE, 5))
+            await link.send(Response(pending.request_id, 200, (), b""))
+            assert (await pending.wait()).status == 200
+            await bench.batch.gate.set()
+            await wait_until(lambda: "TaskEnded" in bench.batch.events)
+
+    curio.run(main)
+
+
+def test_lost_link_wakes_who_waits_and_late_answers_are_counted():
+    async def main():
+        async with run_bench() as bench:
+            async with bench.dial() as link:
+                await wait_until(lambda: bench.sessions.get("a1"))
+                pending = bench.sessions.get("a1").open_request()
+                await link.send(Response(99, 200, (), b""))
+                await wait_until(
+                    lambda: bench.metrics.counts().get("entry.late_answers")
+                )
+            assert (await pending.wait()).peer == "a1"
+
+    curio.run(main)
+
+
+def test_garbage_on_the_internal_port_harms_nobody():
+    async def main():
+        async with run_bench() as bench, bench.dial() as link:
+            sock = await curio.open_connection("127.0.0.1", bench.server.port)
+            await sock.sendall(b"GET / HTTP/1.1\r\n\r\n" * 10)
+            while await sock.recv(4096):
+                pass
+            await sock.close()
+            await link.send(build_report("orders"))
+            await wait_until(lambda: bench.targets.find("orders"))
+
+    curio.run(main)
+
+
+def test_entry_link_reaches_the_owner():
+    async def main():
+        async with run_bench() as bench, bench.dial("e2", "entry") as link:
+            for number, service in ((1, "@tasks"), (2, "orders")):
+                await link.send(
+                    Request(number, service, "c", "POST", "/tasks", (), b"t", 1000)
+                )
+            answers = {(await link.receive()).request_id for _ in range(2)}
+            assert answers == {1, 2}
+            assert len(bench.sessions) == 0
+
+    curio.run(main)
+
+
+def test_evidence_goes_to_the_others_only():
+    """Symptom: one early measurement outweighs all later ones.
+    Sequence: an agent's evidence is handed back to it, counted, and sent again.
+    Cause: the relay doesn't keep who said what.
+    """
+    relay = create_evidence_relay(clock=lambda: 0.0)
+    pair = PairEvidence("orders", "noisy", 3000, 2000)
+    relay.accept("a1", Evidence((pair,)))
+    relay.accept("a2", Evidence((pair,)))
+    assert relay.build_for("a1") == Evidence((pair,))
+    assert relay.build_for("a3").pairs[0].weight_milli == 4000
+    relay.end_round()
+    assert relay.build_for("a1") is None
+    assert relay.greet("a4", 1).pairs[0].weight_milli == 4000
+    assert relay.greet("a4", 1) is None
