Wake the reader of a link that is closed; don't guess not_run on a broken handler

Cause: a closed descriptor leaves the selector silently, so a task in receive() waited for ever; an unknown exception of a handler was told as not_run although the work may have been handed over. Change: shutdown before close; outcome unknown. Before: test_close_wakes_the_receiving_task hangs; after: passes.

--- a/pistachiodeal/web/server.py
+++ b/pistachiodeal/web/server.py
@@ -11,7 +11,7 @@
 from curio.io import Socket
 from logbook import Logger
 
-from pistachiodeal.exceptions import RequestError
+from pistachiodeal.exceptions import Outcome, RequestError
 from pistachiodeal.web.connection import Connection
 from pistachiodeal.web.messages import (
     WebCounters,
@@ -158,8 +158,14 @@
             return build_problem(error)
         except Exception as error:
             log.exception("web: handler failed on {}", request.method)
+            # Nobody knows how far the handler came, so "not run" would be a guess.
             return build_problem(
-                RequestError(type(error).__name__, code="internal", step="web.handle")
+                RequestError(
+                    type(error).__name__,
+                    code="internal",
+                    outcome=Outcome.UNKNOWN,
+                    step="web.handle",
+                )
             )
 
     async def _sweep(self) -> None:
--- a/pistachiodeal/wire/link.py
+++ b/pistachiodeal/wire/link.py
@@ -134,6 +134,10 @@
             await curio.ignore_after(FLUSH_S, self._tasks[0].wait)
         while self._tasks:
             await self._tasks.pop().cancel()
+        # Closing a descriptor takes it out of the selector without a word: a task
+        # that reads from it would wait for ever. The shutdown wakes it first.
+        await self._break()
+        await curio.sleep(0)
         await self._sock.close()
 
     async def open(self, peer: Identity) -> None:
--- a/tests/unit/test_web.py
+++ b/tests/unit/test_web.py
@@ -67,6 +67,19 @@
     curio.run(main)
 
 
+def test_broken_handler_does_not_claim_not_run():
+    async def main():
+        async def handle(request: WebRequest) -> WebResponse:
+            raise KeyError("after the hand-over")
+
+        _, task, client = await start(handle)
+        answer = await client.call("POST", "/")
+        assert (answer.status, b'"unknown"' in answer.body) == (500, True)
+        await task.cancel()
+
+    curio.run(main)
+
+
 def test_refusal_says_when_to_come_back():
     async def main():
         _, task, client = await start()
--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -198,3 +198,23 @@
                     await link.send(Ping())
 
     curio.run(main)
+
+
+def test_close_wakes_the_receiving_task():
+    """Symptom: a task waits for ever on a link that another task has closed.
+
+    Sequence: one task receives, another closes the link.
+    Cause: a closed descriptor leaves the selector without waking its reader.
+    """
+
+    async def main():
+        async with accepting() as acceptor:
+            async with dial_link(acceptor.address, AGENT, SECRET, PATIENT) as link:
+                reader = await curio.spawn(link.receive)
+                await curio.sleep(0)
+                await link.close()
+                with pytest.raises(curio.TaskError) as caught:
+                    await reader.join()
+                assert isinstance(caught.value.__cause__, LinkClosedError)
+
+    curio.run(main)
