--- /dev/null
+++ b/pistachiodeal/commands/parsers.py
@@ -0,0 +1,40 @@
+"""Building blocks of the argument parser."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+from pistachiodeal.commands.options import Context
+
+Runner: TypeAlias = Callable[[Context, argparse.Namespace], Awaitable[None]]
+Subparsers: TypeAlias = "argparse._SubParsersAction[argparse.ArgumentParser]"
+
+
+def add_group(parsers: Subparsers, name: str, text: str) -> Subparsers:
+    """Add a command that only holds others."""
+    parser = parsers.add_parser(name, help=text, description=_sentence(text))
+    return parser.add_subparsers(dest=f"{name}_command", required=True, metavar="WHAT")
+
+
+def add_leaf(
+    parsers: Subparsers,
+    common: argparse.ArgumentParser,
+    name: str,
+    text: str,
+    run: Runner,
+) -> argparse.ArgumentParser:
+    """Add a command that does something.
+
+    :param run: called with the context and the arguments.
+    """
+    parser = parsers.add_parser(
+        name, help=text, description=_sentence(text), parents=[common]
+    )
+    parser.set_defaults(run=run)
+    return parser
+
+
+def _sentence(text: str) -> str:
+    return f"{text[0].upper()}{text[1:]}."
--- /dev/null
+++ b/pistachiodeal/commands/service.py
@@ -0,0 +1,97 @@
+"""``pistachiodeal service``: assign services to profiles."""
+
+from __future__ import annotations
+
+import argparse
+import re
+from typing import Any
+
+from pistachiodeal.commands.entries import call_entries
+from pistachiodeal.commands.errors import UsageError
+from pistachiodeal.commands.options import Context
+from pistachiodeal.commands.output import print_fields, print_json, print_table
+from pistachiodeal.commands.parsers import Subparsers, add_group, add_leaf
+from pistachiodeal.model.policies import NAME_PATTERN
+
+SERVICES = "/-/services"
+COLUMNS = ("service", "profile", "version")
+
+
+def add_commands(parsers: Subparsers, common: argparse.ArgumentParser) -> None:
+    """Add the commands to the parser."""
+    group = add_group(parsers, "service", "assign services to profiles")
+    assign = add_leaf(group, common, "assign", "give a service a profile", run_assign)
+    assign.add_argument("service")
+    assign.add_argument("profile")
+    add_leaf(group, common, "list", "list the services", run_list)
+    show = add_leaf(group, common, "show", "show one service", run_show)
+    show.add_argument("service")
+    remove = add_leaf(
+        group, common, "remove", "take a service off its profile", run_remove
+    )
+    remove.add_argument("service")
+    for parser in (assign, remove):
+        parser.add_argument(
+            "--if-version",
+            type=int,
+            metavar="N",
+            help="change it only if this is still its version",
+        )
+
+
+async def run_assign(context: Context, args: argparse.Namespace) -> None:
+    """Give a service a profile."""
+    answer = await call_entries(
+        context,
+        "PUT",
+        _target(args.service),
+        document={"profile": args.profile},
+        headers=_condition(args),
+    )
+    if context.as_json:
+        print_json(answer.document)
+    else:
+        version = answer.document["version"]
+        print(f"service {args.service} has {args.profile} since version {version}")
+
+
+async def run_list(context: Context, args: argparse.Namespace) -> None:
+    """Print all services."""
+    answer = await call_entries(context, "GET", SERVICES, repeatable=True)
+    if context.as_json:
+        print_json(answer.document)
+        return
+    services: list[dict[str, Any]] = answer.document["services"]
+    print_table(COLUMNS, [[item[column] for column in COLUMNS] for item in services])
+
+
+async def run_show(context: Context, args: argparse.Namespace) -> None:
+    """Print one service."""
+    answer = await call_entries(context, "GET", _target(args.service), repeatable=True)
+    if context.as_json:
+        print_json(answer.document)
+    else:
+        print_fields(answer.document)
+
+
+async def run_remove(context: Context, args: argparse.Namespace) -> None:
+    """Take a service off its profile; the default one holds while it has runners."""
+    await call_entries(
+        context, "DELETE", _target(args.service), headers=_condition(args)
+    )
+    if context.as_json:
+        print_json({"service": args.service, "change": "removed"})
+    else:
+        print(f"service {args.service} removed")
+
+
+def _target(service: str) -> str:
+    if not re.match(NAME_PATTERN, service):
+        raise UsageError(f"service {service!r} is not a name")
+    return f"{SERVICES}/{service}"
+
+
+def _condition(args: argparse.Namespace) -> tuple[tuple[str, str], ...]:
+    if args.if_version is None:
+        return ()
+    return (("if-match", f'"{args.if_version}"'),)
--- a/pistachiodeal/config/agent.py
+++ b/pistachiodeal/config/agent.py
@@ -39,7 +39,7 @@
     high: float = Field(0.9, gt=0, description="share of the promise: act above it")
     low: float = Field(0.6, gt=0, description="share of the promise: ease below it")
     tolerance: float = Field(
-        1.08, ge=1, description="slow-down by batch work borne above the low mark"
+        1.1, ge=1, description="slow-down by batch work borne above the low mark"
     )
     min_share: float = Field(0.1, gt=0, le=1, description="strongest throttle")
     evict_after: int = Field(4, ge=1, description="decisions at it before an eviction")
--- /dev/null
+++ b/pistachiodeal/exit_codes.py
@@ -0,0 +1,21 @@
+"""Exit statuses of the three programs."""
+
+from __future__ import annotations
+
+OK = 0
+FAILURE = 1
+BAD_USAGE = 2  # wrong arguments or settings
+UNREACHABLE = 3
+CONFLICT = 4
+NOT_FOUND = 5
+UNAUTHENTICATED = 6
+
+MEANINGS: dict[int, str] = {
+    OK: "Done.",
+    FAILURE: "The call was answered, but not with success; the message says why.",
+    BAD_USAGE: "Wrong arguments or settings; nothing was started or sent.",
+    UNREACHABLE: "No entry, or a part it needs, could be reached in time.",
+    CONFLICT: "Somebody else changed it first, or it is still in use.",
+    NOT_FOUND: "No such profile, service or task.",
+    UNAUTHENTICATED: "The operators' token is missing or wrong.",
+}
--- /dev/null
+++ b/pistachiodeal/metrics.py
@@ -0,0 +1,82 @@
+"""Counters, timers and gauges, sent by statsd where an address is set."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import statsd
+
+from pistachiodeal.config.common import StatsdSettings
+
+NAME_LIMIT = 1000
+OTHER = "other"
+
+
+class Metrics(Protocol):
+    """Takes measurements; never raises and never waits."""
+
+    def count(self, name: str, n: int = 1) -> None:
+        """Add ``n`` to a counter."""
+
+    def time(self, name: str, seconds: float) -> None:
+        """Note how long something took."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Note a value as it is now."""
+
+    def counts(self) -> dict[str, int]:
+        """Return all counters since the start of the process."""
+
+
+class MemoryMetrics:
+    """Keeps the counters only."""
+
+    def __init__(self, limit: int = NAME_LIMIT) -> None:
+        self._limit = limit
+        self._counts: dict[str, int] = {}
+
+    def count(self, name: str, n: int = 1) -> None:
+        """Add ``n`` to a counter."""
+        if name not in self._counts and len(self._counts) >= self._limit:
+            name = OTHER
+        self._counts[name] = self._counts.get(name, 0) + n
+
+    def time(self, name: str, seconds: float) -> None:
+        """Drop a timer."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Drop a gauge."""
+
+    def counts(self) -> dict[str, int]:
+        """Return all counters since the start of the process."""
+        return dict(self._counts)
+
+
+class StatsdMetrics(MemoryMetrics):
+    """Sends each measurement by statsd over UDP, besides keeping the counters."""
+
+    def __init__(self, client: statsd.StatsClient) -> None:
+        super().__init__()
+        self._client = client
+
+    def count(self, name: str, n: int = 1) -> None:
+        """Add ``n`` to a counter."""
+        super().count(name, n)
+        self._client.incr(name, n)
+
+    def time(self, name: str, seconds: float) -> None:
+        """Send a timer, in milliseconds as statsd wants it."""
+        self._client.timing(name, seconds * 1000)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Send a gauge."""
+        self._client.gauge(name, value)
+
+
+def create_metrics(settings: StatsdSettings) -> Metrics:
+    """Return metrics that go to the address set, or stay in memory without one."""
+    if not settings.address:
+        return MemoryMetrics()
+    host, _, port = settings.address.rpartition(":")
+    client = statsd.StatsClient(host, int(port), prefix=settings.prefix)
+    return StatsdMetrics(client)
--- /dev/null
+++ b/pistachiodeal/signals.py
@@ -0,0 +1,55 @@
+"""Signals as events that a curio task can wait for."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from types import FrameType
+from typing import Any
+
+from curio.io import Socket
+
+WATCHED = (signal.SIGTERM, signal.SIGINT)
+
+
+class SignalWatch:
+    """Hands out the watched signals in the order in which they came."""
+
+    def __init__(self, receiver: socket.socket) -> None:
+        self._socket = Socket(receiver)
+
+    async def wait(self) -> int:
+        """Return the number of the next SIGTERM or SIGINT."""
+        while True:
+            data = await self._socket.recv(1)
+            if data and data[0] in WATCHED:
+                return int(data[0])
+
+
+@contextmanager
+def watch_signals() -> Iterator[SignalWatch]:
+    """Catch SIGTERM and SIGINT until the end of the block (main thread only)."""
+    receiver, sender = socket.socketpair()
+    receiver.setblocking(False)
+    sender.setblocking(False)
+    watch = SignalWatch(receiver)
+    # curio 1.6 has no SignalEvent. The interpreter writes each signal's number
+    # to this descriptor from the C handler, which wakes curio's selector.
+    earlier_fd = signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
+    earlier: dict[int, Any] = {
+        number: signal.signal(number, _ignore_signal) for number in WATCHED
+    }
+    try:
+        yield watch
+    finally:
+        for number, handler in earlier.items():
+            signal.signal(number, handler)
+        signal.set_wakeup_fd(earlier_fd)
+        sender.close()
+        receiver.close()
+
+
+def _ignore_signal(number: int, frame: FrameType | None) -> None:
+    """Keep the default action, which ends the process, from running."""
