--- /dev/null
+++ b/pistachiodeal/profiles/__init__.py
@@ -0,0 +1,1 @@
+"""Profiles: the document in the table, its changes, and what is in force here."""
