--- /dev/null
+++ b/pistachiodeal/batch/__init__.py
@@ -0,0 +1,1 @@
+"""The batch queue: partitions, their journals, placement and task leases."""
--- /dev/null
+++ b/pistachiodeal/batch/admission.py
@@ -0,0 +1,192 @@
+"""Callers' operations on the tasks of a partition that is served here."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import curio
+
+from pistachiodeal.batch.events import CancelAsked, Submitted
+from pistachiodeal.batch.host import HostContext, PartitionHost
+from pistachiodeal.batch.journal import Append
+from pistachiodeal.batch.protocols import Outgoing
+from pistachiodeal.exceptions import Outcome, RequestError
+from pistachiodeal.model.tasks import TaskRecord, TaskSpec
+
+MAX_WAITING_BYTES = 32 * 1024 * 1024
+MAX_ADMITTING = 10_000
+SETTLE_S = 2.0
+CANCEL_WAIT_S = 1.0
+QUEUE_RETRY_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A durable task; ``created`` is False when the key was known already."""
+
+    record: TaskRecord
+    created: bool
+
+
+class AdmissionDesk:
+    """Submits and cancels; every answer says truly what is known."""
+
+    def __init__(self, context: HostContext) -> None:
+        self._context = context
+        self._admitting: dict[str, tuple[TaskSpec, Append]] = {}
+
+    async def submit(self, host: PartitionHost, spec: TaskSpec) -> Admitted:
+        """Admit a task; return once it is durable.
+
+        :raises RequestError: with the outcome that is known.
+        """
+        known = host.state.find(spec.task_id)
+        if known is not None:
+            if not host.state.matches(known, spec):
+                raise _build_key_reused(spec.task_id)
+            return Admitted(known, created=False)
+        append = await self._join_or_propose(host, spec)
+        await self._wait(host, append, spec.task_id)
+        record = host.state.find(spec.task_id) or TaskRecord(spec)
+        self._context.metrics.count("batch.submitted")
+        return Admitted(record, created=True)
+
+    async def cancel(self, host: PartitionHost, task_id: str) -> TaskRecord:
+        """Cancel a task; return its record, final if that was known in time.
+
+        :raises RequestError: unknown task, or with the outcome that is known.
+        """
+        record = find_task(host, task_id)
+        if not record.state.final and not record.cancel_asked:
+            await self._ask(host, record)
+        if not record.state.final:
+            await host.watchers.wait(task_id, CANCEL_WAIT_S)
+        return record
+
+    async def _join_or_propose(self, host: PartitionHost, spec: TaskSpec) -> Append:
+        under_way = self._admitting.get(spec.task_id)
+        if under_way is not None:
+            if under_way[0] != spec:
+                raise _build_key_reused(spec.task_id)
+            return under_way[1]
+        self._check_room(host, spec)
+
+        def finish(outcome: Outcome) -> Sequence[Outgoing]:
+            self._admitting.pop(spec.task_id, None)
+            return ()
+
+        append = host.prepare([Submitted(spec)], finish, len(spec.payload))
+        if append is None:
+            raise _build_unavailable("the partition is changing hands", 1.0)
+        self._admitting[spec.task_id] = (spec, append)
+        await host.submit(append)
+        return append
+
+    def _check_room(self, host: PartitionHost, spec: TaskSpec) -> None:
+        if not host.has_authority or host.stalled:
+            raise _build_unavailable("the table is out of reach", 1.0)
+        waiting = host.state.waiting
+        limit = self._context.settings.batch.queue_limit
+        full = len(waiting) + len(self._admitting) >= limit
+        large = waiting.total_bytes + len(spec.payload) > MAX_WAITING_BYTES
+        if full or large or len(self._admitting) >= MAX_ADMITTING:
+            raise RequestError(
+                "too many tasks wait",
+                code="queue_full",
+                status=503,
+                retry_after=QUEUE_RETRY_S,
+                step="batch.submit",
+            )
+        board = self._context.board
+        if board.settled and not board.could_fit(spec.declared):
+            raise RequestError(
+                board.explain_misfit(spec.declared),
+                code="never_fits",
+                status=422,
+                step="batch.submit",
+            )
+
+    async def _ask(self, host: PartitionHost, record: TaskRecord) -> None:
+        task_id = record.spec.task_id
+        if not host.has_authority or host.stalled:
+            raise _build_unavailable("the table is out of reach", 1.0)
+
+        def finish(outcome: Outcome) -> Sequence[Outgoing]:
+            return self._stop(host, task_id) if outcome is Outcome.RAN else ()
+
+        append = await host.propose([CancelAsked(task_id)], finish)
+        if append is None:
+            raise RequestError(
+                "another change of this task is under way",
+                code="in_progress",
+                status=409,
+                retry_after=1.0,
+                step="batch.cancel",
+            )
+        await self._wait(host, append, task_id)
+
+    def _stop(self, host: PartitionHost, task_id: str) -> Sequence[Outgoing]:
+        run = host.runs.find(task_id)
+        if run is None:
+            return ()
+        run.stopping = True
+        session = self._context.board.find_session(run.placed.worker)
+        if session is None:
+            return ()
+        stop = host.runs.stop(run, session)
+        return (Outgoing(session, lambda: stop),)
+
+    async def _wait(self, host: PartitionHost, append: Append, task_id: str) -> None:
+        await curio.ignore_after(SETTLE_S, append.settled.wait)
+        if append.outcome is None and not await host.withdraw(append):
+            raise _build_unknown(task_id)
+        if append.outcome is Outcome.UNKNOWN:
+            raise _build_unknown(task_id)
+        if append.outcome is Outcome.NOT_RUN:
+            raise _build_unavailable("the table is out of reach", append.retry_after)
+
+
+def find_task(host: PartitionHost, task_id: str) -> TaskRecord:
+    """Return a task's record.
+
+    :raises RequestError: there is none.
+    """
+    record = host.state.find(task_id)
+    if record is None and not host.has_authority:
+        raise _build_unavailable("the table is out of reach", 1.0)
+    if record is None:
+        raise RequestError(
+            f"no task {task_id}", code="unknown_task", status=404, step="batch.find"
+        )
+    return record
+
+
+def _build_unknown(task_id: str) -> RequestError:
+    return RequestError(
+        f"not known yet whether this took effect: look at task {task_id}",
+        code="store_uncertain",
+        status=503,
+        outcome=Outcome.UNKNOWN,
+        retry_after=1.0,
+        step="batch.append",
+    )
+
+
+def _build_unavailable(detail: str, retry_after: float) -> RequestError:
+    return RequestError(
+        detail,
+        code="store_unavailable",
+        status=503,
+        retry_after=retry_after,
+        step="batch.append",
+    )
+
+
+def _build_key_reused(task_id: str) -> RequestError:
+    return RequestError(
+        f"the key made task {task_id} with another request",
+        code="key_reused",
+        status=422,
+        step="batch.submit",
+    )
--- /dev/null
+++ b/pistachiodeal/batch/checkpoints.py
@@ -0,0 +1,42 @@
+"""Removes checkpoints that no attempt will resume from any more."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from logbook import Logger
+
+from pistachiodeal.exceptions import StoreError
+from pistachiodeal.model.tasks import TaskRecord
+from pistachiodeal.platform.protocols import ObjectStore
+
+log = Logger("batch")
+
+MAX_QUEUED = 10_000
+BURST = 20
+
+
+class CheckpointCleaner:
+    """Deletes superseded checkpoints; over its limit it leaves some behind."""
+
+    def __init__(self, objects: ObjectStore) -> None:
+        self._objects = objects
+        self._keys: deque[str] = deque(maxlen=MAX_QUEUED)
+
+    def note(self, before: str, record: TaskRecord) -> None:
+        """Compare a record's checkpoint with the one before a durable event."""
+        if before and before != record.checkpoint:
+            self._keys.append(before)
+        if record.state.final and record.checkpoint:
+            self._keys.append(record.checkpoint)
+
+    async def clean(self) -> None:
+        """Delete a few; those that fail are tried again later."""
+        for _ in range(min(BURST, len(self._keys))):
+            key = self._keys.popleft()
+            try:
+                await self._objects.delete(key)
+            except StoreError as error:
+                log.debug("batch: checkpoint {} not deleted: {}", key, error)
+                self._keys.append(key)
+                return
--- /dev/null
+++ b/pistachiodeal/batch/decisions.py
@@ -0,0 +1,56 @@
+"""What the end of an attempt means for its task."""
+
+from __future__ import annotations
+
+from pistachiodeal.batch.events import (
+    Event,
+    Failed,
+    Finished,
+    RequeueCause,
+    Requeued,
+)
+from pistachiodeal.model.tasks import TaskRecord, TaskState
+from pistachiodeal.platform.protocols import RunState
+from pistachiodeal.wire.messages import TaskEnded
+
+UNKNOWN_RUN = "unknown_run"
+
+_CAUSES = {
+    RunState.STOPPED: RequeueCause.STOPPED,
+    RunState.EXPIRED: RequeueCause.EXPIRED,
+    UNKNOWN_RUN: RequeueCause.REFUSED,
+}
+
+
+def is_current(record: TaskRecord | None, attempt: int, worker: str) -> bool:
+    """Tell whether a message is about the attempt that is placed now."""
+    return (
+        record is not None
+        and record.state is TaskState.PLACED
+        and record.attempt == attempt
+        and record.worker == worker
+    )
+
+
+def decide_end(record: TaskRecord, ended: TaskEnded, max_attempts: int) -> Event | None:
+    """Return the event for the end of a task's current attempt.
+
+    :returns: None for a state that this version doesn't know.
+    """
+    if ended.state == RunState.FINISHED:
+        return Finished(ended.task_id, ended.attempt, ended.result)
+    if ended.state == RunState.FAILED:
+        return _decide_failure(record, ended, max_attempts)
+    cause = _CAUSES.get(ended.state)
+    if cause is None:
+        return None
+    return Requeued(ended.task_id, ended.attempt, cause, ended.checkpoint, ended.state)
+
+
+def _decide_failure(record: TaskRecord, ended: TaskEnded, max_attempts: int) -> Event:
+    reason = ended.result or "failed without a reason"
+    if record.failures + 1 >= max_attempts and not record.cancel_asked:
+        return Failed(ended.task_id, ended.attempt, reason)
+    return Requeued(
+        ended.task_id, ended.attempt, RequeueCause.FAILED, ended.checkpoint, reason
+    )
--- /dev/null
+++ b/pistachiodeal/batch/host.py
@@ -0,0 +1,302 @@
+"""One owned partition: its state, its journal and the messages it sends."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+
+import curio
+from logbook import Logger
+
+from pistachiodeal.batch.checkpoints import CheckpointCleaner
+from pistachiodeal.batch.events import Event, Placed, RequeueCause, Requeued
+from pistachiodeal.batch.journal import Append, Journal, Position
+from pistachiodeal.batch.membership import Membership, OwnerRow
+from pistachiodeal.batch.partition import PartitionState
+from pistachiodeal.batch.protocols import Clock, Outgoing, ProfileLookup
+from pistachiodeal.batch.runs import RunTable
+from pistachiodeal.batch.snapshots import SnapshotKeeper, fold_quietly
+from pistachiodeal.batch.watchers import Watchers
+from pistachiodeal.batch.workers import WorkerBoard
+from pistachiodeal.config.entry import EntrySettings
+from pistachiodeal.exceptions import LinkClosedError, Outcome
+from pistachiodeal.learning.health import WorkerHealth
+from pistachiodeal.learning.sizes import SizeModel
+from pistachiodeal.metrics import Metrics
+from pistachiodeal.model.policies import Profile
+from pistachiodeal.model.tasks import TaskRecord
+from pistachiodeal.platform.protocols import ObjectStore, Table
+
+log = Logger("batch")
+
+OUTBOX_MESSAGES = 10_000
+FOLD_CHECK_S = 1.0
+FLUSH_STEP_S = 0.01
+PAUSE_S = 1.0
+DEFAULT_PROFILE = Profile(name="default", latency_critical=False)
+
+
+@dataclass(frozen=True, slots=True)
+class HostContext:
+    """What all partitions of an entry share."""
+
+    settings: EntrySettings
+    table: Table
+    objects: ObjectStore
+    membership: Membership
+    board: WorkerBoard
+    sizes: SizeModel
+    health: WorkerHealth
+    profile_of: ProfileLookup
+    metrics: Metrics
+    clock: Clock
+
+    def find_profile(self, name: str) -> Profile:
+        """Return a profile, or the default if it has been retired."""
+        return self.profile_of(name) or DEFAULT_PROFILE
+
+
+class PartitionHost:
+    """Serves a partition from the take-over until it is fenced or released."""
+
+    def __init__(self, context: HostContext, owner: OwnerRow) -> None:
+        batch = context.settings.batch
+        self._context = context
+        self._owner = owner
+        self._keeper = SnapshotKeeper(context.table, context.objects, owner.partition)
+        self._cleaner = CheckpointCleaner(context.objects)
+        self._outbox: curio.Queue = curio.Queue(maxsize=OUTBOX_MESSAGES)
+        self._journal: Journal | None = None
+        self._locked: set[str] = set()
+        self._closing = False
+        self._paused_until = float("-inf")
+        self._failure: Exception | None = None
+        self.state = PartitionState(lambda name: context.find_profile(name).urgency)
+        self.watchers = Watchers()
+        self.runs = RunTable(
+            owner.partition,
+            owner.epoch,
+            context.board,
+            safety_s=batch.owner_lease_s + 2 * batch.margin_s,
+            clock=context.clock,
+        )
+
+    @property
+    def owner(self) -> OwnerRow:
+        """Return the row by which this entry owns the partition."""
+        return self._owner
+
+    @property
+    def serving(self) -> bool:
+        """Tell whether the journal is read and new work may be taken."""
+        return self._journal is not None and not self._closing
+
+    @property
+    def stalled(self) -> bool:
+        """Tell whether an append would have to wait for an unsettled one."""
+        return self._journal is None or self._journal.stalled or self._journal.full
+
+    @property
+    def has_authority(self) -> bool:
+        """Tell whether leases may be granted and starts be sent right now."""
+        return self.serving and self._context.membership.has_authority(
+            self._owner.partition, self._owner.epoch
+        )
+
+    @property
+    def may_decide(self) -> bool:
+        """Tell whether a round may put decisions of its own on their way."""
+        paused = self._context.clock() < self._paused_until
+        return self.serving and not self.stalled and not paused
+
+    def is_locked(self, task_id: str) -> bool:
+        """Tell whether an event of this task is on its way to the journal."""
+        return task_id in self._locked
+
+    def prepare(
+        self,
+        events: Sequence[Event],
+        then: Callable[[Outcome], Sequence[Outgoing]] | None = None,
+        payload: int = 0,
+    ) -> Append | None:
+        """Lock the events' tasks; None if one of them is locked already.
+
+        Two decisions on one task can never both reach the journal. What this
+        returns must go to :meth:`submit` with no await in between.
+        """
+        names = [event.task_id for event in events]
+        if not self.serving or not self._locked.isdisjoint(names):
+            return None
+        self._locked.update(names)
+
+        def finish(outcome: Outcome) -> Sequence[Outgoing]:
+            self._locked.difference_update(names)
+            if outcome is Outcome.NOT_RUN:
+                self._pause()
+            return then(outcome) if then is not None else ()
+
+        return Append(tuple(events), payload, finish)
+
+    async def submit(self, append: Append) -> None:
+        """Put prepared events on their way to the journal."""
+        assert self._journal is not None
+        await self._journal.submit(append)
+
+    async def propose(
+        self,
+        events: Sequence[Event],
+        then: Callable[[Outcome], Sequence[Outgoing]] | None = None,
+        payload: int = 0,
+    ) -> Append | None:
+        """Prepare events and submit them; None if one of the tasks is locked."""
+        append = self.prepare(events, then, payload)
+        if append is not None:
+            await self.submit(append)
+        return append
+
+    async def emit(self, outgoing: Outgoing) -> None:
+        """Send a message after those that wait already."""
+        await self._outbox.put(outgoing)
+
+    async def withdraw(self, append: Append) -> bool:
+        """Take an append back if it is not on its way to the table yet."""
+        return self._journal is not None and await self._journal.withdraw(append)
+
+    async def run(self) -> None:
+        """Read the partition, then serve it.
+
+        :raises FencedError: another entry owns the partition.
+        :raises StoreError: the partition could not be read.
+        """
+        try:
+            seq = await self._keeper.load(self.state)
+            self._adopt()
+            self._journal = self._create_journal(seq)
+            log.notice(
+                "batch: partition {} taken at epoch {}, {} tasks",
+                self._owner.partition,
+                self._owner.epoch,
+                len(self.state),
+            )
+            await self._serve(self._journal)
+        finally:
+            self._closing = True
+            self.runs.clear()
+            await self.watchers.wake_all()
+
+    def stop_taking(self) -> None:
+        """Take nothing new."""
+        self._closing = True
+
+    async def close(self, deadline: float) -> bool:
+        """Take nothing new and wait for what is on its way to the journal.
+
+        :param deadline: on the context's clock.
+        :returns: False when something is unsettled at the deadline.
+        """
+        self.stop_taking()
+        while self._journal is not None and not self._journal.idle:
+            if self._context.clock() >= deadline:
+                return False
+            await curio.sleep(FLUSH_STEP_S)
+        return True
+
+    def describe(self) -> dict[str, int | bool]:
+        """Return figures for the operators."""
+        return {
+            "epoch": self._owner.epoch,
+            "serving": self.serving,
+            "authority": self.has_authority,
+            **self.state.describe(),
+        }
+
+    async def _serve(self, journal: Journal) -> None:
+        children = (journal.run, self._send, self._fold)
+        async with curio.TaskGroup(wait=any) as group:
+            for child in children:
+                await group.spawn(self._keep, child)
+        if self._failure is not None:
+            raise self._failure
+
+    async def _keep(self, child: Callable[[], Awaitable[None]]) -> None:
+        # A task group doesn't raise what a child raised; without this a fenced
+        # journal would look like a child that has done its work.
+        try:
+            await child()
+        except Exception as error:
+            self._failure = self._failure or error
+
+    def _pause(self) -> None:
+        # While the store is down, the rounds would otherwise try again at once and
+        # all entries would come back in the same moment.
+        wait = random.uniform(PAUSE_S / 2, PAUSE_S)
+        self._paused_until = self._context.clock() + wait
+
+    def _create_journal(self, seq: int) -> Journal:
+        owner = self._owner
+        return Journal(
+            self._context.table,
+            Position(owner.partition, owner.epoch, owner.version, seq),
+            self._apply,
+            self._outbox.put,
+            self.watchers.wake_ended,
+            group_s=self._context.settings.store.group_s,
+        )
+
+    def _adopt(self) -> None:
+        for placed in list(self.state.placed.values()):
+            record = self.state.find(placed.task_id)
+            if record is None:
+                continue
+            run = self.runs.add(placed, record.spec.team, durable=True)
+            run.stopping = record.cancel_asked
+
+    def _apply(self, event: Event) -> None:
+        known = self.state.find(event.task_id)
+        checkpoint = known.checkpoint if known else ""
+        record = self.state.apply(event)
+        if record is None:
+            return
+        self._cleaner.note(checkpoint, record)
+        if isinstance(event, Placed):
+            run = self.runs.find(event.task_id)
+            if run is not None:
+                run.durable = True
+            return
+        self._drop_run(record, event)
+        self.watchers.note(record)
+
+    def _drop_run(self, record: TaskRecord, event: Event) -> None:
+        task_id = record.spec.task_id
+        if task_id in self.state.placed:
+            return
+        if isinstance(event, Requeued) and event.cause is RequeueCause.LOST:
+            self.runs.remove(task_id)
+        else:
+            self.runs.note_ended(task_id)
+
+    async def _send(self) -> None:
+        while True:
+            outgoing: Outgoing = await self._outbox.get()
+            message = outgoing.build()
+            if message is None:
+                outgoing.unsent()
+                continue
+            try:
+                await outgoing.session.send(message)
+            except LinkClosedError:
+                outgoing.unsent()
+
+    async def _fold(self) -> None:
+        rows = self._context.settings.batch.snapshot_rows
+        while True:
+            await curio.sleep(FOLD_CHECK_S)
+            await self._cleaner.clean()
+            assert self._journal is not None
+            seq = self._journal.seq
+            if seq - self._keeper.folded_seq < rows:
+                continue
+            owner = self._owner
+            place = Position(owner.partition, owner.epoch, owner.version, seq)
+            await fold_quietly(self._keeper, self.state, seq, place)
--- /dev/null
+++ b/pistachiodeal/batch/journal.py
@@ -0,0 +1,295 @@
+"""A partition's journal: one writer, fenced by an epoch, with group commit."""
+
+from __future__ import annotations
+
+import secrets
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+
+import curio
+import orjson
+from logbook import Logger
+
+from pistachiodeal.batch.events import Event, encode_events
+from pistachiodeal.batch.keys import (
+    journal_key,
+    partition_key,
+    read_snapshot_seq,
+    snapshot_key,
+)
+from pistachiodeal.batch.protocols import Outgoing
+from pistachiodeal.exceptions import (
+    FencedError,
+    Outcome,
+    StoreError,
+    StoreUnavailableError,
+)
+from pistachiodeal.platform.protocols import ABSENT, Table, Write
+
+log = Logger("batch")
+
+MAX_ROW_EVENTS = 2_000
+MAX_ROW_PAYLOAD = 262_144
+MAX_PENDING = 20_000
+SETTLE_PAUSE_S = 0.2
+MAX_SETTLE_PAUSE_S = 3.0
+
+Settled = Callable[[Outcome], Sequence[Outgoing]]
+
+
+def _settle_nothing(outcome: Outcome) -> Sequence[Outgoing]:
+    return ()
+
+
+@dataclass(eq=False, slots=True)
+class Append:
+    """Events that are to become durable together.
+
+    :ivar outcome: None until settled; then ``ran`` (durable), ``not_run`` (no
+        effect, for certain) or ``unknown``.
+    :ivar then: called without an await once settled, after the events were
+        applied; returns the messages to be sent.
+    """
+
+    events: tuple[Event, ...]
+    payload: int = 0
+    then: Settled = _settle_nothing
+    outcome: Outcome | None = None
+    retry_after: float = 1.0
+    settled: curio.Event = field(default_factory=curio.Event)
+
+
+@dataclass(frozen=True, slots=True)
+class Position:
+    """Where an owner stands in a partition's journal.
+
+    :param row_version: version of the partition row that makes it the owner.
+    :param seq: the last journal row there is.
+    """
+
+    partition: int
+    epoch: int
+    row_version: int
+    seq: int
+
+
+class Journal:
+    """Appends events for a partition's owner.
+
+    The owner is the only writer and decides conflicts in memory before it
+    appends, so that a row never fails because of one of its events.
+
+    :param apply: called for each durable event, in journal order, with no await
+        between the commit's answer and the call.
+    :param emit: takes the messages that a settled append asks for.
+    :param after_row: called once the events of a row are applied.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        position: Position,
+        apply: Callable[[Event], object],
+        emit: Callable[[Outgoing], Awaitable[None]],
+        after_row: Callable[[], Awaitable[None]],
+        *,
+        group_s: float,
+    ) -> None:
+        self._table = table
+        self._position = position
+        self._seq = position.seq
+        self._apply = apply
+        self._emit = emit
+        self._after_row = after_row
+        self._group_s = group_s
+        self._pending: deque[Append] = deque()
+        self._wake = curio.Event()
+        self._unsettled = False
+        self._closed = False
+        self._rows = 0
+
+    @property
+    def seq(self) -> int:
+        """Return the number of the last durable row."""
+        return self._seq
+
+    @property
+    def rows(self) -> int:
+        """Return how many rows this owner has written."""
+        return self._rows
+
+    @property
+    def stalled(self) -> bool:
+        """Tell whether a row's fate is being settled, so that appends wait."""
+        return self._unsettled
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing waits and nothing is under way."""
+        return not self._pending and not self._unsettled
+
+    @property
+    def full(self) -> bool:
+        """Tell whether no further append is taken."""
+        return self._closed or len(self._pending) >= MAX_PENDING
+
+    async def submit(self, append: Append) -> None:
+        """Queue an append; :attr:`Append.settled` tells when its fate is known."""
+        if self.full:
+            await self._settle([append], Outcome.NOT_RUN)
+            return
+        self._pending.append(append)
+        await self._wake.set()
+
+    async def withdraw(self, append: Append) -> bool:
+        """Take back an append that is not on its way to the table yet."""
+        try:
+            self._pending.remove(append)
+        except ValueError:
+            return False
+        await self._settle([append], Outcome.NOT_RUN)
+        return True
+
+    async def run(self) -> None:
+        """Write rows until fenced or cancelled.
+
+        :raises FencedError: another entry owns the partition.
+        """
+        batch: list[Append] = []
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                if self._group_s:
+                    await curio.sleep(self._group_s)
+                while self._pending:
+                    batch = self._take()
+                    await self._write(batch)
+                    batch = []
+        finally:
+            self._closed = True
+            await self._abandon(batch)
+
+    def _take(self) -> list[Append]:
+        batch: list[Append] = []
+        events = payload = 0
+        while self._pending:
+            head = self._pending[0]
+            events += len(head.events)
+            payload += head.payload
+            too_large = events > MAX_ROW_EVENTS or payload > MAX_ROW_PAYLOAD
+            if batch and too_large:
+                break
+            batch.append(self._pending.popleft())
+        return batch
+
+    async def _write(self, batch: list[Append]) -> None:
+        nonce = secrets.token_hex(8)
+        writes = self._build(batch, nonce)
+        try:
+            result = await self._table.commit(writes)
+        except StoreUnavailableError as error:
+            await self._settle(batch, Outcome.NOT_RUN, error.retry_after)
+            return
+        except StoreError:
+            await self._resolve(batch, writes, nonce)
+            return
+        if result.committed:
+            await self._accept(batch)
+            return
+        await self._resolve(batch, writes, nonce)
+
+    def _build(self, batch: list[Append], nonce: str) -> tuple[Write, Write]:
+        place = self._position
+        events = [event for append in batch for event in append.events]
+        document = {
+            "nonce": nonce,
+            "epoch": place.epoch,
+            "events": encode_events(events),
+        }
+        return (
+            Write(
+                partition_key(place.partition),
+                expect=place.row_version,
+                check_only=True,
+            ),
+            Write(
+                journal_key(place.partition, self._seq + 1),
+                orjson.dumps(document),
+                expect=ABSENT,
+            ),
+        )
+
+    async def _resolve(
+        self, batch: list[Append], writes: Sequence[Write], nonce: str
+    ) -> None:
+        # The commit may have taken effect, or may do so later. Reading an absent
+        # row back proves nothing, since the commit may still be under way; a
+        # caller told "not run" would then find the task run. The same row is
+        # written again until one of the tries is known to fill its place.
+        log.notice("batch: fate of row {} is being settled", writes[1].key)
+        self._unsettled = True
+        pause = SETTLE_PAUSE_S
+        while True:
+            try:
+                result = await self._table.commit(writes)
+                outcome = Outcome.RAN
+                if not result.committed:
+                    outcome = await self._read_back(writes[1].key, nonce)
+                break
+            except StoreError:
+                await curio.sleep(pause)
+                pause = min(2 * pause, MAX_SETTLE_PAUSE_S)
+        self._unsettled = False
+        if outcome is Outcome.RAN:
+            await self._accept(batch)
+            return
+        await self._settle(batch, outcome)
+        raise FencedError(
+            f"partition {self._position.partition} at epoch {self._position.epoch}",
+            step="journal.append",
+        )
+
+    async def _read_back(self, key: str, nonce: str) -> Outcome:
+        snapshot = snapshot_key(self._position.partition)
+        rows = await self._table.read([key, snapshot])
+        if key in rows:
+            ours = orjson.loads(rows[key].value)["nonce"] == nonce
+            return Outcome.RAN if ours else Outcome.NOT_RUN
+        # A successor may have folded our row into its snapshot and deleted it; an
+        # owner that wakes from a long freeze would otherwise take the missing row
+        # for a write without effect and tell its caller so.
+        folded = snapshot in rows and read_snapshot_seq(rows[snapshot]) > self._seq
+        return Outcome.UNKNOWN if folded else Outcome.NOT_RUN
+
+    async def _accept(self, batch: list[Append]) -> None:
+        self._seq += 1
+        self._rows += 1
+        for append in batch:
+            for event in append.events:
+                self._apply(event)
+        await self._settle(batch, Outcome.RAN)
+        await self._after_row()
+
+    async def _settle(
+        self, batch: list[Append], outcome: Outcome, retry_after: float = 1.0
+    ) -> None:
+        messages: list[Outgoing] = []
+        for append in batch:
+            append.outcome = outcome
+            append.retry_after = retry_after
+            messages.extend(append.then(outcome))
+        for append in batch:
+            await append.settled.set()
+        if outcome is not Outcome.RAN:
+            return
+        for message in messages:
+            await self._emit(message)
+
+    async def _abandon(self, batch: list[Append]) -> None:
+        open_ones = [append for append in batch if append.outcome is None]
+        await self._settle(open_ones, Outcome.UNKNOWN)
+        waiting = list(self._pending)
+        self._pending.clear()
+        await self._settle(waiting, Outcome.NOT_RUN)
--- /dev/null
+++ b/pistachiodeal/batch/membership.py
@@ -0,0 +1,245 @@
+"""Which entries are alive, and until when this one may act as an owner."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field
+
+import orjson
+from logbook import Logger
+
+from pistachiodeal.batch.keys import ENTRY_PREFIX, PARTITION_PREFIX
+from pistachiodeal.batch.protocols import Clock
+from pistachiodeal.exceptions import StoreError
+from pistachiodeal.platform.protocols import Row, Table, Write
+
+log = Logger("batch")
+
+SCAN_ROWS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class EntryRow:
+    """What an entry says of itself with each beat.
+
+    :param team_cpu: thousandths of cores that each team's tasks hold in the
+        partitions of this entry, for quotas.
+    """
+
+    node: str
+    incarnation: int
+    beat: int
+    address: str
+    data_centre: str
+    http: str
+    team_cpu: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerRow:
+    """Who owns a partition; node empty when it was handed over to nobody."""
+
+    partition: int
+    node: str
+    incarnation: int
+    address: str
+    epoch: int
+    nonce: str
+    version: int = 0
+
+
+@dataclass(slots=True)
+class _Sight:
+    stamp: tuple[int, int]
+    changed_at: float
+    started_at: float
+
+
+class Membership:
+    """Beats this entry's row and watches those of the others.
+
+    Only monotonic clocks of this process are used: another entry counts as dead
+    when its row stayed the same for owner's lease and margin *as seen here*, and
+    this entry's own authority counts from the moment a beat was *sent*.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        me: EntryRow,
+        *,
+        owner_lease_s: float,
+        margin_s: float,
+        clock: Clock,
+    ) -> None:
+        self._table = table
+        self._me = me
+        self._beat = 0
+        self._lease_s = owner_lease_s
+        self._dead_s = owner_lease_s + margin_s
+        self._clock = clock
+        self._beat_until = float("-inf")
+        self._looked_at = float("-inf")
+        self._verified: dict[int, tuple[int, float]] = {}
+        self._sights: dict[str, _Sight] = {}
+        self._absent: dict[str, float] = {}
+        self._entries: dict[str, EntryRow] = {}
+        self._owners: dict[int, OwnerRow] = {}
+
+    @property
+    def me(self) -> EntryRow:
+        """Return this entry's own row."""
+        return self._me
+
+    @property
+    def owners(self) -> Mapping[int, OwnerRow]:
+        """Return the owners of the partitions as last read."""
+        return self._owners
+
+    def find_owner(self, partition: int) -> OwnerRow | None:
+        """Return a partition's owner as last read."""
+        return self._owners.get(partition)
+
+    def authority_until(self) -> float:
+        """Return when this entry's word as an owner ends, on its own clock."""
+        return self._beat_until
+
+    def has_authority(self, partition: int, epoch: int) -> bool:
+        """Tell whether leases of this partition may be granted right now.
+
+        A beat alone is not enough: an entry that was thought dead and then beats
+        again would go on granting leases for what others have taken over.
+        """
+        known, until = self._verified.get(partition, (0, 0.0))
+        return known == epoch and self._clock() < min(until, self._beat_until)
+
+    def note_owned(self, row: OwnerRow, sent_at: float) -> None:
+        """Record that the store named us owner at ``sent_at`` or later."""
+        self._owners[row.partition] = row
+        self._verified[row.partition] = (row.epoch, sent_at + self._lease_s)
+
+    def note_released(self, partition: int) -> None:
+        """Record that this entry no longer owns a partition."""
+        self._verified.pop(partition, None)
+
+    def live_entries(self) -> dict[str, EntryRow]:
+        """Return the entries that are alive, this one included."""
+        live = {
+            node: row
+            for node, row in self._entries.items()
+            if self._looked_at - self._sights[node].changed_at < self._dead_s
+        }
+        live[self._me.node] = self._me
+        return live
+
+    def is_dead(self, row: OwnerRow) -> bool:
+        """Tell whether a partition's owner has certainly lost its authority."""
+        if row.node == self._me.node:
+            return row.incarnation != self._me.incarnation
+        # Measured up to the last look, not up to now: a store outage or a freeze of
+        # this process would otherwise make every other entry look dead.
+        sight = self._sights.get(row.node)
+        if sight is not None:
+            # The row of a node that was restarted goes on changing while the owner,
+            # an earlier process of that name, is gone: nobody but the new process
+            # would ever take its partitions, and that only if they are its own.
+            replaced = sight.stamp[0] != row.incarnation
+            since = sight.started_at if replaced else sight.changed_at
+            return self._looked_at - since >= self._dead_s
+        since = self._absent.setdefault(row.node, self._looked_at)
+        return self._looked_at - since >= self._dead_s
+
+    async def beat(self, team_cpu: dict[str, int]) -> None:
+        """Write this entry's row.
+
+        :raises StoreError: the beat does not count, even if it took effect.
+        """
+        self._beat += 1
+        fields = asdict(self._me) | {"beat": self._beat, "team_cpu": team_cpu}
+        row = EntryRow(**fields)
+        sent_at = self._clock()
+        value = orjson.dumps(asdict(row))
+        await self._table.commit([Write(ENTRY_PREFIX + row.node, value)])
+        self._me = row
+        self._beat_until = sent_at + self._lease_s
+
+    async def look(self) -> None:
+        """Read the rows of entries and partitions.
+
+        :raises StoreError: what was known before still stands.
+        """
+        sent_at = self._clock()
+        entries = await self._scan(ENTRY_PREFIX)
+        self._note_entries(entries, sent_at)
+        sent_at = self._clock()
+        owners = await self._scan(PARTITION_PREFIX)
+        self._note_owners(owners, sent_at)
+
+    async def leave(self) -> None:
+        """Delete this entry's row, so that nobody waits for it."""
+        self._beat_until = float("-inf")
+        try:
+            await self._table.commit([Write(ENTRY_PREFIX + self._me.node)])
+        except StoreError as error:
+            log.notice("batch: own row not deleted: {}", error)
+
+    async def _scan(self, prefix: str) -> list[Row]:
+        rows: list[Row] = []
+        while True:
+            after = rows[-1].key if rows else ""
+            page = await self._table.scan(prefix, after, SCAN_ROWS)
+            rows.extend(page)
+            if len(page) < SCAN_ROWS:
+                return rows
+
+    def _note_entries(self, rows: list[Row], sent_at: float) -> None:
+        now = self._clock()
+        self._looked_at = sent_at
+        found: dict[str, EntryRow] = {}
+        for row in rows:
+            entry = EntryRow(**orjson.loads(row.value))
+            if entry.node == self._me.node:
+                continue
+            found[entry.node] = entry
+            stamp = (entry.incarnation, entry.beat)
+            sight = self._sights.get(entry.node)
+            if sight is None or sight.stamp[0] != entry.incarnation:
+                self._sights[entry.node] = _Sight(stamp, now, now)
+            elif sight.stamp != stamp:
+                sight.stamp = stamp
+                sight.changed_at = now
+        for node in self._entries.keys() - found.keys():
+            self._absent[node] = sent_at
+            del self._sights[node]
+        for node in found.keys() & self._absent.keys():
+            del self._absent[node]
+        self._entries = found
+
+    def _note_owners(self, rows: list[Row], sent_at: float) -> None:
+        owners: dict[int, OwnerRow] = {}
+        for row in rows:
+            owner = parse_owner(row)
+            owners[owner.partition] = owner
+            mine = (owner.node, owner.incarnation)
+            if mine == (self._me.node, self._me.incarnation):
+                self._verified[owner.partition] = (
+                    owner.epoch,
+                    sent_at + self._lease_s,
+                )
+            else:
+                self._verified.pop(owner.partition, None)
+        self._owners = owners
+        named = {owner.node for owner in owners.values()}
+        self._absent = {n: t for n, t in self._absent.items() if n in named}
+
+
+def parse_owner(row: Row) -> OwnerRow:
+    """Return a partition row's content with its version."""
+    return OwnerRow(**orjson.loads(row.value), version=row.version)
+
+
+def build_owner_value(row: OwnerRow) -> bytes:
+    """Return the stored form of a partition row."""
+    fields = asdict(row)
+    del fields["version"]
+    return orjson.dumps(fields)
--- /dev/null
+++ b/pistachiodeal/batch/ownership.py
@@ -0,0 +1,160 @@
+"""Which partitions this entry should own, and the writes that change owners.
+
+Winners are chosen by rendezvous hashing (Thaler and Ravishankar, "Using
+name-based mappings to increase hit rates"): an entry that comes or goes moves
+only its own share of the partitions.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+import xxhash
+from logbook import Logger
+
+from pistachiodeal.batch.keys import partition_key
+from pistachiodeal.batch.membership import (
+    Membership,
+    OwnerRow,
+    build_owner_value,
+    parse_owner,
+)
+from pistachiodeal.batch.protocols import Clock
+from pistachiodeal.exceptions import StoreError, StoreUnavailableError
+from pistachiodeal.platform.protocols import ABSENT, Table, Write
+
+log = Logger("batch")
+
+MIN_TAKEOVERS = 4
+TAKEOVER_ROUNDS = 8
+HANDOVER_ROUNDS = 5
+
+
+def choose_winner(partition: int, nodes: Iterable[str]) -> str:
+    """Return the node that should own a partition."""
+    return max(nodes, key=lambda node: _weigh(partition, node), default="")
+
+
+def _weigh(partition: int, node: str) -> tuple[int, str]:
+    return xxhash.xxh64_intdigest(f"{partition}/{node}".encode()), node
+
+
+@dataclass(frozen=True, slots=True)
+class OwnershipPlan:
+    """What to do in this round.
+
+    :param take: partitions to take over, with the row seen there.
+    :param hand_over: own partitions to release for another entry.
+    """
+
+    take: tuple[tuple[int, OwnerRow | None], ...]
+    hand_over: tuple[int, ...]
+
+
+class OwnershipPlanner:
+    """Decides take-overs and hand-overs from what membership saw."""
+
+    def __init__(self, membership: Membership, partitions: int) -> None:
+        self._membership = membership
+        self._partitions = partitions
+        self._waits: dict[int, tuple[str, int]] = {}
+
+    def plan(self, held: Mapping[int, int]) -> OwnershipPlan:
+        """Return this round's changes.
+
+        :param held: partitions that this process serves, with their epochs.
+        """
+        live = self._membership.live_entries()
+        me = self._membership.me.node
+        winners = {p: choose_winner(p, live) for p in range(self._partitions)}
+        takes = [p for p in winners if p not in held and self._may_take(p, winners[p])]
+        share = -(-self._partitions // len(live))
+        limit = max(MIN_TAKEOVERS, -(-share // TAKEOVER_ROUNDS))
+        owners = self._membership.owners
+        return OwnershipPlan(
+            tuple((p, owners.get(p)) for p in takes[:limit]),
+            tuple(p for p in held if self._should_hand_over(p, winners[p], me)),
+        )
+
+    def _may_take(self, partition: int, winner: str) -> bool:
+        if winner != self._membership.me.node:
+            return False
+        row = self._membership.owners.get(partition)
+        if row is None or not row.node:
+            return True
+        mine = (row.node, row.incarnation)
+        # A row that names this very process, which doesn't serve the partition:
+        # loading it failed, or its tasks crashed. Nobody else would take it.
+        if mine == (self._membership.me.node, self._membership.me.incarnation):
+            return True
+        return self._membership.is_dead(row)
+
+    def _should_hand_over(self, partition: int, winner: str, me: str) -> bool:
+        if winner == me:
+            self._waits.pop(partition, None)
+            return False
+        # An entry that comes and goes would otherwise pull its partitions back
+        # and forth, and each move makes the new owner read the whole journal.
+        last, rounds = self._waits.get(partition, (winner, 0))
+        rounds = rounds + 1 if last == winner else 1
+        self._waits[partition] = (winner, rounds)
+        if rounds < HANDOVER_ROUNDS:
+            return False
+        del self._waits[partition]
+        return True
+
+
+class OwnershipWriter:
+    """Takes and releases partitions by compare-and-swap on their rows."""
+
+    def __init__(self, table: Table, membership: Membership, clock: Clock) -> None:
+        self._table = table
+        self._membership = membership
+        self._clock = clock
+
+    async def take(self, partition: int, seen: OwnerRow | None) -> OwnerRow | None:
+        """Take a partition over; None when another entry was faster.
+
+        :raises StoreError: not known, or not done; the next round shows.
+        """
+        me = self._membership.me
+        row = OwnerRow(
+            partition=partition,
+            node=me.node,
+            incarnation=me.incarnation,
+            address=me.address,
+            epoch=seen.epoch + 1 if seen else 1,
+            nonce=secrets.token_hex(8),
+        )
+        sent_at = self._clock()
+        version = await self._swap(row, seen.version if seen else ABSENT)
+        if version is None:
+            return None
+        row = replace(row, version=version)
+        self._membership.note_owned(row, sent_at)
+        return row
+
+    async def release(self, row: OwnerRow) -> None:
+        """Give a partition back, so that its next owner need not wait.
+
+        :raises StoreError: not known, or not done; the owner's lease runs out then.
+        """
+        self._membership.note_released(row.partition)
+        free = replace(row, node="", address="", incarnation=0, nonce="")
+        await self._swap(free, row.version)
+
+    async def _swap(self, row: OwnerRow, expect: int) -> int | None:
+        key = partition_key(row.partition)
+        write = Write(key, build_owner_value(row), expect=expect)
+        try:
+            result = await self._table.commit([write])
+        except StoreUnavailableError:
+            raise
+        except StoreError:
+            found = (await self._table.read([key])).get(key)
+            if found is None or parse_owner(found).nonce != row.nonce or not row.nonce:
+                raise
+            return found.version
+        return result.versions[key] if result.committed else None
--- /dev/null
+++ b/pistachiodeal/batch/owning.py
@@ -0,0 +1,145 @@
+"""Rounds of membership, and the partitions that this entry holds."""
+
+from __future__ import annotations
+
+import random
+
+import curio
+from logbook import Logger
+
+from pistachiodeal.batch.host import HostContext, PartitionHost
+from pistachiodeal.batch.membership import OwnerRow
+from pistachiodeal.batch.ownership import OwnershipPlanner, OwnershipWriter
+from pistachiodeal.exceptions import FencedError, StoreError
+
+log = Logger("batch")
+
+RELEASE_S = 2.0
+
+
+class PartitionKeeper:
+    """Beats, looks, takes over and hands over; one task for each partition."""
+
+    def __init__(self, context: HostContext) -> None:
+        self._context = context
+        self._membership = context.membership
+        self._planner = OwnershipPlanner(
+            context.membership, context.settings.batch.partitions
+        )
+        self._writer = OwnershipWriter(context.table, context.membership, context.clock)
+        self._hosts: dict[int, PartitionHost] = {}
+        self._tasks: dict[int, curio.Task] = {}
+        self._draining = False
+        self._round = curio.Lock()
+
+    def hosts(self) -> list[PartitionHost]:
+        """Return all partitions held, also those still being read."""
+        return list(self._hosts.values())
+
+    def serving_hosts(self) -> list[PartitionHost]:
+        """Return the partitions that are served."""
+        return [host for host in self._hosts.values() if host.serving]
+
+    def find_serving(self, partition: int) -> PartitionHost | None:
+        """Return a partition if it is served here."""
+        host = self._hosts.get(partition)
+        return host if host is not None and host.serving else None
+
+    async def run(self) -> None:
+        """Do a round every ``beat_s``."""
+        period = self._context.settings.batch.beat_s
+        try:
+            while not self._draining:
+                try:
+                    async with self._round:
+                        await self.run_round()
+                except StoreError as error:
+                    log.notice("batch: round not done: {}", error)
+                # Jitter, so that entries started together don't beat, look and
+                # take over in the same moment for ever.
+                await curio.sleep(random.uniform(0.8 * period, 1.2 * period))
+        finally:
+            await self._cancel_all()
+
+    async def run_round(self) -> None:
+        """Beat, look at the others, then change what is owned.
+
+        :raises StoreError: the round ended early.
+        """
+        if self._draining:
+            return
+        await self._membership.beat(self._context.board.team_cpu)
+        await self._membership.look()
+        await self._drop_lost()
+        held = {p: host.owner.epoch for p, host in self._hosts.items()}
+        plan = self._planner.plan(held)
+        for partition in plan.hand_over:
+            await self._hand_over(partition, self._context.clock() + RELEASE_S)
+        for partition, seen in plan.take:
+            row = await self._writer.take(partition, seen)
+            if row is not None:
+                await self._start(row)
+
+    async def drain(self) -> None:
+        """Hand everything over, then delete this entry's row."""
+        self._draining = True
+        for host in self.hosts():
+            host.stop_taking()
+        # A round under way may still take partitions and beat; a beat that lands
+        # after the row is deleted would make the others wait for a dead entry.
+        async with self._round:
+            deadline = self._context.clock() + RELEASE_S
+            for partition in list(self._hosts):
+                await self._release_quietly(partition, deadline)
+            await self._membership.leave()
+
+    async def _release_quietly(self, partition: int, deadline: float) -> None:
+        try:
+            await self._hand_over(partition, deadline)
+        except StoreError as error:
+            log.notice("batch: partition {} not released: {}", partition, error)
+
+    async def _start(self, row: OwnerRow) -> None:
+        host = PartitionHost(self._context, row)
+        self._hosts[row.partition] = host
+        self._tasks[row.partition] = await curio.spawn(self._serve, host, daemon=True)
+
+    async def _serve(self, host: PartitionHost) -> None:
+        partition = host.owner.partition
+        try:
+            await host.run()
+        except FencedError as error:
+            log.notice("batch: partition {} lost: {}", partition, error)
+        except StoreError as error:
+            log.notice("batch: partition {} not read: {}", partition, error)
+        except Exception as error:
+            log.error("batch: partition {} failed: {!r}", partition, error)
+        finally:
+            if self._hosts.get(partition) is host:
+                del self._hosts[partition]
+
+    async def _drop_lost(self) -> None:
+        for partition, host in list(self._hosts.items()):
+            row = self._membership.owners.get(partition)
+            if row is not None and row.epoch > host.owner.epoch:
+                log.notice("batch: partition {} was taken over", partition)
+                await self._cancel(partition)
+
+    async def _hand_over(self, partition: int, deadline: float) -> None:
+        host = self._hosts.get(partition)
+        if host is None:
+            return
+        if not await host.close(deadline):
+            log.notice("batch: partition {} released unsettled", partition)
+        await self._cancel(partition)
+        await self._writer.release(host.owner)
+        log.notice("batch: partition {} handed over", partition)
+
+    async def _cancel(self, partition: int) -> None:
+        task = self._tasks.pop(partition, None)
+        if task is not None:
+            await task.cancel()
+
+    async def _cancel_all(self) -> None:
+        for partition in list(self._tasks):
+            await self._cancel(partition)
--- /dev/null
+++ b/pistachiodeal/batch/runs.py
@@ -0,0 +1,211 @@
+"""Attempts that are placed, and until when each of them may be running.
+
+An attempt counts as running until its agent says that it ended, or until so
+long after it was last seen that its lease is over for certain, also where an
+earlier owner granted the last one.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from pistachiodeal.batch.events import Placed
+from pistachiodeal.batch.protocols import Clock, WorkerSession
+from pistachiodeal.batch.workers import WorkerBoard
+from pistachiodeal.wire.messages import LeaseGrant, Stop, TaskRef
+
+ASK_AGAIN_S = 30.0
+GRACE_S = 5.0
+KNOWN_ENDED = 10_000
+NEVER_STARTED = float("-inf")
+
+
+@dataclass(eq=False, slots=True)
+class PlacedRun:
+    """An attempt that may be running.
+
+    :param durable: False between the decision and its journal row.
+    :param over_at: from then on it certainly runs no more.
+    :param sent_on: session on which its start was sent, None for one that an
+        earlier owner placed.
+    :param asked_on: session on which a stop was last sent, at ``asked_at``.
+    """
+
+    placed: Placed
+    team: str
+    over_at: float
+    durable: bool = True
+    sent_on: WorkerSession | None = None
+    asked_on: WorkerSession | None = None
+    asked_at: float = float("-inf")
+    stopping: bool = False
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return task id and attempt."""
+        return self.placed.task_id, self.placed.attempt
+
+    @property
+    def never_started(self) -> bool:
+        """Tell whether it never ran, for certain."""
+        return self.over_at == NEVER_STARTED
+
+
+class RunTable:
+    """The placed attempts of one partition."""
+
+    def __init__(
+        self,
+        partition: int,
+        epoch: int,
+        board: WorkerBoard,
+        *,
+        safety_s: float,
+        clock: Clock,
+    ) -> None:
+        """Make an empty table.
+
+        :param safety_s: added to a task's lease: owner's lease and two margins.
+        """
+        self._partition = partition
+        self._epoch = epoch
+        self._board = board
+        self._safety_s = safety_s
+        self._clock = clock
+        self._runs: dict[str, PlacedRun] = {}
+        self._by_worker: dict[str, dict[str, PlacedRun]] = {}
+        self._ended: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._taken_at = clock()
+
+    def __iter__(self) -> Iterator[PlacedRun]:
+        return iter(list(self._runs.values()))
+
+    def find(self, task_id: str) -> PlacedRun | None:
+        """Return a task's placed attempt."""
+        return self._runs.get(task_id)
+
+    def add(self, placed: Placed, team: str, *, durable: bool) -> PlacedRun:
+        """Count an attempt as possibly running from now on."""
+        run = PlacedRun(placed, team, self._extend(placed), durable)
+        self._runs[placed.task_id] = run
+        self._by_worker.setdefault(placed.worker, {})[placed.task_id] = run
+        self._board.add_run(placed.worker, run.key, placed.size, team)
+        return run
+
+    def remove(self, task_id: str) -> None:
+        """Forget an attempt that is over."""
+        run = self._runs.pop(task_id, None)
+        if run is None:
+            return
+        worker = run.placed.worker
+        del self._by_worker[worker][task_id]
+        if not self._by_worker[worker]:
+            del self._by_worker[worker]
+        self._board.remove_run(worker, run.key, run.team)
+
+    def note_ended(self, task_id: str) -> None:
+        """Forget an attempt whose own agent said that it is over."""
+        run = self._runs.get(task_id)
+        if run is None:
+            return
+        self._ended[run.key] = None
+        if len(self._ended) > KNOWN_ENDED:
+            self._ended.popitem(last=False)
+        self.remove(task_id)
+
+    def clear(self) -> None:
+        """Forget everything: the partition is someone else's."""
+        for task_id in list(self._runs):
+            self.remove(task_id)
+
+    def overdue(self) -> list[PlacedRun]:
+        """Return the attempts whose lease is over for certain."""
+        now = self._clock()
+        return [run for run in self if run.durable and now >= run.over_at]
+
+    def answer(
+        self, session: WorkerSession, refs: Sequence[TaskRef]
+    ) -> tuple[LeaseGrant | None, list[Stop]]:
+        """Return the lease and the stops that answer a report.
+
+        :param refs: the runs of this partition that the report names.
+        """
+        stops = []
+        leases = []
+        foreign = False
+        for ref in refs:
+            run = self._runs.get(ref.task_id)
+            if (ref.task_id, ref.attempt) in self._ended:
+                continue
+            if run is None or run.key != (ref.task_id, ref.attempt):
+                foreign = True
+                stops.append(self._build_stop(ref.task_id, ref.attempt))
+                continue
+            if run.placed.worker != session.worker:
+                continue
+            run.over_at = self._extend(run.placed)
+            leases.append(run.placed.lease_ms)
+            if run.stopping and self._may_ask(run, session):
+                stops.append(self._ask(run, session, evict=False))
+        named = {ref.task_id for ref in refs}
+        stops.extend(self._ask_missing(session, named))
+        # A grant holds for every run of the partition that the report named. With
+        # a run among them that is not the current attempt, it would keep alive
+        # what must end, so this beat gets none.
+        if foreign or not leases:
+            return None, stops
+        return LeaseGrant(self._partition, self._epoch, min(leases)), stops
+
+    def note_unsent(self, run: PlacedRun) -> None:
+        """Note that this owner's start of a run it placed itself was never sent."""
+        run.over_at = NEVER_STARTED
+
+    def note_start(self, run: PlacedRun, session: WorkerSession) -> None:
+        """Note the session on which a start is about to be sent."""
+        run.sent_on = session
+        run.asked_at = self._clock()
+
+    def stop(self, run: PlacedRun, session: WorkerSession) -> Stop:
+        """Return the stop of a run whose task was cancelled."""
+        run.stopping = True
+        return self._ask(run, session, evict=False)
+
+    def _ask_missing(self, session: WorkerSession, named: set[str]) -> list[Stop]:
+        """Ask after runs that should be on the worker and were not named.
+
+        Their start may be lost with an older link, or never have been sent by an
+        earlier owner: the agent's answer, unknown_run, frees them long before
+        their lease is over. An agent that has not heard yet who owns the partition
+        leaves its runs out of the report, too: so it is given a while, and is asked
+        for a checkpoint, which makes a wrong guess an eviction and no lost work.
+        """
+        new_here = self._clock() < self._taken_at + GRACE_S
+        if new_here or self._board.session_age(session) < GRACE_S:
+            return []
+        runs = self._by_worker.get(session.worker, {})
+        return [
+            self._ask(run, session, evict=not run.stopping)
+            for task_id, run in runs.items()
+            if task_id not in named and run.durable and self._may_ask(run, session)
+        ]
+
+    def _may_ask(self, run: PlacedRun, session: WorkerSession) -> bool:
+        now = self._clock()
+        if run.asked_on is session:
+            return now - run.asked_at >= ASK_AGAIN_S
+        if run.sent_on is session and not run.stopping:
+            return now - run.asked_at >= ASK_AGAIN_S
+        return True
+
+    def _ask(self, run: PlacedRun, session: WorkerSession, *, evict: bool) -> Stop:
+        run.asked_on = session
+        run.asked_at = self._clock()
+        return self._build_stop(*run.key, evict=evict)
+
+    def _build_stop(self, task_id: str, attempt: int, *, evict: bool = False) -> Stop:
+        return Stop(task_id, attempt, self._partition, self._epoch, evict)
+
+    def _extend(self, placed: Placed) -> float:
+        return self._clock() + placed.lease_ms / 1000 + self._safety_s
--- /dev/null
+++ b/pistachiodeal/batch/service.py
@@ -0,0 +1,242 @@
+"""The batch path of an entry, put together."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from logbook import Logger
+
+from pistachiodeal.batch.admission import AdmissionDesk
+from pistachiodeal.batch.api import TaskApi
+from pistachiodeal.batch.endings import EndingDesk
+from pistachiodeal.batch.forward import Forwarder
+from pistachiodeal.batch.host import HostContext, PartitionHost
+from pistachiodeal.batch.keys import parse_partition
+from pistachiodeal.batch.membership import EntryRow, Membership
+from pistachiodeal.batch.owning import PartitionKeeper
+from pistachiodeal.batch.placer import Placer
+from pistachiodeal.batch.protocols import Clock, ProfileLookup, WorkerSession
+from pistachiodeal.batch.workers import WorkerBoard
+from pistachiodeal.config.entry import EntrySettings
+from pistachiodeal.exceptions import LinkClosedError, RequestError
+from pistachiodeal.learning.health import create_worker_health
+from pistachiodeal.learning.sizes import create_size_model
+from pistachiodeal.metrics import Metrics
+from pistachiodeal.platform.protocols import ObjectStore, Table
+from pistachiodeal.supervisor import Supervisor
+from pistachiodeal.web.messages import WebRequest, WebResponse, build_problem
+from pistachiodeal.wire.identity import Identity
+from pistachiodeal.wire.link import LinkTimings
+from pistachiodeal.wire.messages import (
+    Directory,
+    EntryAddress,
+    LeaseGrant,
+    PartitionOwner,
+    Refusal,
+    Renew,
+    Report,
+    Request,
+    Response,
+    StartRefused,
+    Stop,
+    TaskEnded,
+    TaskRef,
+)
+
+log = Logger("batch")
+
+MILLI = 1_000
+
+
+class BatchService:
+    """Admits tasks, owns partitions, places attempts and renews their leases."""
+
+    def __init__(self, context: HostContext, forwarder: Forwarder) -> None:
+        self._context = context
+        self._forwarder = forwarder
+        self._board = context.board
+        self._keeper = PartitionKeeper(context)
+        self._placer = Placer(context, self._keeper.serving_hosts)
+        self._endings = EndingDesk(context)
+        self._api = TaskApi(
+            context,
+            AdmissionDesk(context),
+            forwarder,
+            self._keeper.find_serving,
+            context.membership.find_owner,
+        )
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        supervisor = Supervisor("batch")
+        supervisor.add("forward", self._forwarder.run)
+        supervisor.add("partitions", self._keeper.run)
+        supervisor.add("placement", self._placer.run)
+        await supervisor.run()
+
+    async def drain(self) -> None:
+        """Hand the partitions over and delete this entry's row."""
+        await self._keeper.drain()
+
+    async def handle(self, request: WebRequest) -> WebResponse:
+        """Answer a caller's ``/tasks`` request.
+
+        :raises RequestError: ends in a problem document.
+        """
+        return await self._api.handle(request)
+
+    async def handle_forwarded(self, request: Request) -> Response | Refusal:
+        """Answer a request that another entry has forwarded."""
+        local = WebRequest(
+            request.method, request.target, request.headers, request.body
+        )
+        try:
+            answer = await self._api.handle(local, forward=False)
+        except RequestError as error:
+            if error.code == "no_owner":
+                wait_ms = int((error.retry_after or 1.0) * MILLI)
+                return Refusal(request.request_id, error.code, error.detail, wait_ms)
+            answer = build_problem(error)
+        return Response(request.request_id, answer.status, answer.headers, answer.body)
+
+    def session_opened(self, session: WorkerSession) -> None:
+        """Note a link from a worker's agent."""
+        self._board.open_session(session)
+
+    def session_closed(self, session: WorkerSession) -> None:
+        """Note that a link has gone."""
+        self._board.close_session(session)
+
+    async def receive(
+        self, session: WorkerSession, message: Report | StartRefused | TaskEnded
+    ) -> None:
+        """Take a message from an agent."""
+        if isinstance(message, Report):
+            await self._answer_report(session, message)
+            return
+        host = self._find_host(message.task_id)
+        if host is None:
+            return
+        if isinstance(message, TaskEnded):
+            await self._endings.end(host, session, message)
+        else:
+            await self._endings.refuse(host, session, message)
+
+    def directory(self) -> Directory:
+        """Return the live entries and the partitions' owners, as last read."""
+        membership = self._context.membership
+        entries = tuple(
+            EntryAddress(entry.node, entry.address, entry.data_centre)
+            for _, entry in sorted(membership.live_entries().items())
+        )
+        owners = tuple(
+            PartitionOwner(partition, row.epoch, row.node, row.address)
+            for partition, row in sorted(membership.owners.items())
+        )
+        return Directory(entries, owners)
+
+    def status(self) -> dict[str, Any]:
+        """Return figures for the operators."""
+        membership = self._context.membership
+        now = self._context.clock()
+        return {
+            "partitions": {
+                str(host.owner.partition): host.describe()
+                for host in self._keeper.hosts()
+            },
+            "entries": sorted(membership.live_entries()),
+            "authority_s": max(0.0, round(membership.authority_until() - now, 3)),
+            "quarantined": list(self._context.health.quarantined(now)),
+            "team_cpu_milli": self._board.team_cpu,
+        }
+
+    def _find_host(self, task_id: str) -> PartitionHost | None:
+        partition = parse_partition(task_id, self._context.settings.batch.partitions)
+        return None if partition is None else self._keeper.find_serving(partition)
+
+    async def _answer_report(self, session: WorkerSession, report: Report) -> None:
+        if not self._board.note_report(session, report):
+            return
+        refs = self._group_refs(report.tasks)
+        grants: list[LeaseGrant] = []
+        stops: list[Stop] = []
+        for host in self._keeper.serving_hosts():
+            # Without authority neither leases nor stops go out: a successor may
+            # own the partition, and what is "not the current attempt" here may be
+            # a run that it has started.
+            if not host.has_authority:
+                continue
+            named = refs.get(host.owner.partition, ())
+            grant, to_stop = host.runs.answer(session, named)
+            stops.extend(to_stop)
+            if grant is not None:
+                grants.append(grant)
+        try:
+            if grants:
+                await session.send(Renew(report.beat, tuple(grants)))
+            for stop in stops:
+                await session.send(stop)
+        except LinkClosedError:
+            log.debug("batch: link to {} is closed", session.node)
+
+    def _group_refs(self, refs: Sequence[TaskRef]) -> dict[int, list[TaskRef]]:
+        groups: dict[int, list[TaskRef]] = {}
+        for ref in refs:
+            partition = parse_partition(
+                ref.task_id, self._context.settings.batch.partitions
+            )
+            if partition is not None:
+                groups.setdefault(partition, []).append(ref)
+        return groups
+
+
+def create_batch_service(  # noqa: PLR0917  (the signature agreed between the parts)
+    settings: EntrySettings,
+    identity: Identity,
+    internal_address: str,
+    http_address: str,
+    table: Table,
+    objects: ObjectStore,
+    profile_of: ProfileLookup,
+    metrics: Metrics,
+    clock: Clock = time.monotonic,
+) -> BatchService:
+    """Create the batch path of an entry.
+
+    :param internal_address: ``ip:port`` that agents and entries dial.
+    :param http_address: ``ip:port`` for callers, for the operators' eyes.
+    :param profile_of: returns a profile by its name.
+    """
+    me = EntryRow(
+        node=identity.node,
+        incarnation=identity.incarnation,
+        beat=0,
+        address=internal_address,
+        data_centre=identity.data_centre,
+        http=http_address,
+    )
+    membership = Membership(
+        table,
+        me,
+        owner_lease_s=settings.batch.owner_lease_s,
+        margin_s=settings.batch.margin_s,
+        clock=clock,
+    )
+    context = HostContext(
+        settings=settings,
+        table=table,
+        objects=objects,
+        membership=membership,
+        board=WorkerBoard(clock),
+        sizes=create_size_model(),
+        health=create_worker_health(),
+        profile_of=profile_of,
+        metrics=metrics,
+        clock=clock,
+    )
+    timings = LinkTimings(
+        settings.link.ping_s, settings.link.silent_s, settings.link.handshake_s
+    )
+    return BatchService(context, Forwarder(identity, settings.secret, timings))
--- /dev/null
+++ b/pistachiodeal/batch/snapshots.py
@@ -0,0 +1,177 @@
+"""Reads a partition back from the store, and folds its journal into snapshots."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import orjson
+from logbook import Logger
+
+from pistachiodeal.batch.events import decode_events
+from pistachiodeal.batch.journal import Position
+from pistachiodeal.batch.keys import (
+    journal_key,
+    journal_prefix,
+    partition_key,
+    snapshot_key,
+    snapshot_object,
+)
+from pistachiodeal.batch.partition import PartitionState, replay
+from pistachiodeal.exceptions import (
+    FencedError,
+    ProtocolError,
+    StoreError,
+    StoreUnavailableError,
+)
+from pistachiodeal.platform.protocols import ABSENT, ObjectStore, Table, Write
+
+log = Logger("batch")
+
+PAGE_ROWS = 200
+DELETE_ROWS = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Folded:
+    """What a partition's snapshot row says.
+
+    :param seq: last journal row in the snapshot, 0 when there is none.
+    :param object_key: object that holds it, empty when there is none.
+    :param version: version of the row.
+    """
+
+    seq: int = 0
+    object_key: str = ""
+    version: int = ABSENT
+
+
+class SnapshotKeeper:
+    """Loads and folds one partition for its owner."""
+
+    def __init__(self, table: Table, objects: ObjectStore, partition: int) -> None:
+        self._table = table
+        self._objects = objects
+        self._partition = partition
+        self._folded = Folded()
+        self._known = False
+        self._first = 1
+
+    @property
+    def folded_seq(self) -> int:
+        """Return the last journal row in the snapshot."""
+        return self._folded.seq
+
+    async def load(self, state: PartitionState) -> int:
+        """Rebuild a partition's state; return the last journal row's number.
+
+        Call it only after the partition row names the new owner: from then on no
+        earlier owner can add a row.
+
+        :raises StoreError: the store could not be read.
+        :raises ProtocolError: what it holds cannot be understood.
+        """
+        await self._read_row()
+        if self._folded.object_key:
+            data = await self._objects.get(self._folded.object_key)
+            if data is None:
+                raise ProtocolError(
+                    f"snapshot {self._folded.object_key} is missing", step="replay"
+                )
+            state.load(data)
+        return await self._replay(state)
+
+    async def fold(self, state: PartitionState, seq: int, place: Position) -> None:
+        """Store a snapshot of the state at ``seq``, then delete the rows up to it.
+
+        :raises FencedError: another entry owns the partition.
+        :raises StoreError: the store could not be written; nothing is lost.
+        """
+        state.prune()
+        data = state.dump()
+        if not self._known:
+            await self._read_row()
+        key = snapshot_object(self._partition, seq, place.epoch)
+        await self._objects.put(key, data)
+        row = orjson.dumps({"seq": seq, "object": key})
+        old = self._folded
+        # Without the version, a write whose answer was lost could land after the
+        # next snapshot's, and name an object whose later rows are deleted.
+        write = Write(snapshot_key(self._partition), row, expect=old.version)
+        self._known = False
+        versions = await self._commit(place, [write])
+        self._folded = Folded(seq, key, versions[write.key])
+        self._known = True
+        await self._delete_rows(place, seq)
+        if old.object_key and old.object_key != key:
+            await self._objects.delete(old.object_key)
+        log.info("batch: partition {} folded up to row {}", self._partition, seq)
+
+    async def _read_row(self) -> None:
+        key = snapshot_key(self._partition)
+        row = (await self._table.read([key])).get(key)
+        self._known = True
+        if row is None:
+            self._folded = Folded()
+            return
+        document = orjson.loads(row.value)
+        self._folded = Folded(document["seq"], document["object"], row.version)
+
+    async def _replay(self, state: PartitionState) -> int:
+        seq = self._folded.seq
+        prefix = journal_prefix(self._partition)
+        after = ""
+        first = 0
+        while True:
+            rows = await self._table.scan(prefix, after, PAGE_ROWS)
+            for row in rows:
+                number = int(row.key[len(prefix) :])
+                first = first or number
+                # Rows up to the snapshot are left over from a fold that was cut
+                # short between its commit and its deletes.
+                if number <= self._folded.seq:
+                    continue
+                if number != seq + 1:
+                    raise ProtocolError(
+                        f"journal row {seq + 1} is missing", step="replay"
+                    )
+                replay(state, decode_events(orjson.loads(row.value)["events"]))
+                seq = number
+            if len(rows) < PAGE_ROWS:
+                break
+            after = rows[-1].key
+        self._first = first or seq + 1
+        return seq
+
+    async def _delete_rows(self, place: Position, seq: int) -> None:
+        while self._first <= seq:
+            last = min(seq, self._first + DELETE_ROWS - 1)
+            numbers = range(self._first, last + 1)
+            deletes = [Write(journal_key(self._partition, n)) for n in numbers]
+            await self._commit(place, deletes)
+            self._first = last + 1
+
+    async def _commit(self, place: Position, writes: list[Write]) -> dict[str, int]:
+        check = Write(
+            partition_key(self._partition), expect=place.row_version, check_only=True
+        )
+        result = await self._table.commit([check, *writes])
+        if check.key in result.conflicts:
+            raise FencedError(
+                f"partition {self._partition} at epoch {place.epoch}",
+                step="snapshot.commit",
+            )
+        if not result.committed:
+            raise StoreUnavailableError("a row has changed", step="snapshot.commit")
+        return result.versions
+
+
+async def fold_quietly(
+    keeper: SnapshotKeeper, state: PartitionState, seq: int, place: Position
+) -> bool:
+    """Fold, and tell whether it worked; a store in trouble is no reason to stop."""
+    try:
+        await keeper.fold(state, seq, place)
+    except StoreError as error:
+        log.notice("batch: partition {} not folded: {}", place.partition, error)
+        return False
+    return True
--- /dev/null
+++ b/pistachiodeal/batch/waiting.py
@@ -0,0 +1,65 @@
+"""The waiting tasks of one partition, by urgency and team."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from itertools import islice
+
+from pistachiodeal.model.tasks import TaskSpec
+
+Level = tuple[bool, int]
+
+
+class WaitingTasks:
+    """First come, first served for each level and team; all steps in O(1)."""
+
+    def __init__(self) -> None:
+        self._levels: dict[Level, dict[str, dict[str, None]]] = {}
+        self._places: dict[str, tuple[Level, str]] = {}
+        self._bytes: dict[str, int] = {}
+        self._total_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    @property
+    def total_bytes(self) -> int:
+        """Return the size of all payloads that wait."""
+        return self._total_bytes
+
+    @property
+    def levels(self) -> set[Level]:
+        """Return the levels at which something waits."""
+        return set(self._levels)
+
+    def add(self, spec: TaskSpec, urgency: int) -> None:
+        """Put a task at the end of its team's queue."""
+        self.remove(spec.task_id)
+        level = (spec.urgent, urgency)
+        teams = self._levels.setdefault(level, {})
+        teams.setdefault(spec.team, {})[spec.task_id] = None
+        self._places[spec.task_id] = (level, spec.team)
+        self._bytes[spec.task_id] = len(spec.payload)
+        self._total_bytes += len(spec.payload)
+
+    def remove(self, task_id: str) -> None:
+        """Take a task out, if it waits."""
+        place = self._places.pop(task_id, None)
+        if place is None:
+            return
+        self._total_bytes -= self._bytes.pop(task_id)
+        level, team = place
+        teams = self._levels[level]
+        del teams[team][task_id]
+        if not teams[team]:
+            del teams[team]
+        if not teams:
+            del self._levels[level]
+
+    def teams(self, level: Level) -> list[str]:
+        """Return the teams with tasks at a level."""
+        return list(self._levels.get(level, ()))
+
+    def first(self, level: Level, team: str, limit: int) -> Iterator[str]:
+        """Return the ids of a team's oldest tasks at a level."""
+        return islice(self._levels.get(level, {}).get(team, ()), limit)
--- /dev/null
+++ b/pistachiodeal/batch/workers.py
@@ -0,0 +1,179 @@
+"""What an owner knows of the workers: sessions, room, and what it placed there."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, field
+
+from pistachiodeal.batch.placement import WorkerRoom
+from pistachiodeal.batch.protocols import Clock, WorkerSession
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.wire.messages import Report
+
+KNOWN_CAPACITIES = 10_000
+SETTLE_S = 10.0
+REFUSAL_PAUSE_S = 1.0
+
+RunKey = tuple[str, int]
+
+
+@dataclass(slots=True)
+class _Worker:
+    session: WorkerSession
+    opened_at: float
+    report: Report | None = None
+    refused_until: float = 0.0
+
+
+@dataclass(slots=True)
+class _Reserved:
+    """Runs placed on a worker; those that no report has named yet hold room."""
+
+    sizes: dict[RunKey, Resources] = field(default_factory=dict)
+    unreported: dict[RunKey, Resources] = field(default_factory=dict)
+    teams: Counter[str] = field(default_factory=Counter)
+
+
+class WorkerBoard:
+    """Shared by all partitions of an entry, so that none places over another."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._workers: dict[str, _Worker] = {}
+        self._reserved: dict[str, _Reserved] = {}
+        self._capacities: OrderedDict[str, Resources] = OrderedDict()
+        self._first_report_at: float | None = None
+        self._team_cpu: Counter[str] = Counter()
+
+    @property
+    def team_cpu(self) -> dict[str, int]:
+        """Return the thousandths of cores that each team's runs hold."""
+        return dict(self._team_cpu)
+
+    @property
+    def settled(self) -> bool:
+        """Tell whether workers have had the time to announce themselves."""
+        first = self._first_report_at
+        return first is not None and self._clock() - first >= SETTLE_S
+
+    def open_session(self, session: WorkerSession) -> None:
+        """Note a link; the latest one of a worker counts."""
+        self._workers[session.worker] = _Worker(session, self._clock())
+
+    def close_session(self, session: WorkerSession) -> None:
+        """Note that a link is gone."""
+        worker = self._workers.get(session.worker)
+        if worker is not None and worker.session is session:
+            del self._workers[session.worker]
+
+    def find_session(self, worker: str) -> WorkerSession | None:
+        """Return the current link of a worker."""
+        known = self._workers.get(worker)
+        return known.session if known else None
+
+    def session_age(self, session: WorkerSession) -> float:
+        """Return since when a link is a worker's current one, 0 if it isn't."""
+        worker = self._workers.get(session.worker)
+        if worker is None or worker.session is not session:
+            return 0.0
+        return self._clock() - worker.opened_at
+
+    def note_report(self, session: WorkerSession, report: Report) -> bool:
+        """Take a report; False when the session is not the worker's current one."""
+        worker = self._workers.get(session.worker)
+        if worker is None or worker.session is not session:
+            return False
+        worker.report = report
+        if self._first_report_at is None:
+            self._first_report_at = self._clock()
+        self._capacities[session.worker] = report.capacity
+        self._capacities.move_to_end(session.worker)
+        if len(self._capacities) > KNOWN_CAPACITIES:
+            self._capacities.popitem(last=False)
+        reserved = self._reserved.get(session.worker)
+        if reserved is not None:
+            for ref in report.tasks:
+                reserved.unreported.pop((ref.task_id, ref.attempt), None)
+        return True
+
+    def note_refused(self, worker: str) -> None:
+        """Leave a worker alone for a moment after it refused a start."""
+        known = self._workers.get(worker)
+        if known is not None:
+            pause = random.uniform(REFUSAL_PAUSE_S / 2, REFUSAL_PAUSE_S)
+            known.refused_until = self._clock() + pause
+
+    def latest_beat(self, session: WorkerSession) -> int | None:
+        """Return the latest beat of a current session, None if there is none."""
+        worker = self._workers.get(session.worker)
+        if worker is None or worker.session is not session or worker.report is None:
+            return None
+        return worker.report.beat
+
+    def add_run(self, worker: str, key: RunKey, size: Resources, team: str) -> None:
+        """Reserve room for a run, from the decision on, before any await."""
+        reserved = self._reserved.setdefault(worker, _Reserved())
+        reserved.sizes[key] = size
+        reserved.unreported[key] = size
+        reserved.teams[team] += 1
+        self._team_cpu[team] += size.cpu_milli
+
+    def remove_run(self, worker: str, key: RunKey, team: str) -> None:
+        """Give the room of a run back."""
+        reserved = self._reserved.get(worker)
+        if reserved is None or key not in reserved.sizes:
+            return
+        size = reserved.sizes.pop(key)
+        reserved.unreported.pop(key, None)
+        reserved.teams[team] -= 1
+        if not reserved.sizes:
+            del self._reserved[worker]
+        self._team_cpu[team] -= size.cpu_milli
+        if not self._team_cpu[team]:
+            del self._team_cpu[team]
+
+    def rooms(self) -> list[WorkerRoom]:
+        """Return the workers that may be given tasks now."""
+        now = self._clock()
+        return [
+            self._build_room(worker)
+            for worker in self._workers.values()
+            if worker.report is not None
+            and not worker.report.draining
+            and now >= worker.refused_until
+        ]
+
+    def could_fit(self, size: Resources) -> bool:
+        """Tell whether any worker that was ever seen could hold this size."""
+        return any(size.fits(capacity) for capacity in self._capacities.values())
+
+    def largest(self) -> Resources:
+        """Return the largest capacity seen, field by field."""
+        largest = Resources()
+        for capacity in self._capacities.values():
+            largest = largest.enlarge(capacity)
+        return largest
+
+    def explain_misfit(self, size: Resources) -> str:
+        """Return why a task of this size can never run."""
+        return f"never fits: asks for {size}, the largest worker has {self.largest()}"
+
+    def _build_room(self, worker: _Worker) -> WorkerRoom:
+        assert worker.report is not None
+        session = worker.session
+        room = worker.report.free
+        teams: Counter[str] = Counter()
+        reserved = self._reserved.get(session.worker)
+        if reserved is not None:
+            teams = Counter(reserved.teams)
+            for size in reserved.unreported.values():
+                room = room - size
+        return WorkerRoom(
+            worker=session.worker,
+            data_centre=session.data_centre,
+            rack=session.rack,
+            capacity=worker.report.capacity,
+            room=room,
+            teams=teams,
+        )
--- /dev/null
+++ b/tests/unit/test_batch_service.py
@@ -0,0 +1,416 @@
+"""The batch path of one or two entries against a fake table and model agents."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import curio
+import orjson
+import pytest
+
+from pistachiodeal.batch import journal
+from pistachiodeal.batch.keys import build_task_id
+from pistachiodeal.exceptions import Outcome, RequestError
+from pistachiodeal.model.tasks import TaskState
+from pistachiodeal.web.messages import WebRequest
+from tests.unit.fake_batch import Agent, Clock, Entry, FakeObjects, Session, settle
+from tests.unit.fake_table import FakeTable, Fault
+
+BODY = {"kind": "press", "team": "hall", "profile": "batch", "cpu_milli": 1000}
+
+
+@pytest.fixture(autouse=True)
+def _no_pause(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(journal, "SETTLE_PAUSE_S", 0)
+
+
+class World:
+    """One table, one clock, entries and agents."""
+
+    def __init__(self) -> None:
+        self.table = FakeTable()
+        self.objects = FakeObjects()
+        self.clock = Clock()
+        self.agent = Agent("w1", self.clock)
+
+    def entry(self, name: str, incarnation: int = 1) -> Entry:
+        return Entry(name, self.table, self.objects, self.clock, incarnation)
+
+    async def round(self, *entries: Entry) -> None:
+        for entry in entries:
+            await entry.keeper.run_round()
+        await settle()
+
+    async def connect(self, entry: Entry, agent: Agent | None = None) -> Session:
+        session = Session(agent or self.agent, entry.gate)
+        entry.service.session_opened(session)
+        await self.report(entry, session)
+        return session
+
+    async def report(self, entry: Entry, session: Session) -> None:
+        owned = {h.owner.partition for h in entry.keeper.hosts()}
+        session.report = session.agent.report(owned)
+        await entry.service.receive(session, session.report)
+        await self.deliver(entry, session)
+
+    async def deliver(self, entry: Entry, session: Session) -> None:
+        await settle()
+        messages, session.to_agent = session.to_agent, []
+        for message in messages:
+            for answer in session.agent.receive(message):
+                await entry.service.receive(session, answer)
+        await settle()
+
+    async def place(self, entry: Entry, session: Session) -> None:
+        await entry.placer.run_round()
+        await self.deliver(entry, session)
+
+    async def finish(self, entry: Entry, session: Session, task_id: str) -> None:
+        session.agent.end(task_id, "finished", "done")
+        for ended in list(session.agent.ended.values()):
+            await entry.service.receive(session, ended)
+        await self.deliver(entry, session)
+
+
+def post(key: str, **changes) -> WebRequest:
+    body = orjson.dumps({**BODY, **changes})
+    return WebRequest("POST", "/tasks", (("idempotency-key", key),), body)
+
+
+async def call(entry: Entry, method: str, task_id: str) -> dict:
+    answer = await entry.service.handle(WebRequest(method, f"/tasks/{task_id}"))
+    return {"status": answer.status, **orjson.loads(answer.body)}
+
+
+def test_task_runs_once_and_its_key_is_known_afterwards():
+    async def main():
+        world = World()
+        entry = world.entry("a")
+        await world.round(entry)
+        session = await world.connect(entry)
+        answer = await entry.service.handle(post("k1"))
+        task_id = orjson.loads(answer.body)["id"]
+        assert answer.status == 201
+        await world.place(entry, session)
+        assert world.agent.started == [(task_id, 1)]
+        await world.finish(entry, session, task_id)
+        assert not world.agent.ended, "acknowledged"
+        again = await entry.service.handle(post("k1"))
+        document = orjson.loads(again.body)
+        assert (again.status, document["state"]) == (200, "finished")
+        assert document["result"] == "done"
+        with pytest.raises(RequestError) as caught:
+            await entry.service.handle(post("k1", cpu_milli=2000))
+        assert caught.value.code == "key_reused"
+
+    curio.run(main)
+
+
+def test_lost_answer_of_an_admission_is_settled():
+    """A caller is told the truth though the store's answer was lost.
+
+    Symptom: a task was reported as not run, and then ran.
+    Sequence: the append takes effect late, after its row was read back as absent.
+    Cause: an absent row says nothing of a commit that is still under way.
+    """
+
+    async def main():
+        world = World()
+        entry = world.entry("a")
+        await world.round(entry)
+        for fault in (Fault.LOST, Fault.DROPPED, Fault.DELAYED):
+            world.table.faults.append(fault)
+            answer = await entry.service.handle(post(f"key-{fault}"))
+            assert answer.status == 201
+            world.table.land_delayed()
+            task_id = build_task_id("hall", f"key-{fault}", 2)
+            assert (await call(entry, "GET", task_id))["state"] == "queued"
+        successor = world.entry("a", incarnation=2)
+        await world.round(successor)
+        for fault in (Fault.LOST, Fault.DROPPED, Fault.DELAYED):
+            task_id = build_task_id("hall", f"key-{fault}", 2)
+            assert (await call(successor, "GET", task_id))["state"] == "queued"
+
+    curio.run(main)
+
+
+def test_store_down_means_not_run_at_once():
+    async def main():
+        world = World()
+        entry = world.entry("a")
+        await world.round(entry)
+        world.table.down = True
+        with pytest.raises(RequestError) as caught:
+            await entry.service.handle(post("k1"))
+        assert caught.value.outcome is Outcome.NOT_RUN
+        assert caught.value.retry_after is not None
+        world.table.down = False
+        answer = await entry.service.handle(post("k1"))
+        assert answer.status == 201
+
+    curio.run(main)
+
+
+def test_fenced_owner_whose_row_was_folded_answers_unknown():
+    """An owner that wakes from a freeze doesn't call a folded task "not run".
+
+    Symptom: "not run" was told of a task that the successor ran.
+    Sequence: commit sent, frozen, taken over, journal folded and deleted, woken.
+    Cause: the missing journal row was taken for a write without effect.
+    """
+
+    async def main():
+        world = World()
+        entry = world.entry("a")
+        await world.round(entry)
+        world.table.faults.append(Fault.LOST)
+        entry.gate.freeze()
+        caller = await curio.spawn(entry.service.handle, post("k1"))
+        await settle()
+        entry.gate._open._set = True  # the commit goes out, its answer is lost
+        await entry.gate.thaw()
+        await curio.sleep(0)
+        await curio.sleep(0)
+        entry.gate.freeze()
+        await settle()
+        task_id = build_task_id("hall", "k1", 2)
+        successor = world.entry("a", incarnation=2)
+        await world.round(successor)
+        host = successor.host(task_id)
+        assert host.state.find(task_id) is not None
+        place = host._journal._position
+        await host._keeper.fold(host.state, host._journal.seq, place)
+        await entry.gate.thaw()
+        with pytest.raises(curio.TaskError) as caught:
+            await caller.join()
+        assert caught.value.__cause__.outcome is Outcome.UNKNOWN
+
+    curio.run(main)
+
+
+def test_successor_waits_for_a_run_that_may_go_on():
+    """A run out of sight is started elsewhere only when its lease is over.
+
+    Symptom: one task ran on two workers.
+    Sequence: placed on w1; owner and link to w1 die; a successor takes over.
+    Cause: the successor placed the task again before w1's lease had ended.
+    """
+
+    async def main():
+        world = World()
+        first = world.entry("a")
+        await world.round(first)
+        session = await world.connect(first)
+        answer = await first.service.handle(post("k1"))
+        task_id = orjson.loads(answer.body)["id"]
+        await world.place(first, session)
+        second = world.entry("a", incarnation=2)
+        await world.round(second)
+        other = Agent("w2", world.clock)
+        link = await world.connect(second, other)
+        for _ in range(20):
+            world.clock.now += 2.0
+            await world.round(second)
+            await world.report(second, link)
+            await world.place(second, link)
+            world.agent.expire()
+            assert not (world.agent.runs and other.runs)
+        assert other.started == []
+        world.clock.now += 30.0
+        await world.round(second)
+        await world.report(second, link)
+        await world.place(second, link)
+        await world.place(second, link)
+        assert other.started == [(task_id, 2)]
+
+    curio.run(main)
+
+
+def test_stale_owner_does_not_acknowledge_what_it_never_knew():
+    """A replaced owner keeps silent about a later owner's attempts.
+
+    Symptom: a finished task ran a second time.
+    Sequence: owner frozen; successor admits and starts a task; it finishes; the
+        agent tells the woken old owner, which acknowledges an unknown task.
+    Cause: "unknown here" was taken for "recorded long ago".
+    """
+
+    async def main():
+        world = World()
+        old = world.entry("a")
+        await world.round(old)
+        stale = await world.connect(old)
+        new = world.entry("a", incarnation=2)
+        await world.round(new)
+        session = await world.connect(new)
+        answer = await new.service.handle(post("k1"))
+        task_id = orjson.loads(answer.body)["id"]
+        await world.place(new, session)
+        world.agent.end(task_id, "finished", "done")
+        for ended in list(world.agent.ended.values()):
+            await old.service.receive(stale, ended)
+        await world.deliver(old, stale)
+        assert world.agent.ended, "still waiting for the true owner"
+        assert old.host(task_id) is None, "found out that it was replaced"
+
+    curio.run(main)
+
+
+def test_cancel_and_finish_have_one_winner():
+    async def main():
+        world = World()
+        entry = world.entry("a")
+        await world.round(entry)
+        session = await world.connect(entry)
+        ids = []
+        for key in ("queued", "placed"):
+            answer = await entry.service.handle(post(key))
+            ids.append(orjson.loads(answer.body)["id"])
+            if key == "queued":
+                document = await call(entry, "DELETE", ids[0])
+                assert document["state"] == "cancelled"
+        await world.place(entry, session)
+        assert world.agent.started == [(ids[1], 1)], "the cancelled one never starts"
+        world.agent.end(ids[1], "finished", "done")
+        canceller = await curio.spawn(call, entry, "DELETE", ids[1])
+        await world.deliver(entry, session)
+        await world.deliver(entry, session)
+        document = await canceller.join()
+        assert (document["status"], document["state"]) == (200, "finished")
+
+    curio.run(main)
+
+
+def test_handover_keeps_tasks_and_runs():
+    async def main():
+        world = World()
+        first, second = world.entry("a"), world.entry("b")
+        await world.round(first)
+        session = await world.connect(first)
+        ids = []
+        for n in range(8):
+            answer = await first.service.handle(post(f"k{n}"))
+            ids.append(orjson.loads(answer.body)["id"])
+        await world.place(first, session)
+        started = list(world.agent.started)
+        await world.round(second)
+        await first.service.drain()
+        await world.round(second)
+        link = await world.connect(second)
+        for _ in range(10):
+            world.clock.now += 1.0
+            await world.round(second)
+            await world.report(second, link)
+        assert world.agent.started == started, "adopted, not started again"
+        states = {second.host(i).state.find(i).state for i in ids}
+        assert states == {TaskState.PLACED, TaskState.QUEUED}
+
+    curio.run(main)
+
+
+def test_superseded_run_gets_no_lease():
+    """A run that was replaced is stopped, and not kept alive by its neighbours.
+
+    Symptom: a task ran on two workers for as long as the first one liked.
+    Sequence: w1 out of sight, its task started elsewhere; w1 reports it beside a
+        current run, and the lease for the partition renews both.
+    Cause: a lease holds for every run that the report named.
+    """
+
+    async def main():
+        world = World()
+        entry = world.entry("a")
+        await world.round(entry)
+        session = await world.connect(entry)
+        answer = await entry.service.handle(post("k1"))
+        task_id = orjson.loads(answer.body)["id"]
+        await world.place(entry, session)
+        runs = entry.host(task_id).runs
+        refs = session.agent.report({0, 1}).tasks
+        grant, stops = runs.answer(session, refs)
+        assert grant is not None
+        assert not stops
+        stale = replace(refs[0], task_id=f"{task_id[:5]}gone")
+        grant, stops = runs.answer(session, (*refs, stale))
+        assert grant is None
+        assert [stop.task_id for stop in stops] == [stale.task_id]
+
+    curio.run(main)
+
+
+def test_entry_without_beats_neither_places_nor_renews():
+    """An owner that cannot beat stops acting before its successor starts to.
+
+    Symptom: leases were granted for what another entry had taken over.
+    Sequence: the table is out of reach of one owner only, for a lease's length.
+    Cause: the owner went on as if it still owned its partitions.
+    """
+
+    async def main():
+        world = World()
+        entry = world.entry("a")
+        await world.round(entry)
+        session = await world.connect(entry)
+        for key in ("k1", "k2"):
+            await entry.service.handle(post(key))
+        await world.place(entry, session)
+        lease = next(iter(world.agent.runs.values())).lease_until
+        world.clock.now += 10.0
+        await world.report(entry, session)
+        assert next(iter(world.agent.runs.values())).lease_until == lease
+        with pytest.raises(RequestError) as caught:
+            await entry.service.handle(post("k3"))
+        assert caught.value.outcome is Outcome.NOT_RUN
+        await world.round(entry)
+        await world.report(entry, session)
+        assert next(iter(world.agent.runs.values())).lease_until > lease
+
+    curio.run(main)
+
+
+def test_task_under_way_is_not_decided_twice():
+    async def main():
+        world = World()
+        entry = world.entry("a")
+        await world.round(entry)
+        session = await world.connect(entry)
+        answer = await entry.service.handle(post("k1"))
+        task_id = orjson.loads(answer.body)["id"]
+        entry.gate.freeze()  # the table's answers are held back
+        await entry.placer.run_round()
+        await entry.placer.run_round()
+        with pytest.raises(RequestError) as caught:
+            await call(entry, "DELETE", task_id)
+        assert caught.value.code == "in_progress"
+        await entry.gate.thaw()
+        await world.deliver(entry, session)
+        assert world.agent.started == [(task_id, 1)]
+        assert len(entry.host(task_id).state.placed) == 1
+
+    curio.run(main)
+
+
+def test_partitions_of_a_restarted_entry_find_an_owner():
+    """A partition whose owner restarted goes to whoever should hold it now.
+
+    Symptom: a partition without an owner for ever, its tasks waiting.
+    Sequence: e0 owns it; e0 is killed and started anew; e1 is the one to take it.
+    Cause: e0's row went on changing, so e1 took the earlier process for alive.
+    """
+
+    async def main():
+        world = World()
+        first = world.entry("e0")
+        await world.round(first)
+        owned = {host.owner.partition for host in first.keeper.hosts()}
+        first.gate.freeze()
+        again, other = world.entry("e0", incarnation=2), world.entry("e1")
+        for _ in range(15):
+            world.clock.now += 1.0
+            await world.round(other, again)
+        held = [again.keeper.serving_hosts(), other.keeper.serving_hosts()]
+        partitions = [host.owner.partition for hosts in held for host in hosts]
+        assert sorted(partitions) == sorted(owned)
+        assert all(held), "both have their share"
+
+    curio.run(main)
