--- a/pistachiodeal/agent/app.py
+++ b/pistachiodeal/agent/app.py
@@ -182,6 +182,7 @@
     async def _leave_worker(self, limit: float) -> None:
         if not self.leave:
             return
+        log.notice("agent: the worker leaves for good, evicting its tasks")
         done = False
         async with curio.ignore_after(limit):
             await self._tasks.drain()
--- /dev/null
+++ b/tests/unit/test_agent_eviction.py
@@ -0,0 +1,145 @@
+"""Eviction on the agent: every crash or outage between two of its steps."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import curio
+import pytest
+
+from pistachiodeal.agent.ledger import Phase
+from pistachiodeal.platform.protocols import RunState
+from pistachiodeal.wire.messages import LeaseGrant, Renew, Stop, TaskAck
+from tests.unit.test_agent_tasks_fakes import TASK, Bench, build_start, run_bench
+
+KEY = f"checkpoint/{TASK}/1"
+EVICT = Stop(TASK, 1, 3, 5, evict=True)
+
+
+@pytest.mark.parametrize("fault", ["", "after", "before"])
+def test_stop_is_confirmed_before_it_is_told(fault):
+    """Symptom: an evicted task runs in two places.
+
+    Sequence: checkpoint, stop; the stop or its answer is lost; it is requeued.
+    Cause: a stop that was asked for counted as done.
+    """
+
+    async def case(bench: Bench) -> None:
+        await bench.settle(build_start())
+        bench.runtime.faults["stop"] = [fault]
+        await bench.settle(EVICT)
+        assert len(await bench.send()) == (fault == "")
+        await bench.check()
+        (ended,) = await bench.send(later=10)
+        assert (ended.state, ended.checkpoint) == ("stopped", KEY)
+        assert bench.objects.stored == {KEY: b"state"}
+
+    run_bench(case)
+
+
+@pytest.mark.parametrize("down", ["worker", "store"])
+def test_eviction_without_a_checkpoint_leaves_the_task_running(down):
+    """Symptom: hours of work are lost to an eviction.
+
+    Sequence: the checkpoint fails, or can't be stored; the task is stopped.
+    Cause: the stop did not depend on the checkpoint.
+    """
+
+    async def case(bench: Bench) -> None:
+        await bench.settle(build_start())
+        bench.objects.down = down == "store"
+        bench.runtime.faults["checkpoint"] = ["refused"] * (down == "worker")
+        await bench.keeper.evict(TASK)
+        await bench.settle()
+        assert "stop" not in bench.runtime.calls
+        assert len(bench.keeper.runs()) == 1
+
+    run_bench(case)
+
+
+def test_finish_between_checkpoint_and_stop():
+    """Symptom: a finished task runs again from its last checkpoint.
+
+    Sequence: checkpoint stored; the task finishes; the stop is answered.
+    Cause: the answer's state was not looked at.
+    """
+
+    async def case(bench: Bench) -> None:
+        await bench.settle(build_start())
+        finish = partial(bench.runtime.end, (TASK, 1), RunState.FINISHED)
+        bench.objects.before_call = finish
+        await bench.settle(EVICT)
+        bench.objects.before_call = lambda: None
+        (ended,) = await bench.send()
+        assert (ended.state, ended.checkpoint) == ("finished", "")
+        await bench.settle(TaskAck(TASK, 1))
+        assert bench.objects.stored == {}
+
+    run_bench(case)
+
+
+def test_lease_ends_in_an_outage_of_all_stores():
+    """Symptom: after an outage the work since the last checkpoint is lost.
+
+    Sequence: no renewals; the worker ends the run; or the object store is out.
+    Cause: no checkpoint was made while it could be, or it was dropped.
+    """
+
+    async def case(bench: Bench) -> None:
+        await bench.settle(build_start())
+        bench.objects.down = True
+        bench.now += 56
+        await bench.check()
+        assert bench.runtime.runs[(TASK, 1)].state is RunState.STOPPED
+        assert await bench.send(later=10) == []
+        bench.objects.down = False
+        (ended,) = await bench.send(later=10)
+        assert (ended.state, ended.checkpoint) == ("stopped", KEY)
+        assert bench.objects.stored == {KEY: b"state"}
+
+    run_bench(case)
+
+
+def test_renewal_while_the_last_checkpoint_is_made():
+    async def case(bench: Bench) -> None:
+        def renew() -> None:
+            (held,) = bench.keeper.held
+            held.lease_until += 60
+
+        await bench.settle(build_start())
+        bench.objects.before_call = renew
+        bench.now += 56
+        await bench.check()
+        assert [held.phase for held in bench.keeper.held] == [Phase.RUNNING]
+
+    run_bench(case)
+
+
+def test_drain_returns_when_every_owner_knows():
+    async def case(bench: Bench) -> None:
+        await bench.settle(build_start(), build_start(task_id="0003-b"))
+        bench.runtime.faults["checkpoint"] = ["refused"]
+        bench.acknowledges = True
+        worker = await curio.spawn(bench.keeper.run)
+        await bench.keeper.drain()
+        await worker.cancel()
+        assert [ended.state for ended in bench.sent] == ["stopped"] * 2
+        assert sorted(bool(ended.checkpoint) for ended in bench.sent) == [False, True]
+        await bench.settle(build_start(task_id="0003-c"))
+        assert [refused.code for refused in await bench.send()] == ["draining"]
+
+    run_bench(case)
+
+
+def test_renewals_count_from_their_beat_and_go_in_one_call():
+    async def case(bench: Bench) -> None:
+        await bench.settle(build_start(), build_start(task_id="0003-b"))
+        bench.keeper.note_beat(2, sent_at := bench.now + 1)
+        bench.now += 20
+        await bench.keeper.receive(Renew(2, (LeaseGrant(3, 5, 60_000),)))
+        await bench.keeper.receive(Renew(2, (LeaseGrant(3, 4, 90_000),)))
+        await bench.keeper._renewer.pass_on()
+        assert set(bench.runtime.leases.values()) == {sent_at + 60}
+        assert bench.runtime.calls.count("renew") == 1
+
+    run_bench(case)
--- /dev/null
+++ b/tests/unit/test_agent_tasks_fakes.py
@@ -0,0 +1,223 @@
+"""Fakes of the worker, the object store and the way to the owners."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import replace
+from functools import partial
+from typing import Any
+
+import curio
+
+from pistachiodeal.agent.tasks import create_task_keeper
+from pistachiodeal.config.agent import AgentSettings
+from pistachiodeal.config.common import StatsdSettings
+from pistachiodeal.exceptions import (
+    StoreUnavailableError,
+    WorkerError,
+    WorkerFencedError,
+    WorkerRefusedError,
+)
+from pistachiodeal.metrics import create_metrics
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.platform.protocols import Run, RunRequest, RunState
+from pistachiodeal.profiles.cache import create_policy_cache
+from pistachiodeal.wire.messages import Start, Stop, TaskAck
+
+CAPACITY = Resources(8000, 8000, 0)
+SIZE = Resources(3000, 3000, 0)
+TASK = "0003-a"
+CANCEL = Stop(TASK, 1, 3, 5, evict=False)
+ADDRESS = "127.0.0.1:1"
+NAMES = dict.fromkeys(("node", "worker", "data_centre", "rack"), "x")
+SETTINGS = AgentSettings(
+    **NAMES,
+    secret="0123456789abcdef",
+    entries=[ADDRESS],
+    runtime={"worker": ADDRESS, "objects": ADDRESS, "poll_s": 0.01},
+)
+ERRORS = {
+    "before": WorkerError,
+    "refused": WorkerRefusedError,
+    "fenced": WorkerFencedError,
+}
+
+
+class FakeRuntime:
+    """Faults by operation: an error, ``after`` the effect, or a ``late`` effect."""
+
+    def __init__(self) -> None:
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.leases: dict[tuple[str, int], float] = {}
+        self.calls: list[str] = []
+        self.faults: dict[str, list[str]] = defaultdict(list)
+        self.gates: dict[str, curio.Event] = {}
+        self.blocked: list[tuple[str, curio.Event]] | None = None
+        self.late: list[Any] = []
+
+    async def _call(self, name: str, effect: Any) -> Any:
+        self.calls.append(name)
+        if name in self.gates:
+            await self.gates[name].wait()
+        if self.blocked is not None:
+            self.blocked.append((name, gate := curio.Event()))
+            await gate.wait()
+        fault = self.faults[name].pop(0) if self.faults[name] else ""
+        if fault in ERRORS:
+            raise ERRORS[fault](name)
+        if fault == "late":
+            self.late.append(effect)
+        result = None if fault == "late" else effect()
+        if fault:
+            raise WorkerError("answer lost")
+        return result
+
+    async def attach(self) -> Resources:
+        return await self._call("attach", lambda: CAPACITY)
+
+    async def start(self, run: RunRequest, tag: str) -> None:
+        key = (run.task_id, run.attempt)
+        started = Run(*key, run.kind, run.size, RunState.RUNNING, tag=tag)
+
+        def effect() -> None:
+            self.runs.setdefault(key, started)
+            self.leases.setdefault(key, run.lease_until)
+
+        await self._call("start", effect)
+
+    async def renew(self, leases: dict[str, float]) -> None:
+        def effect() -> None:
+            for key in self.leases:
+                self.leases[key] = max(self.leases[key], leases.get(key[0], 0))
+
+        await self._call("renew", effect)
+
+    async def checkpoint(self, task_id: str) -> bytes:
+        return await self._call("checkpoint", lambda: b"state")
+
+    async def throttle(self, task_id: str, share: float) -> None:
+        await self._call("throttle", lambda: None)
+
+    async def stop(self, task_id: str) -> Run:
+        def effect() -> Run:
+            keys = [key for key in self.runs if key[0] == task_id]
+            if not keys:
+                raise WorkerRefusedError("unknown_run")
+            if self.runs[max(keys)].state is RunState.RUNNING:
+                self.end(max(keys), RunState.STOPPED)
+            return self.runs[max(keys)]
+
+        return await self._call("stop", effect)
+
+    async def list(self) -> list[Run]:
+        runs = list(self.runs.values())
+        return await self._call("list", lambda: runs)
+
+    async def forget(self, task_id: str, attempt: int) -> None:
+        await self._call("forget", lambda: self.runs.pop((task_id, attempt), None))
+
+    def end(self, key: tuple[str, int], state: RunState) -> None:
+        self.runs[key] = replace(self.runs[key], state=state, result=str(state))
+
+
+class FakeObjects:
+    def __init__(self) -> None:
+        self.down = False
+        self.stored: dict[str, bytes] = {}
+        self.before_call: Any = lambda: None
+        self.wait: Any = partial(curio.sleep, 0)
+
+    async def _enter(self) -> None:
+        await self.wait()
+        self.before_call()
+        if self.down:
+            raise StoreUnavailableError("down")
+
+    async def put(self, key: str, data: bytes) -> None:
+        await self._enter()
+        self.stored[key] = data
+
+    async def get(self, key: str) -> bytes | None:
+        await self._enter()
+        return self.stored.get(key)
+
+    async def delete(self, key: str) -> None:
+        await self._enter()
+        self.stored.pop(key, None)
+
+
+class Bench:
+    """A keeper between fakes that works on demand; also the route to owners."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self.runtime = FakeRuntime()
+        self.objects = FakeObjects()
+        self.sent: list[Any] = []
+        self.linked = True
+        self.acknowledges = False
+        self.create_keeper()
+
+    def create_keeper(self) -> None:
+        self.keeper = create_task_keeper(
+            self.runtime,  # type: ignore[arg-type]
+            self.objects,
+            self,
+            create_policy_cache(),
+            settings=SETTINGS,
+            metrics=create_metrics(StatsdSettings()),
+            clock=lambda: self.now,
+        )
+
+    async def attach(self) -> None:
+        await self.keeper.attach()
+        self.now += SETTINGS.announce.expiry_s
+        self.keeper.note_beat(1, self.now)
+
+    async def send_to_owner(self, partition: int, message: Any) -> bool:
+        if self.linked:
+            self.sent.append(message)
+        if self.acknowledges:
+            await self.keeper.receive(TaskAck(message.task_id, message.attempt))
+        return self.linked
+
+    async def settle(self, *messages: Any) -> None:
+        """Receive messages, and do all that they ask for."""
+        for message in messages:
+            await self.keeper.receive(message)
+        pool = await curio.spawn(self.keeper._work.work)
+        while self.keeper._work._waiting and not pool.terminated:
+            await curio.sleep(0)
+        if pool.terminated:
+            raise pool.exception
+        await pool.cancel()
+
+    async def check(self) -> None:
+        """Look at the runs a moment later, and do what follows from it."""
+        self.now += 0.01
+        await self.keeper._watcher.check_runs()
+        await self.settle()
+
+    async def send(self, later: float = 0) -> list[Any]:
+        """Send what is due, and return it."""
+        self.now += later
+        self.sent.clear()
+        await self.keeper._outbox.send_due()
+        return list(self.sent)
+
+
+def run_bench(case: Any) -> None:
+    """Run a test with a keeper that is attached and takes tasks."""
+
+    async def main() -> None:
+        bench = Bench()
+        await bench.attach()
+        await case(bench)
+
+    curio.run(main)
+
+
+def build_start(**changes: Any) -> Start:
+    """Return a start in partition 3 at epoch 5."""
+    start = Start(TASK, 1, 3, 5, 1, 60_000, "k", "p", SIZE, "{}", "", 0, 0)
+    return replace(start, **changes)
