--- /dev/null
+++ b/pistachiodeal/control/victims.py
@@ -0,0 +1,41 @@
+"""Which run is evicted, when slowing down has not been enough."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from pistachiodeal.control.views import RunView
+
+_BASE_COST = 0.1
+
+
+def choose_victim(
+    now: float, runs: Sequence[RunView], harm_s: Mapping[str, float]
+) -> RunView | None:
+    """Return the run whose end saves most for what its eviction costs.
+
+    :param harm_s: latency in seconds that each suspected kind costs; runs of
+        other kinds are left alone.
+    """
+    cpu: dict[str, float] = {}
+    for run in runs:
+        cpu[run.kind] = cpu.get(run.kind, 0.0) + _weigh(run)
+    allowed = [run for run in runs if run.kind in harm_s and _evictable(run, now)]
+
+    def value(run: RunView) -> tuple[float, float]:
+        part = _weigh(run) / cpu[run.kind]
+        cost = (_BASE_COST + run.eviction_cost) * (1 + run.evictions)
+        return harm_s[run.kind] * part / cost, run.started_at
+
+    return max(allowed, key=value, default=None)
+
+
+def _evictable(run: RunView, now: float) -> bool:
+    """Tell whether the run's profile lets it be evicted now."""
+    ran_s = now - run.started_at
+    return ran_s >= run.min_run_s and run.evictions < run.max_evictions
+
+
+def _weigh(run: RunView) -> float:
+    """Return the processors that a run may use now, never 0."""
+    return max(run.size.cpu_milli, 1) * max(run.share, 1e-6)
--- /dev/null
+++ b/pistachiodeal/learning/sizes.py
@@ -0,0 +1,79 @@
+"""True sizes and run times of tasks, learnt by team and kind.
+
+Limits from past use with a margin, as Autopilot sets them (Rzadca et al.,
+"Autopilot: Workload Autoscaling at Google"): a decaying histogram's high
+quantile for processors, close to the peak for memory, since a task that gets
+too little memory dies while one that gets too little processor is late.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from math import ceil
+
+from pistachiodeal.model.resources import Resources
+
+_SAMPLES = 50
+_CPU_QUANTILE = 0.9
+_CPU_MARGIN = 1.1
+_MEMORY_MARGIN = 1.15
+_RUN_GAIN = 0.2
+
+
+@dataclass(slots=True)
+class _Learnt:
+    """Latest uses of one team's kind of task."""
+
+    uses: deque[Resources] = field(default_factory=lambda: deque(maxlen=_SAMPLES))
+    run_s: float | None = None
+
+
+class SizeModel:
+    """What tasks of each team and kind really use."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._learnt: OrderedDict[tuple[str, str], _Learnt] = OrderedDict()
+
+    def observe(self, team: str, kind: str, used: Resources, run_s: float) -> None:
+        """Learn from a run that ended.
+
+        :param used: largest use that was measured; empty when none was.
+        :param run_s: length of the run, seconds.
+        """
+        learnt = self._learnt.get((team, kind))
+        if learnt is None:
+            learnt = self._learnt[team, kind] = _Learnt()
+        self._learnt.move_to_end((team, kind))
+        if len(self._learnt) > self._limit:
+            self._learnt.popitem(last=False)
+        if used != Resources():
+            learnt.uses.append(used)
+        if run_s > 0:
+            old = run_s if learnt.run_s is None else learnt.run_s
+            learnt.run_s = old + _RUN_GAIN * (run_s - old)
+
+    def reserve(self, team: str, kind: str, declared: Resources) -> Resources:
+        """Return the larger of the declared and the learnt size.
+
+        :param declared: what the task asks for; accelerators are never learnt.
+        """
+        learnt = self._learnt.get((team, kind))
+        if learnt is None or not learnt.uses:
+            return declared
+        cpus = sorted(use.cpu_milli for use in learnt.uses)
+        cpu = cpus[min(len(cpus) - 1, int(_CPU_QUANTILE * len(cpus)))]
+        memory = max(use.memory_mib for use in learnt.uses)
+        margin = Resources(ceil(cpu * _CPU_MARGIN), ceil(memory * _MEMORY_MARGIN), 0)
+        return declared.enlarge(margin)
+
+    def run_s(self, team: str, kind: str) -> float | None:
+        """Return the usual length of a run in seconds, None if never seen."""
+        learnt = self._learnt.get((team, kind))
+        return None if learnt is None else learnt.run_s
+
+
+def create_size_model(limit: int = 10_000) -> SizeModel:
+    """Create a model that keeps at most ``limit`` pairs of team and kind."""
+    return SizeModel(limit)
