--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -11,7 +11,7 @@
 from tests.harness import documents
 from tests.harness.calls import Reply, call, call_json
 from tests.harness.processes import Process
-from tests.harness.waiting import LIMIT_S, wait_until
+from tests.harness.waiting import LIMIT_S, NotReachedError, wait_until
 
 Peer = Process | str
 RELAY = "tests.standins.relay"
@@ -119,16 +119,20 @@
         worker: Peer,
         entries: Sequence[Peer],
         objects: Peer | None = None,
+        node: str = "",
         **overrides: Any,
     ) -> Process:
-        """Start the agent of the worker ``name``; the process is ``agent-{name}``."""
+        """Start the agent of the worker ``name``; the process is ``agent-{name}``.
+
+        :param node: another name for it, beside an agent that runs.
+        """
         document = documents.build_agent_settings(
             name,
             [get_address(entry, "internal") for entry in entries],
             get_address(worker),
             get_address(objects or self["objects"]),
         )
-        node = document["node"]
+        node = document["node"] = node or document["node"]
         document["announce"]["port"] = self._ports.get((node, "announce"), 0)
         document = documents.merge(document, overrides)
         process = self._start_program(node, "pistachiodeal.agent.cli", document)
@@ -198,13 +202,18 @@
         self, entry: Peer, task_id: str, limit_s: float = LIMIT_S
     ) -> dict[str, Any]:
         """Wait until a task is in a final state; return what the entry shows."""
+        last: Reply | None = None
 
         def look() -> dict[str, Any] | None:
-            reply = self.http(entry, "GET", f"/tasks/{task_id}")
-            shown = reply.document() if reply.status == 200 else {}
+            nonlocal last
+            last = self.http(entry, "GET", f"/tasks/{task_id}")
+            shown = last.document() if last.status == 200 else {}
             return shown if shown.get("state") in FINAL_STATES else None
 
-        return wait_until(look, f"task {task_id} ends", limit_s)
+        try:
+            return wait_until(look, f"task {task_id} ends", limit_s)
+        except NotReachedError as error:
+            raise NotReachedError(f"{error}, {last}") from None
 
     def faults(self, process: Process, **switches: Any) -> None:
         """Set switches of a stand-in."""
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios: stories of failures, played by the real programs."""
--- /dev/null
+++ b/tests/scenarios/features/at_most_once.feature
@@ -0,0 +1,72 @@
+Feature: A request that must not be repeated runs at most once
+  A matrix entry or a reply letter carries an idempotency key. Whatever fails, a
+  key is handed to a runner once; a repeat gets the recorded answer, or "unknown".
+
+  Scenario: A repeat of an answered key gets the recorded answer
+    Given 2 entries and 1 worker with 2 slots
+    When "first" is sent as POST "/orders/a" with key "k1" through "e1"
+    And "again" is sent as POST "/orders/a" with key "k1" through "e2"
+    Then "first" ends with status 200
+    And "again" ends with the answer of "first"
+    And the runners ran key "k1" once
+
+  Scenario: The same key through two entries at once
+    Given 2 entries and 2 workers with 4 slots
+    When 20 callers send POST "/orders/a?work_s=0.2" with key "k2" through all entries at once
+    Then the runners ran key "k2" once
+    And at least one of them got status 200
+    And the others got the same answer or outcome "unknown"
+
+  Scenario: The entry is killed after it handed the request on
+    Given 2 entries and 1 worker with 2 slots
+    When "first" is sent as POST "/orders/a?work_s=0.8" with key "k3" through "e1" in the background
+    And the runners have begun "first"
+    And entry "e1" is killed
+    And "again" is sent as POST "/orders/a?work_s=0.8" with key "k3" through "e2"
+    Then "first" got no answer
+    And "again" ends with outcome "unknown"
+    And the runners ran key "k3" once
+    When entry "e1" is started
+    And "later" is sent as POST "/orders/a?work_s=0.8" with key "k3" through "e1"
+    Then "later" ends with outcome "unknown"
+    And the runners ran key "k3" once
+
+  Scenario: The store is down when a claim is needed
+    Given 1 entry and 1 worker with 2 slots
+    When the table is down
+    And "first" is sent as POST "/orders/a" with key "k4"
+    Then "first" ends with outcome "not_run"
+    And "first" says when to come back
+    And the runners never saw "first"
+    When the table is up
+    And "again" is sent as POST "/orders/a" with key "k4" until it runs
+    Then "again" ends with status 200
+    And the runners ran key "k4" once
+
+  Scenario: The store's answer to a claim is lost
+    Given 1 entry and 1 worker with 2 slots
+    When the table loses the answers of the next 1 commits on claims
+    And "first" is sent as POST "/orders/a" with key "k5"
+    And "again" is sent as POST "/orders/a" with key "k5" until it runs
+    Then "again" ends with status 200
+    And the runners ran key "k5" once
+
+  Scenario: The store is slow, callers do not wait for it
+    Given 1 entry and 1 worker with 2 slots
+    When the table is slow by 20 s
+    And "first" is sent as POST "/orders/a" with key "k6"
+    Then "first" ends with outcome "not_run"
+    And the runners never saw "first"
+    When "plain" is sent as POST "/orders/b"
+    Then "plain" ends with status 200
+
+  Scenario: A refused request gives its key free
+    Given 1 entry and 1 worker with 1 slot
+    When "slow" is sent as POST "/orders/a?work_s=1.0" in the background
+    And the runners have begun "slow"
+    And "first" is sent as POST "/orders/b" with key "k7" and a deadline of 150 ms
+    Then "first" ends with outcome "not_run"
+    And "slow" ends with status 200
+    When "again" is sent as POST "/orders/b" with key "k7" until it runs
+    Then "again" ends with status 200
+    And the runners ran key "k7" once
--- /dev/null
+++ b/tests/scenarios/features/not_run.feature
@@ -0,0 +1,59 @@
+Feature: "Not run" means that it did not run
+  A caller who is told "not_run" may ask again without a second thought. So the
+  words are only used when no runner can have seen the request.
+
+  Scenario: The deadline passes while the request waits for a slot
+    Given 1 entry and 1 worker with 1 slot
+    When "slow" is sent as POST "/orders/a?work_s=1.0" in the background
+    And the runners have begun "slow"
+    And "late" is sent as POST "/orders/b" with a deadline of 150 ms
+    Then "late" ends with outcome "not_run"
+    And "late" says when to come back
+    And the runners never saw "late"
+    And "slow" ends with status 200
+
+  Scenario: The deadline passes while a runner is at work
+    Given 1 entry and 1 worker with 1 slot
+    When "begun" is sent as POST "/orders/a?work_s=1.0" with a deadline of 300 ms
+    Then "begun" ends with outcome "unknown"
+    And the runners ran "begun" once
+
+  Scenario: The agent is killed between handing on and the answer
+    Given 1 entry and 1 worker with 2 slots
+    When "cut" is sent as POST "/orders/a?work_s=1.0" in the background
+    And the runners have begun "cut"
+    And the agent of "w1" is killed
+    Then "cut" ends with outcome "unknown"
+    And the runners ran "cut" once
+
+  Scenario: A read that may be repeated is answered by another worker
+    Given 1 entry and 2 workers with 2 slots
+    When "cut" is sent as GET "/orders/a?work_s=1.0" in the background
+    And the runners have begun "cut"
+    And the agent that serves "cut" is killed
+    Then "cut" ends with status 200
+
+  Scenario: The store's answer to an admission is lost
+    Given 1 entry and 1 worker with 1 slot
+    When the table loses the answers of the next 1 commits on journals
+    And task "t" of 0.3 s is submitted
+    Then task "t" is known after asking again with the same key
+    And task "t" ends as "finished"
+    And task "t" was finished once
+    And no task ran in two places at once
+
+  Scenario: The store is down when a task comes in
+    Given 1 entry and 1 worker with 1 slot
+    When the table is down
+    And task "t" of 0.3 s is submitted
+    Then the submission of "t" was refused as "not_run" with a time to come back
+    When the table is up
+    Then task "t" is known after asking again with the same key
+    And task "t" ends as "finished"
+    And task "t" was finished once
+
+  Scenario: A cancel meets a task that starts
+    Given 1 entry and 1 worker with 1 slot
+    When 12 tasks "c" of 0.2 s are submitted and each is cancelled at once
+    Then every task ends as its worker's record says
+    And no task ran in two places at once
--- /dev/null
+++ b/tests/scenarios/features/profiles.feature
@@ -0,0 +1,45 @@
+Feature: An accepted profile change is in force everywhere and never reverts
+
+  Scenario: Two operators race
+    Given 2 entries and 1 worker with 1 slot
+    When two operators revise the profile "counter" at the same version through both entries
+    Then one of them wins and the other gets status 412
+    And the winner's change is in force on every entry
+
+  Scenario: Assigning races retiring
+    Given 2 entries and 1 worker with 1 slot
+    When operators assign and retire the same profile at once, 10 times
+    Then no service holds a profile that is gone
+
+  Scenario: A change while an entry restarts
+    Given 2 entries and 1 worker with 1 slot
+    When entry "e2" is killed
+    And the profile "counter" is revised to promise 333 ms through "e1"
+    And entry "e2" is started
+    Then the change is in force on every entry
+    And the change is in force on every agent
+
+  Scenario: The store goes down just after the change was accepted
+    Given 2 entries and 1 worker with 1 slot
+    When the profile "counter" is revised to promise 444 ms through "e1"
+    And the table is down
+    Then the change is in force on "e1"
+    And the change is in force on every agent
+    And the change is in force on "e2" through agents
+
+  Scenario: An entry that starts in the outage serves the newest version
+    Given 2 entries and 1 worker with 1 slot
+    When the profile "counter" is revised to promise 555 ms through "e1"
+    And the change is in force on every agent
+    And the table is down
+    And entry "e2" is killed
+    And entry "e2" is started
+    Then the change is in force on "e2" through agents
+    And "plain" sent as GET "/orders/a" through "e2" ends with status 200
+
+  Scenario: The answer to an accepted change is lost
+    Given 1 entry and 1 worker with 1 slot
+    When the table loses the answers of the next 1 commits on profiles
+    And the profile "counter" is revised to promise 666 ms through "e1"
+    Then the revision was accepted
+    And the change is in force on every entry
--- /dev/null
+++ b/tests/scenarios/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of the scenarios, by subject."""
--- /dev/null
+++ b/tests/scenarios/steps/deployment.py
@@ -0,0 +1,99 @@
+"""Given: entries, workers, agents, runners and profiles."""
+
+from __future__ import annotations
+
+from pytest_bdd import given, parsers
+
+from tests.harness.cluster import get_address
+from tests.harness.waiting import wait_until
+from tests.scenarios.world import BATCH_PROFILE, PROFILE, SERVICE, World
+
+SHAPE = (
+    r"(?P<entries>\d+) entr(?:y|ies) and (?P<workers>\d+) workers?"
+    r"(?: of (?P<cores>\d+) cores)? with (?P<slots>\d+) slots?"
+    r"(?:, with relays to the (?P<relays>table|entries))?"
+)
+TASK_LEASE_S = 2.0
+
+
+@given(parsers.re(SHAPE))
+def deploy(
+    world: World, entries: str, workers: str, cores: str, slots: str, relays: str
+) -> None:
+    cluster = world.cluster
+    cluster.start_table()
+    cluster.start_objects()
+    world.entries = [f"e{number + 1}" for number in range(int(entries))]
+    world.workers = [f"w{number + 1}" for number in range(int(workers))]
+    for name in world.entries:
+        start_entry(world, name, relays or "")
+    for name in world.workers:
+        cluster.start_worker(name, cpu_milli=int(cores or 16) * 1000)
+        start_agent(world, name)
+        start_runner(world, name, int(slots))
+    define_profiles(world)
+    for name in world.entries:
+        wait_served(world, name, len(world.workers))
+
+
+def start_entry(world: World, name: str, relays: str = "") -> None:
+    cluster = world.cluster
+    overrides = {}
+    table = None
+    if relays == "table" and f"table-{name}" not in world.relays:
+        relay = cluster.start_relay(cluster["table"], name=f"relay-table-{name}")
+        world.relays[f"table-{name}"] = relay
+    if relays == "entries" and name not in world.relays:
+        # The relay's address is what the entry tells its peers, so the entry's
+        # own port has to be known first.
+        entry = cluster.start_entry(name)
+        relay = cluster.start_relay(entry, "internal", name=f"relay-entry-{name}")
+        world.relays[name] = relay
+        entry.kill()
+    if f"table-{name}" in world.relays:
+        table = world.relays[f"table-{name}"]
+    if name in world.relays:
+        overrides["internal"] = {"advertise": get_address(world.relays[name])}
+    cluster.start_entry(name, table, **overrides)
+
+
+def start_agent(world: World, worker: str, **overrides: object) -> None:
+    entries = [world.relays.get(name, world.cluster[name]) for name in world.entries]
+    process = world.cluster[f"worker-{worker}"]
+    world.cluster.start_agent(worker, process, entries, **overrides)
+
+
+def start_runner(world: World, worker: str, slots: int) -> None:
+    world.notes["slots"] = slots
+    agent = world.cluster[f"agent-{worker}"]
+    world.cluster.start_runner(SERVICE, agent, f"{SERVICE}-{worker}", slots=slots)
+
+
+def define_profiles(world: World) -> None:
+    cluster = world.cluster
+    entry = cluster[world.entries[0]]
+    first = cluster.define_profile(entry, PROFILE, promised_ms=500)
+    assert first.status in (200, 201), first
+    second = cluster.define_profile(
+        entry,
+        BATCH_PROFILE,
+        latency_critical=False,
+        task_lease_s=TASK_LEASE_S,
+        min_run_s=0.0,
+    )
+    assert second.status in (200, 201), second
+    assigned = cluster.assign(entry, SERVICE, PROFILE)
+    assert assigned.status in (200, 201), assigned
+
+
+def wait_served(world: World, entry: str, workers: int) -> None:
+    """Wait until an entry sees every worker and answers requests."""
+
+    def look() -> bool:
+        status = world.cluster.operate(world.cluster[entry], "GET", "/-/status")
+        seen = status.document()["agents"]
+        serving = [agent for agent in seen if agent["services"]]
+        return len(serving) >= workers
+
+    wait_until(look, f"{entry} sees {workers} workers with runners")
+    world.cluster.wait_reply(world.cluster[entry], f"/{SERVICE}/ready")
