--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole system on one machine, with a failure: ``make demo``."""
--- /dev/null
+++ b/tests/fuzz_plugin.py
@@ -0,0 +1,53 @@
+"""Runs the property tests with new random cases, and many of them.
+
+``make test`` runs each property with few cases that are the same every time.
+``make fuzz`` loads this plugin, which takes the derandomization off, raises the
+number of cases and marks the property tests, so that only these run.
+"""
+
+from __future__ import annotations
+
+import os
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine
+
+DEFAULT_EXAMPLES = 500
+SETTINGS_ATTRIBUTE = "_hypothesis_internal_use_settings"
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    config.addinivalue_line("markers", "fuzz: a property test")
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    for item in items:
+        function = getattr(item, "obj", None)
+        machine = find_machine(item)
+        if machine is not None:
+            machine.settings = lengthen(machine.settings)
+        elif hasattr(function, "is_hypothesis_test"):
+            target = getattr(function, "__func__", function)
+            earlier = getattr(target, SETTINGS_ATTRIBUTE, settings())
+            setattr(target, SETTINGS_ATTRIBUTE, lengthen(earlier))
+        else:
+            continue
+        item.add_marker("fuzz")
+
+
+def find_machine(item: pytest.Item) -> Any:
+    """Return the test case class of a state machine, or None."""
+    case = getattr(item, "cls", None)
+    machine = getattr(case, "_hypothesis_state_machine_class", None)
+    if machine is not None and issubclass(machine, RuleBasedStateMachine):
+        return case
+    return None
+
+
+def lengthen(earlier: settings) -> settings:
+    """Return the settings for a long run."""
+    examples = int(os.environ.get("PISTACHIODEAL_FUZZ_EXAMPLES", DEFAULT_EXAMPLES))
+    return settings(earlier, derandomize=False, max_examples=examples, print_blob=True)
