Stop learnt sizes from growing with what a task was given

Cause: a run's use was learnt with a margin, the next run was reserved (and filled) that much, and so on until the size fitted no worker; the kind then waited for ever. Ruled out: health (nothing quarantined), authority, quotas. Change: the margin stops at what was reserved unless the use went above it; a learnt size that no worker could start beside its services gives way to the declared one.

--- a/pistachiodeal/batch/endings.py
+++ b/pistachiodeal/batch/endings.py
@@ -11,6 +11,7 @@
 from pistachiodeal.batch.host import HostContext, PartitionHost
 from pistachiodeal.batch.protocols import Outgoing, WorkerSession
 from pistachiodeal.exceptions import Outcome
+from pistachiodeal.model.resources import Resources
 from pistachiodeal.model.tasks import TaskRecord
 from pistachiodeal.platform.protocols import RunState
 from pistachiodeal.wire.messages import StartRefused, TaskAck, TaskEnded
@@ -40,10 +41,13 @@
             log.error("batch: unknown state {} from {}", ended.state, session.node)
             return
 
+        run = host.runs.find(ended.task_id)
+        size = run.placed.size if run else record.spec.declared
+
         def finish(outcome: Outcome) -> Sequence[Outgoing]:
             if outcome is not Outcome.RAN:
                 return ()
-            self._learn(record, session.worker, ended)
+            self._learn(record, session.worker, ended, size)
             ack = TaskAck(ended.task_id, ended.attempt)
             return (Outgoing(session, lambda: ack),)
 
@@ -90,7 +94,9 @@
                 [], lambda outcome: (ack,) if outcome is Outcome.RAN else ()
             )
 
-    def _learn(self, record: TaskRecord, worker: str, ended: TaskEnded) -> None:
+    def _learn(
+        self, record: TaskRecord, worker: str, ended: TaskEnded, size: Resources
+    ) -> None:
         context = self._context
         spec = record.spec
         context.metrics.count(f"batch.ended.{ended.state}")
@@ -100,4 +106,4 @@
         context.health.record(worker, spec.kind, succeeded, context.clock())
         if succeeded:
             run_s = ended.run_ms / 1000
-            context.sizes.observe(spec.team, spec.kind, ended.used, run_s)
+            context.sizes.observe(spec.team, spec.kind, ended.used, run_s, size)
--- a/pistachiodeal/batch/events.py
+++ b/pistachiodeal/batch/events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
 
@@ -100,8 +100,8 @@
 
 
 def encode_events(events: Iterable[Event]) -> list[dict[str, Any]]:
-    """Return the JSON form of events."""
-    return [{"event": _TAGS[type(event)], **asdict(event)} for event in events]
+    """Return what orjson turns into the JSON form of events."""
+    return [{"event": _TAGS[type(event)], "fields": event} for event in events]
 
 
 def decode_events(documents: Iterable[dict[str, Any]]) -> list[Event]:
@@ -124,9 +124,9 @@
 
 
 def _decode_event(document: dict[str, Any]) -> Event:
-    fields = dict(document)
     try:
-        kind = _TYPES[fields.pop("event")]
+        kind = _TYPES[document["event"]]
+        fields = dict(document["fields"])
         if kind is Submitted:
             return Submitted(decode_spec(fields["spec"]))
         if kind is Placed:
--- a/pistachiodeal/batch/gathering.py
+++ b/pistachiodeal/batch/gathering.py
@@ -100,7 +100,9 @@
         size = self._sizes.get(key)
         if size is None:
             size = self._context.sizes.reserve(*key)
-            if not self._context.board.could_fit(size):
+            # What was learnt is a wish: beside the services of every worker it may
+            # never find room, while the declared size would.
+            if not self._context.board.could_start(size):
                 size = spec.declared
             self._sizes[key] = size
         return size
--- a/pistachiodeal/batch/workers.py
+++ b/pistachiodeal/batch/workers.py
@@ -148,6 +148,13 @@
         """Tell whether any worker that was ever seen could hold this size."""
         return any(size.fits(capacity) for capacity in self._capacities.values())
 
+    def could_start(self, size: Resources) -> bool:
+        """Tell whether a worker would hold this size once its tasks have ended."""
+        return any(
+            size.fits(self._find_room_without_tasks(worker))
+            for worker in self._workers.values()
+        )
+
     def largest(self) -> Resources:
         """Return the largest capacity seen, field by field."""
         largest = Resources()
@@ -159,6 +166,18 @@
         """Return why a task of this size can never run."""
         return f"never fits: asks for {size}, the largest worker has {self.largest()}"
 
+    def _find_room_without_tasks(self, worker: _Worker) -> Resources:
+        if worker.report is None:
+            return Resources()
+        room = worker.report.free
+        reserved = self._reserved.get(worker.session.worker)
+        if reserved is None:
+            return room
+        for key, size in reserved.sizes.items():
+            if key not in reserved.unreported:
+                room = room + size
+        return room
+
     def _build_room(self, worker: _Worker) -> WorkerRoom:
         assert worker.report is not None
         session = worker.session
--- a/pistachiodeal/learning/sizes.py
+++ b/pistachiodeal/learning/sizes.py
@@ -14,6 +14,7 @@
 
 from pistachiodeal.model.resources import Resources
 
+NOTHING = Resources()
 _SAMPLES = 50
 _CPU_QUANTILE = 0.9
 _CPU_MARGIN = 1.1
@@ -23,7 +24,7 @@
 
 @dataclass(slots=True)
 class _Learnt:
-    """Latest uses of one team's kind of task."""
+    """Latest uses of one team's kind of task, with their margins."""
 
     uses: deque[Resources] = field(default_factory=lambda: deque(maxlen=_SAMPLES))
     run_s: float | None = None
@@ -36,11 +37,19 @@
         self._limit = limit
         self._learnt: OrderedDict[tuple[str, str], _Learnt] = OrderedDict()
 
-    def observe(self, team: str, kind: str, used: Resources, run_s: float) -> None:
+    def observe(
+        self,
+        team: str,
+        kind: str,
+        used: Resources,
+        run_s: float,
+        reserved: Resources = NOTHING,
+    ) -> None:
         """Learn from a run that ended.
 
         :param used: largest use that was measured; empty when none was.
         :param run_s: length of the run, seconds.
+        :param reserved: what was reserved for the run.
         """
         learnt = self._learnt.get((team, kind))
         if learnt is None:
@@ -48,8 +57,8 @@
         self._learnt.move_to_end((team, kind))
         if len(self._learnt) > self._limit:
             self._learnt.popitem(last=False)
-        if used != Resources():
-            learnt.uses.append(used)
+        if used != NOTHING:
+            learnt.uses.append(_add_margin(used, reserved))
         if run_s > 0:
             old = run_s if learnt.run_s is None else learnt.run_s
             learnt.run_s = old + _RUN_GAIN * (run_s - old)
@@ -65,8 +74,7 @@
         cpus = sorted(use.cpu_milli for use in learnt.uses)
         cpu = cpus[min(len(cpus) - 1, int(_CPU_QUANTILE * len(cpus)))]
         memory = max(use.memory_mib for use in learnt.uses)
-        margin = Resources(ceil(cpu * _CPU_MARGIN), ceil(memory * _MEMORY_MARGIN), 0)
-        return declared.enlarge(margin)
+        return declared.enlarge(Resources(cpu, memory, 0))
 
     def run_s(self, team: str, kind: str) -> float | None:
         """Return the usual length of a run in seconds, None if never seen."""
@@ -74,6 +82,26 @@
         return None if learnt is None else learnt.run_s
 
 
+def _add_margin(used: Resources, reserved: Resources) -> Resources:
+    # A task that fills whatever it gets would grow by the margin with each run,
+    # until it fits no worker and its whole kind waits for ever. So the margin
+    # stops at what was reserved; only a use above that makes the kind larger.
+    wished = Resources(
+        ceil(used.cpu_milli * _CPU_MARGIN), ceil(used.memory_mib * _MEMORY_MARGIN), 0
+    )
+    if reserved == NOTHING:
+        return wished
+    return Resources(
+        _choose_amount(used.cpu_milli, wished.cpu_milli, reserved.cpu_milli),
+        _choose_amount(used.memory_mib, wished.memory_mib, reserved.memory_mib),
+        0,
+    )
+
+
+def _choose_amount(used: int, wished: int, reserved: int) -> int:
+    return wished if used > reserved else min(wished, reserved)
+
+
 def create_size_model(limit: int = 10_000) -> SizeModel:
     """Create a model that keeps at most ``limit`` pairs of team and kind."""
     return SizeModel(limit)
--- a/tests/unit/test_learning.py
+++ b/tests/unit/test_learning.py
@@ -91,6 +91,21 @@
     assert reserved.memory_mib >= max(uses[-50:])
 
 
+def test_a_task_that_fills_its_size_does_not_grow():
+    """Symptom: a burst of equal tasks stops half-way, the workers stand idle.
+
+    Sequence: each run uses all that was reserved; the next is reserved with a margin.
+    Cause: the margin was added to a use that the reservation itself had set.
+    """
+    model = create_size_model(limit=2)
+    declared = Resources(1_500, 1_000)
+    size = declared
+    for _ in range(30):
+        model.observe("team", "press", size, 1.0, size)
+        size = model.reserve("team", "press", declared)
+    assert size == declared
+
+
 def test_black_hole_is_set_aside_and_probed_once_a_pause():
     """Symptom: one worker fails most tasks of the queue within seconds.
 
