Keep the checkpoint of a run that ended during a store outage

Cause: after an outage a run was overdue at its owner and queued as lost before its agent's repeated word of the end, with the checkpoint, was journaled; it began again from nothing. Found by 'Interactive work goes on, tasks stop at a checkpoint, nothing is lost'. Ruled out: the object store (checkpoint was there), the agent (it repeated the end). Change: an attempt whose end was heard is left to its agent for 20 s; an owner without authority requeues nothing (it logged the same requeue several times a second).

--- a/pistachiodeal/batch/endings.py
+++ b/pistachiodeal/batch/endings.py
@@ -43,6 +43,8 @@
 
         run = host.runs.find(ended.task_id)
         size = run.placed.size if run else record.spec.declared
+        if run is not None:
+            host.runs.note_end_heard(run)
 
         def finish(outcome: Outcome) -> Sequence[Outgoing]:
             if outcome is not Outcome.RAN:
--- a/pistachiodeal/batch/ownership.py
+++ b/pistachiodeal/batch/ownership.py
@@ -79,17 +79,20 @@
         )
 
     def _may_take(self, partition: int, winner: str) -> bool:
-        if winner != self._membership.me.node:
-            return False
+        me = self._membership.me
         row = self._membership.owners.get(partition)
-        if row is None or not row.node:
-            return True
-        mine = (row.node, row.incarnation)
         # A row that names this very process, which doesn't serve the partition:
-        # loading it failed, or its tasks crashed. Nobody else would take it.
-        if mine == (self._membership.me.node, self._membership.me.incarnation):
+        # reading it failed, its tasks crashed, or a take-over that was given up
+        # landed late. The others see a live owner, so nobody else would take it,
+        # whoever the winner is; it is handed over from here.
+        if row is not None and (row.node, row.incarnation) == (
+            me.node,
+            me.incarnation,
+        ):
             return True
-        return self._membership.is_dead(row)
+        if winner != me.node:
+            return False
+        return row is None or not row.node or self._membership.is_dead(row)
 
     def _should_hand_over(self, partition: int, winner: str, me: str) -> bool:
         if winner == me:
--- a/pistachiodeal/batch/placer.py
+++ b/pistachiodeal/batch/placer.py
@@ -53,7 +53,7 @@
     async def run_round(self) -> None:
         """Requeue what is overdue, then place what fits."""
         for host in self._hosts():
-            if host.may_decide:
+            if host.may_decide and host.has_authority:
                 await self._requeue_overdue(host)
         hosts = {
             host.owner.partition: host
--- a/pistachiodeal/batch/runs.py
+++ b/pistachiodeal/batch/runs.py
@@ -18,6 +18,7 @@
 
 ASK_AGAIN_S = 30.0
 GRACE_S = 5.0
+END_REPEAT_S = 20.0
 KNOWN_ENDED = 10_000
 NEVER_STARTED = float("-inf")
 
@@ -31,6 +32,7 @@
     :param sent_on: session on which its start was sent, None for one that an
         earlier owner placed.
     :param asked_on: session on which a stop was last sent, at ``asked_at``.
+    :param end_heard_at: when its agent last told its end, which is not journaled yet.
     """
 
     placed: Placed
@@ -41,6 +43,7 @@
     asked_on: WorkerSession | None = None
     asked_at: float = float("-inf")
     stopping: bool = False
+    end_heard_at: float = float("-inf")
 
     @property
     def key(self) -> tuple[str, int]:
@@ -123,7 +126,21 @@
     def overdue(self) -> list[PlacedRun]:
         """Return the attempts whose lease is over for certain."""
         now = self._clock()
-        return [run for run in self if run.durable and now >= run.over_at]
+        return [
+            run
+            for run in self
+            if run.durable
+            and now >= run.over_at
+            and now >= run.end_heard_at + END_REPEAT_S
+        ]
+
+    def note_end_heard(self, run: PlacedRun) -> None:
+        """Leave an attempt to its agent, who tells its end until it is journaled.
+
+        Right after a store outage the attempt is overdue, too. Queued as lost it
+        would start again from the beginning, although its agent holds a checkpoint.
+        """
+        run.end_heard_at = self._clock()
 
     def answer(
         self, session: WorkerSession, refs: Sequence[TaskRef]
--- a/tests/scenarios/features/one_place.feature
+++ b/tests/scenarios/features/one_place.feature
@@ -65,7 +65,8 @@
     And no task ran in two places at once
     When the cut entry reaches the table again
     And task "u" of 0.3 s is submitted
-    Then task "u" ends as "finished"
+    Then task "u" is known after asking again with the same key
+    And task "u" ends as "finished"
 
   Scenario: Two agents on one worker
     Given 1 entry and 1 worker with 1 slot
--- a/tests/scenarios/steps/faults.py
+++ b/tests/scenarios/steps/faults.py
@@ -129,12 +129,14 @@
     owner = world.owner("t")
     world.notes["owner"] = owner
     world.cluster.set_relay(world.relays[f"table-{owner}"], "refuse")
+    halt(world, owner)
 
 
 @when("the cut entry reaches the table again")
 def join_owner(world: World) -> None:
     owner = world.notes["owner"]
     world.cluster.set_relay(world.relays[f"table-{owner}"], "pass")
+    world.notes["halted"].discard(owner)
 
 
 @when('another entry owns task "t"')
