--- a/tests/unit/test_batch_service.py
+++ b/tests/unit/test_batch_service.py
@@ -10,7 +10,7 @@
 
 from pistachiodeal.batch import journal
 from pistachiodeal.batch.keys import build_task_id
-from pistachiodeal.exceptions import Outcome, RequestError
+from pistachiodeal.exceptions import Outcome, RequestError, StoreUncertainError
 from pistachiodeal.model.tasks import TaskState
 from pistachiodeal.web.messages import WebRequest
 from tests.unit.fake_batch import Agent, Clock, Entry, FakeObjects, Session, settle
@@ -414,3 +414,29 @@
         assert all(held), "both have their share"
 
     curio.run(main)
+
+
+def test_take_over_that_lands_late_is_not_left_alone():
+    """A partition that names a live entry is served by it, or handed over.
+
+    Symptom: a partition without an owner for ever, its tasks waiting.
+    Sequence: e1's take-over gets no answer; e0 joins and is now the rightful
+        owner; the take-over lands and names e1.
+    Cause: e0 saw a live owner, and e1 left to e0 what e0 should hold.
+    """
+
+    async def main():
+        world = World()
+        first, other = world.entry("e1"), world.entry("e0")
+        world.table.faults.extend([Fault.NONE, Fault.DELAYED])
+        with pytest.raises(StoreUncertainError):
+            await first.keeper.run_round()
+        await other.context.membership.beat({})
+        world.table.land_delayed()
+        for _ in range(15):
+            world.clock.now += 1.0
+            await world.round(first, other)
+        held = [*first.keeper.serving_hosts(), *other.keeper.serving_hosts()]
+        assert sorted(host.owner.partition for host in held) == [0, 1]
+
+    curio.run(main)
--- a/tests/unit/test_fuzz_batch.py
+++ b/tests/unit/test_fuzz_batch.py
@@ -312,11 +312,11 @@
         a second result may be made, and one of them is recorded.
         """
         events = [
-            event
+            {"event": event["event"], **event["fields"]}
             for row in self.table.log
             if row.key.startswith("journal/")
             for event in orjson.loads(row.value)["events"]
-            if event.get("task_id") == task_id
+            if event["fields"].get("task_id") == task_id
         ]
         ends = [event for event in events if event["event"] == "finished"]
         assert [event["result"] for event in ends] == [recorded]
