--- a/tests/unit/test_agent_eviction.py
+++ b/tests/unit/test_agent_eviction.py
@@ -8,6 +8,7 @@
 import pytest
 
 from pistachiodeal.agent.ledger import Phase
+from pistachiodeal.model.resources import Resources
 from pistachiodeal.platform.protocols import RunState
 from pistachiodeal.wire.messages import LeaseGrant, Renew, Stop, TaskAck
 from tests.unit.test_agent_tasks_fakes import TASK, Bench, build_start, run_bench
@@ -141,5 +142,16 @@
         await bench.keeper._renewer.pass_on()
         assert set(bench.runtime.leases.values()) == {sent_at + 60}
         assert bench.runtime.calls.count("renew") == 1
+        await bench.settle(build_start(task_id="0003-c", size=Resources(), beat=2))
+        started = dict(bench.runtime.leases)
+        await bench.keeper.receive(Renew(2, (LeaseGrant(3, 5, 90_000),)))
+        await bench.keeper._renewer.pass_on()
+        assert bench.runtime.leases[("0003-c", 1)] == started[("0003-c", 1)]
+        renewed = dict(bench.runtime.leases)
+        assert renewed != started
+        bench.keeper.note_epoch(3, 6)
+        await bench.keeper.receive(Renew(2, (LeaseGrant(3, 5, 120_000),)))
+        await bench.keeper._renewer.pass_on()
+        assert bench.runtime.leases == renewed
 
     run_bench(case)
--- a/tests/unit/test_agent_tasks.py
+++ b/tests/unit/test_agent_tasks.py
@@ -210,6 +210,8 @@
         assert await bench.send(later=10) == []
         assert bench.runtime.runs == {}
         assert bench.keeper.partitions() == set()
+        await bench.settle(build_start())
+        assert bench.runtime.runs == {}
 
     run_bench(case)
 
