--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the decisions under load against simple ways of deciding."""
