--- a/tests/unit/test_profiles.py
+++ b/tests/unit/test_profiles.py
@@ -166,6 +166,8 @@
         fresh = create_profile_keeper(table, 1.0)
         await fresh.refresh()
         assert fresh.parts(["orders"]) == (PolicyPart("orders", 5, ""),)
+        assert fresh.merge(old) == set()
+        assert fresh.policy("orders") is None
 
     curio.run(main)
 
