Close the claim of a cancelled request; let make fuzz lengthen state machines

Cause 1: a cancellation is a BaseException, so the claim stayed open in this process and its key answered in_progress for ever. Before: test_claim_of_a_cancelled_request_is_closed fails; after: passes. Cause 2: the fuzz plugin looked for an attribute that hypothesis' test case does not have, so machines ran with their short settings.

--- a/pistachiodeal/entry/dispatch.py
+++ b/pistachiodeal/entry/dispatch.py
@@ -142,6 +142,11 @@
         except RequestError as error:
             await self._close_claim(claim, error)
             raise
+        except BaseException:
+            # A cancelled connection leaves a request that may run: a claim that
+            # stayed open would answer "in progress" to its repeats for ever.
+            await self._claims.mark_unknown(claim)
+            raise
         await self._claims.record(claim, response)
         return response
 
--- a/tests/fuzz_plugin.py
+++ b/tests/fuzz_plugin.py
@@ -12,7 +12,6 @@
 
 import pytest
 from hypothesis import settings
-from hypothesis.stateful import RuleBasedStateMachine
 
 DEFAULT_EXAMPLES = 500
 SETTINGS_ATTRIBUTE = "_hypothesis_internal_use_settings"
@@ -41,10 +40,8 @@
 def find_machine(item: pytest.Item) -> Any:
     """Return the test case class of a state machine, or None."""
     case = getattr(item, "cls", None)
-    machine = getattr(case, "_hypothesis_state_machine_class", None)
-    if machine is not None and issubclass(machine, RuleBasedStateMachine):
-        return case
-    return None
+    # A machine's test case has the settings by which it runs as its own attribute.
+    return case if isinstance(getattr(case, "settings", None), settings) else None
 
 
 def lengthen(earlier: settings) -> settings:
--- a/tests/unit/test_entry_dispatch.py
+++ b/tests/unit/test_entry_dispatch.py
@@ -1,6 +1,7 @@
 """Interactive requests against scripted agents."""
 
 from contextlib import suppress
+from functools import partial
 
 import curio
 import pytest
@@ -358,6 +359,24 @@
     curio.run(main)
 
 
+def test_claim_of_a_cancelled_request_is_closed():
+    """Symptom: a key answers "in progress" for ever, nothing is in progress.
+    Sequence: the request is with a runner; its connection's task is cancelled.
+    Cause: cancellation is no Exception, so nothing closed the claim.
+    """
+
+    async def main():
+        bench = Bench()
+        link = await bench.add("a")
+        task = await curio.spawn(partial(bench.call, "POST", idempotency_key="k1"))
+        while not link.requests:
+            await curio.sleep(0)
+        await task.cancel()
+        assert bench.claims.said[-1] == ("unknown",)
+
+    curio.run(main)
+
+
 def test_repeat_of_a_key_gets_the_recorded_answer():
     async def main():
         bench = Bench(claims=FakeClaims(replay=WebResponse(201, (), b"earlier")))
