Read links in pieces of 64 KiB

Cause: a link read with a buffer of 256 KiB. That is over malloc's threshold for mmap, so each read mapped and unmapped it; curio reads once in vain before it waits, so it was done twice for a message.

Change: READ_BYTES 65,536.

Files: pistachiodeal/wire/link.py

--- a/pistachiodeal/wire/link.py
+++ b/pistachiodeal/wire/link.py
@@ -31,7 +31,7 @@
 
 log = Logger("wire")
 
-READ_BYTES = 262_144
+READ_BYTES = 65_536
 OUTBOX_BYTES = 32 * 1024 * 1024
 FLUSH_S = 0.5
 # Before a peer has shown the secret, it may not make us hold more than this.
