Check and lend kept-alive connections without needless system calls

Cause: before each call the client looked whether its connection is fresh through curio's `blocking()`, which sets the socket to blocking and back: 2.1 ioctl a request at the agent (strace -c). Lending went through an async context manager, 3.1 us each in a loop.

Change: the raw socket is kept beside curio's and read with MSG_PEEK; try/finally lends. Behaviour as before.

Files: pistachiodeal/web/client.py

--- a/pistachiodeal/web/client.py
+++ b/pistachiodeal/web/client.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import socket as stdlib_socket
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 import curio
 import h11
@@ -41,6 +40,40 @@
     code = "unsendable"
 
 
+@dataclass(frozen=True, slots=True)
+class _Line:
+    """A connection and its place in the protocol.
+
+    :param raw: the socket under ``sock``, for calls that never wait.
+    """
+
+    raw: stdlib_socket.socket
+    sock: Socket
+    conn: h11.Connection
+
+    def is_fresh(self) -> bool:
+        """Tell whether the connection is open and has nothing unread.
+
+        The peer may have closed it while it was idle; a request sent on it would
+        be lost with an unknown outcome although no one could have run it.
+        """
+        try:
+            self.raw.recv(1, stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def start_next_cycle(self) -> bool:
+        """Get ready for the next request; tell whether there can be one."""
+        conn = self.conn
+        if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+            return False
+        conn.start_next_cycle()
+        return True
+
+
 class _Exchange:
     """One request on one connection, and how far it got."""
 
@@ -97,7 +130,7 @@
         self._endpoint = (host, int(port))
         self._max_body = max_body
         self._free = curio.Semaphore(connections)
-        self._idle: list[tuple[Socket, h11.Connection]] = []
+        self._idle: list[_Line] = []
 
     @property
     def address(self) -> str:
@@ -132,36 +165,32 @@
     async def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            sock, _ = self._idle.pop()
-            await sock.close()
+            await self._idle.pop().sock.close()
 
     async def _call(
         self, exchange: _Exchange, request: h11.Request, body: bytes
     ) -> WebResponse:
-        async with self._borrow() as (sock, conn):
-            return await exchange.run(sock, conn, request, body)
-
-    @asynccontextmanager
-    async def _borrow(self) -> AsyncIterator[tuple[Socket, h11.Connection]]:
-        sock, conn = await self._take()
+        line = await self._take()
         reusable = False
         try:
-            yield sock, conn
-            if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
-                conn.start_next_cycle()
-                reusable = True
+            response = await exchange.run(line.sock, line.conn, request, body)
+            reusable = line.start_next_cycle()
+            return response
         finally:
             if reusable:
-                self._idle.append((sock, conn))
+                self._idle.append(line)
             else:
-                await sock.close()
+                await line.sock.close()
 
-    async def _take(self) -> tuple[Socket, h11.Connection]:
+    async def _take(self) -> _Line:
         while self._idle:
-            sock, conn = self._idle.pop()
-            if is_fresh(sock):
-                return sock, conn
-            await sock.close()
+            line = self._idle.pop()
+            if line.is_fresh():
+                return line
+            await line.sock.close()
+        return await self._connect()
+
+    async def _connect(self) -> _Line:
         raw = stdlib_socket.socket(stdlib_socket.AF_INET, stdlib_socket.SOCK_STREAM)
         raw.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
         sock = Socket(raw)
@@ -171,7 +200,7 @@
             await sock.close()
             raise
         conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        return sock, conn
+        return _Line(raw, sock, conn)
 
     def _build_request(
         self, method: str, target: str, headers: Headers, body: bytes
@@ -193,22 +222,6 @@
         return CallError(detail, exchange.outcome, step="http.call", peer=self._address)
 
 
-def is_fresh(sock: Socket) -> bool:
-    """Tell whether a kept-alive connection is open and has nothing unread.
-
-    The peer may have closed it while it was idle; a request sent on it would be
-    lost with an unknown outcome although no one could have run it.
-    """
-    with sock.blocking() as raw:
-        try:
-            raw.recv(1, stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-    return False
-
-
 def create_client(
     address: str, *, connections: int = 8, max_body: int = 8_388_608
 ) -> WebClient:
