--- /dev/null
+++ b/bench/slopes/entry_tasks.py
@@ -0,0 +1,126 @@
+"""An entry by waiting tasks, running tasks and task starts; real programs."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Sequence
+
+from bench.slopes.cluster import Bench, run_bench, submit_tasks
+from bench.slopes.fitting import Slope, fit_line
+from bench.slopes.probes import read_cpu_s, read_memory_kib, watch_process
+from tests.harness.processes import Process
+
+WAITING = (1_000, 2_000, 4_000, 8_000)
+RUNNING = (500, 1_000, 2_000, 4_000)
+STARTS = (1_000, 2_000, 4_000, 8_000)
+AGENTS = 50
+IDLE_S = 5.0
+SETTLE_S = 3.0
+WINDOW_S = 8.0
+LIMIT_S = 120.0
+
+Points = dict[str, list[tuple[float, float]]]
+
+
+def measure_waiting(sizes: Sequence[int] = WAITING) -> list[Slope]:
+    """Measure admission by HTTP, and what a waiting task costs an entry."""
+    points: Points = {}
+    for size in sizes:
+        with run_bench() as bench:
+            entry = _start(bench)
+            # Full workers: every round of placement looks at the queue in vain.
+            bench.start_agents(entry, AGENTS, "--full")
+            time.sleep(SETTLE_S)
+            before = read_cpu_s(entry.pid)
+            submit_tasks(entry, size)
+            admission = read_cpu_s(entry.pid) - before
+            time.sleep(SETTLE_S)
+            window = watch_process(entry.pid, WINDOW_S)
+            _add(points, size, "entry cpu of admissions (ms)", 1000 * admission)
+            _add(points, size, "entry cpu by waiting tasks (ms/s)", window.cpu_ms_per_s)
+            _add(points, size, "entry memory by waiting tasks (KiB)", window.memory_kib)
+    return _fit(points, "task")
+
+
+def measure_running(sizes: Sequence[int] = RUNNING) -> list[Slope]:
+    """Measure what a running task costs an entry: reports name it, leases renew."""
+    points: Points = {}
+    for size in sizes:
+        with run_bench() as bench:
+            entry = _start(bench)
+            driver = bench.start_agents(entry, AGENTS, "--hold")
+            submit_tasks(entry, size)
+            _wait(
+                lambda d=driver, s=size, b=bench: b.read_stats(d).get("Start", 0) >= s
+            )
+            time.sleep(SETTLE_S)
+            first = bench.read_stats(driver)
+            window = watch_process(entry.pid, WINDOW_S)
+            last = bench.read_stats(driver)
+            took = last["at"] - first["at"]
+            renews = (last["Renew"] - first["Renew"]) / took
+            sent = (last["sent"] - first["sent"]) / took
+            received = (last["received"] - first["received"]) / took
+            _add(points, size, "entry cpu by running tasks (ms/s)", window.cpu_ms_per_s)
+            _add(points, size, "entry memory by running tasks (KiB)", window.memory_kib)
+            _add(points, size, "renewals by running tasks (messages/s)", renews)
+            _add(points, size, "bytes from agents by running tasks (B/s)", sent)
+            _add(points, size, "bytes to agents by running tasks (B/s)", received)
+    return _fit(points, "task")
+
+
+def measure_starts(sizes: Sequence[int] = STARTS) -> list[Slope]:
+    """Measure a start from HTTP admission to its acknowledged end, no run time."""
+    points: Points = {}
+    for size in sizes:
+        with run_bench() as bench:
+            entry = _start(bench)
+            driver = bench.start_agents(entry, AGENTS)
+            time.sleep(SETTLE_S)
+            idle = watch_process(entry.pid, IDLE_S)
+            table = bench.cluster["table"]
+            commits = bench.cluster.record(table)["commits"]
+            before, table_before = read_cpu_s(entry.pid), read_cpu_s(table.pid)
+            started = time.monotonic()
+            submit_tasks(entry, size)
+            _wait(
+                lambda d=driver, s=size, b=bench: b.read_stats(d).get("TaskAck", 0) >= s
+            )
+            wall = time.monotonic() - started
+            spent = read_cpu_s(entry.pid) - before - idle.cpu_s / idle.wall_s * wall
+            commits = bench.cluster.record(table)["commits"] - commits
+            table_cpu = read_cpu_s(table.pid) - table_before
+            _add(points, size, "entry cpu of starts (ms)", 1000 * spent)
+            memory = read_memory_kib(entry.pid)
+            _add(points, size, "entry memory by ended tasks (KiB)", memory)
+            _add(points, size, "table commits of starts (commits)", commits)
+            _add(points, size, "table stand-in cpu of starts (ms)", 1000 * table_cpu)
+            _add(points, size, "time of starts (s)", wall)
+    return _fit(points, "start")
+
+
+def _start(bench: Bench) -> Process:
+    entry = bench.start_entry()
+    bench.cluster.define_profile(entry, "batch", latency_critical=False)
+    time.sleep(SETTLE_S)
+    return entry
+
+
+def _wait(look: Callable[[], bool]) -> None:
+    limit = time.monotonic() + LIMIT_S
+    while not look():
+        if time.monotonic() > limit:
+            raise AssertionError("tasks did not get there in time")
+        time.sleep(0.05)
+
+
+def _add(points: Points, size: int, name: str, value: float) -> None:
+    points.setdefault(name, []).append((size, value))
+
+
+def _fit(points: Points, x: str) -> list[Slope]:
+    slopes = []
+    for title, found in points.items():
+        name, _, unit = title.rstrip(")").rpartition(" (")
+        slopes.append(fit_line(name, x, unit, found))
+    return slopes
--- /dev/null
+++ b/bench/slopes/inner.py
@@ -0,0 +1,313 @@
+"""Parts of an entry in this process: rounds, documents, claims, messages."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import curio
+import orjson
+
+from bench.slopes.fitting import Slope, fit_line
+from bench.slopes.memory import MemoryObjects, MemoryTable
+from bench.slopes.probes import watch_cpu
+from bench.slopes.service import Agents, Session, build_service, submit_all
+from pistachiodeal.batch.keys import ENTRY_PREFIX, partition_key
+from pistachiodeal.batch.membership import EntryRow, Membership
+from pistachiodeal.batch.ownership import choose_winner
+from pistachiodeal.claims.keeper import Claimed, ClaimKeeper, create_claim_keeper
+from pistachiodeal.model.policies import Profile
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.profiles.document import (
+    ProfileDocument,
+    ProfileItem,
+    ServiceItem,
+    encode_document,
+)
+from pistachiodeal.profiles.keeper import create_profile_keeper
+from pistachiodeal.profiles.store import DOCUMENT_KEY, VERSION_KEY
+from pistachiodeal.web.messages import WebResponse
+from pistachiodeal.wire.codec import decode_message, encode_message
+from pistachiodeal.wire.messages import (
+    Directory,
+    EntryAddress,
+    LeaseGrant,
+    Message,
+    PartitionOwner,
+    Policies,
+    PolicyPart,
+    Renew,
+    Report,
+    ServiceLoad,
+    Start,
+    TaskAck,
+    TaskEnded,
+    TaskRef,
+)
+
+WORKERS = (500, 1_000, 2_000, 4_000, 8_000)
+WAITING = (500, 1_000, 2_000, 4_000)
+ENTRIES = (25, 50, 100, 200)
+PARTITIONS = (32, 64, 128, 256, 512)
+SERVICES = (250, 500, 1_000, 2_000, 4_000)
+CLAIMS = (500, 1_000, 2_000, 4_000)
+MESSAGES = (500, 1_000, 2_000, 4_000)
+NAMED = (0, 8, 16, 32, 64)
+PLANS = ((8, 32), (25, 64), (50, 64), (100, 64), (100, 128))
+ROUNDS = 20
+SIZE = Resources(1_000, 1_000, 0)
+
+Points = list[tuple[float, float]]
+
+
+def measure_placement() -> list[Slope]:
+    """Measure a round of placement by linked workers, with and without room."""
+    full, little = Resources(), Resources(1_000, 500, 0)
+    by_worker = [(n, curio.run(_run_rounds, n, 79, full)) for n in WORKERS]
+    room = [(n, curio.run(_run_rounds, n, 79, little)) for n in WORKERS]
+    by_task = [(n, curio.run(_run_rounds, 50, n, full)) for n in WAITING]
+    return [
+        fit_line("cpu of a round, no room", "worker", "ms", by_worker),
+        fit_line("cpu of a round, too little room", "worker", "ms", room),
+        fit_line("cpu of a round, no room", "waiting task", "ms", by_task),
+    ]
+
+
+async def _run_rounds(workers: int, tasks: int, free: Resources) -> float:
+    service = build_service(MemoryTable(), MemoryObjects())
+    await service._keeper.run_round()
+    agents = Agents(service)
+    for number in range(workers):
+        session = Session(agents, number)
+        service.session_opened(session)
+        await session.report_once(free)
+    await submit_all(service, tasks)
+    with watch_cpu() as spent:
+        for _ in range(ROUNDS):
+            await service._placer.run_round()
+    for task in service._keeper._tasks.values():
+        await task.cancel()
+    return 1000 * spent.cpu_s / ROUNDS
+
+
+def measure_membership() -> list[Slope]:
+    """Measure a look at the rows of entries and partitions, and the plan."""
+    by_entry = [(n, curio.run(_look, n, 0)) for n in ENTRIES]
+    by_partition = [(n, curio.run(_look, 0, n)) for n in PARTITIONS]
+    products = [(n * p, _choose(n, p)) for n, p in PLANS]
+    return [
+        fit_line("cpu of a look", "entry", "ms", [(n, f[0]) for n, f in by_entry]),
+        fit_line("bytes of a look", "entry", "B", [(n, f[1]) for n, f in by_entry]),
+        fit_line(
+            "cpu of a look", "partition", "ms", [(n, f[0]) for n, f in by_partition]
+        ),
+        fit_line(
+            "bytes of a look", "partition", "B", [(n, f[1]) for n, f in by_partition]
+        ),
+        fit_line("cpu of a plan", "entry times partition", "ms", products),
+    ]
+
+
+async def _look(entries: int, partitions: int) -> tuple[float, float]:
+    table = MemoryTable()
+    teams = {f"team-{n}": 1_000 * n for n in range(79)}
+    for number in range(entries):
+        row = _build_entry_row(number)
+        fields = {name: getattr(row, name) for name in EntryRow.__slots__}
+        table.put(ENTRY_PREFIX + row.node, orjson.dumps({**fields, "team_cpu": teams}))
+    for number in range(partitions):
+        owner = {
+            "partition": number,
+            "node": f"entry-{number % 100:03d}",
+            "incarnation": 2**61 + number,
+            "address": "10.11.12.13:8081",
+            "epoch": 12,
+            "nonce": "0" * 16,
+        }
+        table.put(partition_key(number), orjson.dumps(owner))
+    membership = Membership(
+        table, _build_entry_row(999), owner_lease_s=10, margin_s=1, clock=lambda: 0.0
+    )
+    await membership.look()
+    with watch_cpu() as spent:
+        for _ in range(ROUNDS):
+            await membership.look()
+    return 1000 * spent.cpu_s / ROUNDS, table.bytes
+
+
+def _build_entry_row(number: int) -> EntryRow:
+    address = "10.11.12.13"
+    return EntryRow(
+        f"entry-{number:03d}", 2**61, 5, f"{address}:8081", "dc1", f"{address}:8080"
+    )
+
+
+def _choose(entries: int, partitions: int) -> float:
+    nodes = [f"entry-{number:03d}" for number in range(entries)]
+    with watch_cpu() as spent:
+        for _ in range(ROUNDS):
+            for partition in range(partitions):
+                choose_winner(partition, nodes)
+    return 1000 * spent.cpu_s / ROUNDS
+
+
+def measure_directory() -> list[Slope]:
+    """Measure the directory, which every agent gets from every linked entry."""
+    slopes = []
+    for x, sizes in (("entry", ENTRIES), ("partition", PARTITIONS)):
+        size, cpu = [], []
+        for n in sizes:
+            found = _build_directory(*((n, 0) if x == "entry" else (0, n)))
+            size.append((n, float(len(encode_message(found)))))
+            cpu.append((n, _time_message(found, ROUNDS) / ROUNDS))
+        slopes.append(fit_line("bytes of a directory", x, "B", size))
+        slopes.append(fit_line("cpu to encode and decode a directory", x, "ms", cpu))
+    return slopes
+
+
+def _build_directory(entries: int, partitions: int) -> Directory:
+    address = "10.11.12.13:8081"
+    return Directory(
+        tuple(EntryAddress(f"entry-{n:03d}", address, "dc1") for n in range(entries)),
+        tuple(
+            PartitionOwner(n, 12, f"entry-{n % 100:03d}", address)
+            for n in range(partitions)
+        ),
+    )
+
+
+def measure_profiles() -> list[Slope]:
+    """Measure one change of a document of n services, ten to a profile."""
+    found = [(n, curio.run(_change, n)) for n in SERVICES]
+    return [
+        fit_line(name, "service", unit, [(n, f[i]) for n, f in found])
+        for i, (name, unit) in enumerate(
+            (
+                ("cpu to store a change", "ms"),
+                ("cpu of an entry to take a change in", "ms"),
+                ("bytes of the document", "B"),
+            )
+        )
+    ]
+
+
+async def _change(services: int) -> tuple[float, float, float]:
+    table = MemoryTable()
+    document = _build_document(services)
+    table.put(DOCUMENT_KEY, encode_document(document))
+    table.put(VERSION_KEY, b"1")
+    keeper = create_profile_keeper(table, 1.0)
+    await keeper.refresh()
+    storing = taking = 0.0
+    for _ in range(ROUNDS):
+        with watch_cpu() as spent:
+            document = document.put_service("service-0", "profile-1").sign("0" * 16)
+            value = encode_document(document)
+        storing += spent.cpu_s
+        table.put(DOCUMENT_KEY, value)
+        table.put(VERSION_KEY, str(document.version).encode())
+        with watch_cpu() as spent:
+            await keeper.refresh()
+        taking += spent.cpu_s
+    size = float(len(table.rows[DOCUMENT_KEY].value))
+    return 1000 * storing / ROUNDS, 1000 * taking / ROUNDS, size
+
+
+def _build_document(services: int) -> ProfileDocument:
+    names = [f"profile-{n}" for n in range(max(2, services // 10))]
+    profiles = {
+        name: ProfileItem(1, Profile(name=name).model_dump(mode="json"))
+        for name in names
+    }
+    held = {
+        f"service-{n}": ServiceItem(1, names[n % len(names)]) for n in range(services)
+    }
+    return ProfileDocument(1, profiles, held)
+
+
+def measure_claims() -> list[Slope]:
+    """Measure claims and the record of their answers, 200 callers at once."""
+    found = [(n, curio.run(_run_claims, n)) for n in CLAIMS]
+    return [
+        fit_line(name, "claim", unit, [(n, f[i]) for n, f in found])
+        for i, (name, unit) in enumerate(
+            (
+                ("cpu of claims", "ms"),
+                ("commits of claims", "commits"),
+                ("bytes of claims", "B"),
+            )
+        )
+    ]
+
+
+async def _run_claims(count: int) -> tuple[float, float, float]:
+    table = MemoryTable(0.005)
+    keeper = create_claim_keeper(table, node="e1", group_s=0.005, group_rows=100)
+    running = await curio.spawn(keeper.run, daemon=True)
+    numbers = iter(range(count))
+    with watch_cpu() as spent:
+        async with curio.TaskGroup() as group:
+            for _ in range(200):
+                await group.spawn(_claim_next, keeper, numbers)
+        await keeper.flush(30.0)
+    await running.cancel()
+    return 1000 * spent.cpu_s, table.commits, table.bytes
+
+
+async def _claim_next(keeper: ClaimKeeper, numbers: Iterator[int]) -> None:
+    for number in numbers:
+        claim = await keeper.claim("orders", f"caller/{number}", "f" * 32, 5.0)
+        assert isinstance(claim, Claimed)
+        await keeper.record(claim, WebResponse(200, (), b"x" * 100))
+
+
+def measure_messages() -> list[Slope]:
+    """Measure messages: bytes of reports, processor time to encode and decode."""
+    slopes = [
+        fit_line(
+            f"bytes of a report by {x}s",
+            x,
+            "B",
+            [(n, float(len(encode_message(build(n))))) for n in NAMED],
+        )
+        for x, build in (("service", _build_loads), ("run", _build_refs))
+    ]
+    name = "0001-" + "a" * 32
+    start = Start(name, 1, 1, 1, 1, 60_000, "press", "batch", SIZE, "x" * 100, "", 0, 0)
+    known: dict[str, Message] = {
+        "Report of 5 services and 9 runs": Report(
+            2**40, False, SIZE, SIZE, _build_loads(5).services, _build_refs(9).tasks
+        ),
+        "Renew": Renew(2**40, (LeaseGrant(1, 1, 60_000),)),
+        "Start": start,
+        "TaskEnded": TaskEnded(name, 1, "finished", "done", "", SIZE, 500),
+        "TaskAck": TaskAck(name, 1),
+        "Policies of 1": Policies(
+            (PolicyPart("service-1", 5, Profile(name="batch").model_dump_json()),)
+        ),
+    }
+    for title, message in known.items():
+        points: Points = [(n, _time_message(message, n)) for n in MESSAGES]
+        size = len(encode_message(message))
+        slopes.append(
+            fit_line(
+                f"cpu to encode and decode {title} ({size} B)", "message", "ms", points
+            )
+        )
+    return slopes
+
+
+def _build_loads(count: int) -> Report:
+    loads = tuple(ServiceLoad(f"service-{n}", 8, 3, 0, 5_000) for n in range(count))
+    return Report(2**40, False, SIZE, SIZE, loads, ())
+
+
+def _build_refs(count: int) -> Report:
+    refs = tuple(TaskRef(f"0001-{n:032x}", 1, 1) for n in range(count))
+    return Report(2**40, False, SIZE, SIZE, (), refs)
+
+
+def _time_message(message: Message, count: int) -> float:
+    with watch_cpu() as spent:
+        for _ in range(count):
+            decode_message(encode_message(message)[4:])
+    return 1000 * spent.cpu_s
