--- a/pistachiodeal/entry/front.py
+++ b/pistachiodeal/entry/front.py
@@ -92,7 +92,7 @@
             )
         if path == STATUS:
             return build_json(OK, self._read_status())
-        return build_json(OK, self._histograms.build_document())
+        return build_json(OK, await self._histograms.collect_document())
 
     def _answer_health(self) -> WebResponse:
         """Answer the balancer, which has no token."""
