--- a/bench/slopes/agent.py
+++ b/bench/slopes/agent.py
@@ -23,15 +23,8 @@
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.identity import Identity
 from pistachiodeal.wire.link import Link, LinkTimings, accept_link
-from pistachiodeal.wire.messages import (
-    Directory,
-    EntryAddress,
-    LeaseGrant,
-    PartitionOwner,
-    Renew,
-    Report,
-    Start,
-)
+from pistachiodeal.wire.messages import Directory, EntryAddress, PartitionOwner, Report
+from pistachiodeal.wire.task_messages import LeaseGrant, Renew, Start
 from tests.harness import documents
 from tests.harness.cluster import Cluster, run_cluster
 from tests.harness.processes import Process
--- a/bench/slopes/agents_driver.py
+++ b/bench/slopes/agents_driver.py
@@ -15,13 +15,8 @@
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.identity import Identity
 from pistachiodeal.wire.link import Link, LinkTimings, dial_link
-from pistachiodeal.wire.messages import (
-    Report,
-    ServiceLoad,
-    Start,
-    TaskEnded,
-    TaskRef,
-)
+from pistachiodeal.wire.messages import Report, ServiceLoad
+from pistachiodeal.wire.task_messages import Start, TaskEnded, TaskRef
 from tests.harness.documents import SECRET
 
 CAPACITY = Resources(16_000_000, 60_000_000, 0)
--- a/bench/slopes/service.py
+++ b/bench/slopes/service.py
@@ -20,7 +20,8 @@
 from pistachiodeal.model.tasks import TaskSpec
 from pistachiodeal.web.messages import WebRequest
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.messages import Message, Report, Start, TaskAck, TaskEnded
+from pistachiodeal.wire.messages import Message, Report
+from pistachiodeal.wire.task_messages import Start, TaskAck, TaskEnded
 
 CAPACITY = Resources(10_000_000, 10_000_000, 0)
 PROFILE = Profile(name="batch", latency_critical=False)
--- /dev/null
+++ b/pistachiodeal/agent/address_choice.py
@@ -0,0 +1,72 @@
+"""Which entries an agent is linked to."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+
+from pistachiodeal.agent.directory import AgentDirectory, choose_entries
+from pistachiodeal.agent.peers import EntryPeer
+from pistachiodeal.clock import Clock
+from pistachiodeal.config.agent import AgentSettings
+
+FAILURES_BEFORE_SUBSTITUTE = 2
+
+Peers = Mapping[str, EntryPeer]
+
+
+class AddressChoice:
+    """Chooses a few entries for requests, and the owners of held runs."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        directory: AgentDirectory,
+        list_held_partitions: Callable[[], set[int]],
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._list_held_partitions = list_held_partitions
+        self._clock = clock
+
+    def choose(self, peers: Peers) -> set[str]:
+        """Return the addresses to be linked to now.
+
+        :param peers: the entries that are dialled or linked to, by address.
+        """
+        count = self._settings.entry_links
+        agent = self._settings.node
+        data_centre = self._settings.data_centre
+        entries = self._directory.entries
+        first = choose_entries(agent, data_centre, entries, count)
+        # A chosen entry that is dead or leaving goes on being dialled, while a
+        # substitute keeps the number of links that are of use.
+        avoided = self._list_avoided(peers)
+        second = choose_entries(agent, data_centre, entries, count, avoided)
+        wanted = {entry.address for entry in (*first, *second)}
+        wanted |= self._list_owner_addresses()
+        if not any(peer.link for peer in peers.values()):
+            # All entries may have been replaced while this agent was cut off:
+            # then only the addresses from the settings still lead to one.
+            wanted |= self._choose_seeds(peers, count)
+        return wanted
+
+    def _list_avoided(self, peers: Peers) -> set[str]:
+        now = self._clock()
+        return {
+            peer.address
+            for peer in peers.values()
+            if peer.failures >= FAILURES_BEFORE_SUBSTITUTE or peer.avoid_until > now
+        }
+
+    def _list_owner_addresses(self) -> set[str]:
+        owners = map(self._directory.get_owner, self._list_held_partitions())
+        return {owner.address for owner in owners if owner and owner.address}
+
+    def _choose_seeds(self, peers: Peers, count: int) -> set[str]:
+        known = [a for a in self._settings.entries if a in peers]
+        if len(known) >= min(count, len(self._settings.entries)):
+            return set(known)
+        seeds = self._settings.entries
+        return set(known) | set(random.sample(seeds, min(count, len(seeds))))
--- /dev/null
+++ b/pistachiodeal/agent/composition.py
@@ -0,0 +1,49 @@
+"""Parts of the agent, made from its settings."""
+
+from __future__ import annotations
+
+import secrets
+
+from pistachiodeal.agent.links import LinkKeeper
+from pistachiodeal.agent.tasks import TaskKeeper, create_task_keeper
+from pistachiodeal.config.agent import AgentSettings
+from pistachiodeal.metrics import Metrics
+from pistachiodeal.platform.http_objects import create_object_store
+from pistachiodeal.platform.http_worker import create_worker_runtime
+from pistachiodeal.profiles.cache import PolicyCache
+from pistachiodeal.wire.identity import Identity
+
+INCARNATION_BITS = 63
+OBJECT_CONNECTIONS = 2
+
+
+def create_identity(settings: AgentSettings) -> Identity:
+    """Make the identity under which this start of the agent dials entries."""
+    return Identity(
+        role="agent",
+        node=settings.node,
+        incarnation=secrets.randbits(INCARNATION_BITS),
+        data_centre=settings.data_centre,
+        worker=settings.worker,
+        rack=settings.rack,
+    )
+
+
+def create_tasks(
+    settings: AgentSettings,
+    links: LinkKeeper,
+    policies: PolicyCache,
+    metrics: Metrics,
+) -> TaskKeeper:
+    """Make the task keeper, with clients of the worker and the object store."""
+    runtime = settings.runtime
+    return create_task_keeper(
+        create_worker_runtime(runtime.worker, timeout=runtime.timeout_s),
+        create_object_store(
+            runtime.objects, timeout=runtime.timeout_s, connections=OBJECT_CONNECTIONS
+        ),
+        links,
+        policies,
+        settings=settings,
+        metrics=metrics,
+    )
--- a/pistachiodeal/agent/dispatch.py
+++ b/pistachiodeal/agent/dispatch.py
@@ -23,13 +23,10 @@
     Message,
     Policies,
     PolicyPart,
-    Renew,
     Request,
-    Start,
-    Stop,
-    TaskAck,
     Withdraw,
 )
+from pistachiodeal.wire.task_messages import Renew, Start, Stop, TaskAck
 
 log = logbook.Logger("agent")
 
--- a/pistachiodeal/agent/links.py
+++ b/pistachiodeal/agent/links.py
@@ -5,13 +5,14 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Protocol
 
 import curio
 import logbook
 
-from pistachiodeal.agent.directory import AgentDirectory, choose_entries
+from pistachiodeal.agent.address_choice import AddressChoice
+from pistachiodeal.agent.directory import AgentDirectory
+from pistachiodeal.agent.peers import EntryPeer
 from pistachiodeal.config.agent import AgentSettings
 from pistachiodeal.exceptions import (
     LinkClosedError,
@@ -26,10 +27,7 @@
 
 REVIEW_S = 0.5
 SEND_S = 0.5
-FIRST_PAUSE_S = 0.1
-MAX_PAUSE_S = 5.0
 STABLE_S = 5.0
-FAILURES_BEFORE_SUBSTITUTE = 2
 AVOID_AFTER_GOODBYE_S = 5.0
 LEAVE_GRACE_S = 1.0
 
@@ -50,46 +48,6 @@
         """Return the number of requests that the link waits for."""
 
 
-class Pauses:
-    """Growing pauses between dials, with jitter.
-
-    After an entry's death, or a store outage, all agents dial at the same
-    moment; without jitter they would do so again and again in one wave.
-    """
-
-    def __init__(self, choose: Callable[[float, float], float] | None = None) -> None:
-        self._choose = choose or random.uniform
-        self._limit = FIRST_PAUSE_S
-
-    def reset(self) -> None:
-        """Start with short pauses again."""
-        self._limit = FIRST_PAUSE_S
-
-    def take(self) -> float:
-        """Return the next pause, in seconds."""
-        pause = self._choose(0.0, self._limit)
-        self._limit = min(self._limit * 2, MAX_PAUSE_S)
-        return pause
-
-
-@dataclass(slots=True, eq=False)
-class EntryPeer:
-    """One entry's address, and the state of the link to it.
-
-    :param failures: dials that failed in a row.
-    :param avoid_until: the entry said goodbye; another one is chosen until then.
-    :param leaving_since: when the link was found to be no longer wanted.
-    """
-
-    address: str
-    link: Link | None = None
-    task: curio.Task | None = None
-    failures: int = 0
-    avoid_until: float = 0.0
-    leaving_since: float | None = None
-    pauses: Pauses = field(default_factory=Pauses)
-
-
 class LinkKeeper:
     """Keeps the links that are wanted, one task for each."""
 
@@ -104,8 +62,8 @@
         self._settings = settings
         self._identity = identity
         self._directory = directory
-        self._list_held_partitions = list_held_partitions
         self._clock = clock
+        self._choice = AddressChoice(settings, directory, list_held_partitions, clock)
         self._timings = LinkTimings(**settings.link.model_dump())
         self._handler: LinkHandler | None = None
         self._peers: dict[str, EntryPeer] = {}
@@ -148,22 +106,7 @@
 
     def choose_addresses(self) -> set[str]:
         """Return the addresses to be linked to now."""
-        count = self._settings.entry_links
-        agent = self._settings.node
-        data_centre = self._settings.data_centre
-        entries = self._directory.entries
-        first = choose_entries(agent, data_centre, entries, count)
-        # A chosen entry that is dead or leaving goes on being dialled, while a
-        # substitute keeps the number of links that are of use.
-        avoided = self._list_avoided()
-        second = choose_entries(agent, data_centre, entries, count, avoided)
-        wanted = {entry.address for entry in (*first, *second)}
-        wanted |= self._list_owner_addresses()
-        if not any(peer.link for peer in self._peers.values()):
-            # All entries may have been replaced while this agent was cut off:
-            # then only the addresses from the settings still lead to one.
-            wanted |= self._choose_seeds(count)
-        return wanted
+        return self._choice.choose(self._peers)
 
     async def send_to_owner(self, partition: int, message: Message) -> bool:
         """Send to a partition's owner; False when there is no link to it now."""
@@ -213,29 +156,10 @@
             return True
         return False
 
-    def _list_avoided(self) -> set[str]:
-        now = self._clock()
-        return {
-            peer.address
-            for peer in self._peers.values()
-            if peer.failures >= FAILURES_BEFORE_SUBSTITUTE or peer.avoid_until > now
-        }
-
-    def _list_owner_addresses(self) -> set[str]:
-        owners = map(self._directory.get_owner, self._list_held_partitions())
-        return {owner.address for owner in owners if owner and owner.address}
-
     def _is_in_use(self, address: str) -> bool:
         peer = self._peers.get(address)
         return peer is not None and bool(peer.link) and peer.leaving_since is None
 
-    def _choose_seeds(self, count: int) -> set[str]:
-        known = [a for a in self._settings.entries if a in self._peers]
-        if len(known) >= min(count, len(self._settings.entries)):
-            return set(known)
-        seeds = self._settings.entries
-        return set(known) | set(random.sample(seeds, min(count, len(seeds))))
-
     async def _want(self, address: str) -> None:
         peer = self._peers.get(address)
         if peer is None:
--- a/pistachiodeal/agent/reporting.py
+++ b/pistachiodeal/agent/reporting.py
@@ -11,7 +11,8 @@
 from pistachiodeal.agent.directory import AgentDirectory
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.link import Link
-from pistachiodeal.wire.messages import Message, Report, ServiceLoad, TaskRef
+from pistachiodeal.wire.messages import Message, Report, ServiceLoad
+from pistachiodeal.wire.task_messages import TaskRef
 
 BEATS_PER_SECOND = 1_000_000
 
--- /dev/null
+++ b/pistachiodeal/agent/status.py
@@ -0,0 +1,56 @@
+"""The status document for operators."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from pistachiodeal import __version__
+from pistachiodeal.agent.links import LinkKeeper
+from pistachiodeal.agent.requests import RequestDesk
+from pistachiodeal.agent.tasks import TaskKeeper
+from pistachiodeal.config.agent import AgentSettings
+from pistachiodeal.metrics import Metrics
+from pistachiodeal.profiles.cache import PolicyCache
+
+
+@dataclass(frozen=True, slots=True)
+class StatusParts:
+    """Where the figures come from."""
+
+    settings: AgentSettings
+    tasks: TaskKeeper
+    desk: RequestDesk
+    links: LinkKeeper
+    policies: PolicyCache
+    metrics: Metrics
+
+
+def build_status(
+    parts: StatusParts, *, attached: bool, draining: bool
+) -> dict[str, Any]:
+    """Return what operators see of this process."""
+    ledger = parts.tasks.ledger
+    return {
+        "node": parts.settings.node,
+        "worker": parts.settings.worker,
+        "version": __version__,
+        "attached": attached,
+        "draining": draining,
+        "capacity": asdict(ledger.capacity),
+        "free": asdict(ledger.free),
+        "requests_open": parts.desk.open_count,
+        "services": [
+            {
+                "service": load.service,
+                "slots": load.slots,
+                "busy": load.busy,
+                "queued": load.queued,
+                "latency_us": load.latency_us,
+            }
+            for load in parts.desk.figures()
+        ],
+        "links": [link.peer.node for link in parts.links.links],
+        "policies": parts.policies.describe(),
+        "counts": parts.metrics.counts(),
+    }
--- a/pistachiodeal/agent/tasks.py
+++ b/pistachiodeal/agent/tasks.py
@@ -9,23 +9,13 @@
 import curio
 import logbook
 
-from pistachiodeal.agent.eviction import (
-    UNKNOWN_RUN,
-    OwnerRoute,
-    RunEnder,
-    create_outbox,
-)
-from pistachiodeal.agent.guarding import RunWatcher, build_view
-from pistachiodeal.agent.leases import BarredAttempts, LeaseBook, Renewer, StartDesk
-from pistachiodeal.agent.ledger import (
-    Action,
-    HeldRun,
-    Ledger,
-    Phase,
-    RunTable,
-    SerialWork,
-    create_ledger,
-)
+from pistachiodeal.agent.guarding import build_view
+from pistachiodeal.agent.held_runs import HeldRun, Phase
+from pistachiodeal.agent.ledger import Ledger, create_ledger
+from pistachiodeal.agent.outbox import OwnerRoute
+from pistachiodeal.agent.owner_messages import TaskMessage
+from pistachiodeal.agent.task_parts import TaskParts, create_task_parts
+from pistachiodeal.clock import Clock
 from pistachiodeal.config.agent import AgentSettings
 from pistachiodeal.control.views import RunView
 from pistachiodeal.exceptions import WorkerError, WorkerFencedError
@@ -34,17 +24,15 @@
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.platform.protocols import ObjectStore, WorkerRuntime
 from pistachiodeal.profiles.cache import PolicyCache
-from pistachiodeal.wire.messages import Renew, Start, Stop, TaskAck, TaskEnded, TaskRef
+from pistachiodeal.task_groups import run_until_one_ends
+from pistachiodeal.wire.task_messages import TaskRef
 
 POOL = 16
-WORK_LIMIT = 4096
 SEND_TICK_S = 0.1
 DEFAULT = Profile(name="default")
 
 log = logbook.Logger("pistachiodeal.agent")
 
-TaskMessage = Start | Stop | Renew | TaskAck
-
 
 class TaskKeeper:
     """Decides what runs on this worker and tells the owners what became of it."""
@@ -53,60 +41,25 @@
         self,
         *,
         runtime: WorkerRuntime,
-        objects: ObjectStore,
+        parts: TaskParts,
         ledger_factory: Callable[[Resources], Ledger],
-        route: OwnerRoute,
         policies: PolicyCache,
         settings: AgentSettings,
-        metrics: Metrics,
-        clock: Callable[[], float],
+        clock: Clock,
     ) -> None:
         self._runtime = runtime
         self._ledger_factory = ledger_factory
         self._policies = policies
         self._settings = settings
-        self._metrics = metrics
         self._clock = clock
-        self._table = RunTable(ledger_factory(Resources()))
-        self._book = LeaseBook()
-        self._barred = BarredAttempts()
-        self._outbox = create_outbox(route, objects, clock)
-        self._work = SerialWork(WORK_LIMIT)
-        self._ender = RunEnder(
-            runtime=runtime,
-            objects=objects,
-            table=self._table,
-            outbox=self._outbox,
-            metrics=metrics,
-            clock=clock,
-        )
-        self._desk = StartDesk(
-            runtime=runtime,
-            objects=objects,
-            table=self._table,
-            book=self._book,
-            barred=self._barred,
-            outbox=self._outbox,
-            clock=clock,
-        )
-        self._renewer = Renewer(
-            runtime,
-            self._book,
-            self._table.runs,
-            retry_s=settings.runtime.poll_s,
-            clock=clock,
-        )
-        self._watcher = RunWatcher(
-            runtime=runtime,
-            table=self._table,
-            book=self._book,
-            barred=self._barred,
-            desk=self._desk,
-            ender=self._ender,
-            work=self._work,
-            settings=settings.runtime,
-            clock=clock,
-        )
+        self._table = parts.table
+        self._book = parts.book
+        self._outbox = parts.outbox
+        self._work = parts.work
+        self._ender = parts.ender
+        self._renewer = parts.renewer
+        self._watcher = parts.watcher
+        self._messages = parts.messages
 
     @property
     def ledger(self) -> Ledger:
@@ -156,19 +109,13 @@
         for held in self._table.runs.values():
             if held.phase is Phase.STARTING:
                 held.enter(Phase.UNCERTAIN, self._clock())
-        jobs = [
+        await run_until_one_ends(
             self._watcher.poll,
             self._watcher.poll_usage,
             self._renewer.run,
             self._send,
             *[self._work.work] * POOL,
-        ]
-        async with curio.TaskGroup(wait=any) as group:
-            for job in jobs:
-                await group.spawn(job)
-        failed = group.completed
-        if failed is not None and failed.exception is not None:
-            raise failed.exception
+        )
 
     def stop_accepting(self) -> None:
         """Refuse every start from now on."""
@@ -177,15 +124,18 @@
     async def drain(self) -> None:
         """Stop all runs at checkpoints, and return when their owners know.
 
-        For a worker that leaves for good; the caller bounds the time.
+        For a worker that leaves for good; the caller bounds the time, half of
+        which is for checkpoints that fail at first.
         """
         self.stop_accepting()
+        try_until = self._clock() + self._settings.drain_s / 2
         while True:
             left = [held for held in self._table.runs.values() if not held.ended]
             if not left and self._outbox.empty:
                 return
             for held in left:
-                await self._work.put_once(held.task_id, partial(self._leave, held))
+                leave = partial(self._leave, held, try_until)
+                await self._work.put_once(held.task_id, leave)
             await curio.sleep(self._settings.runtime.poll_s)
 
     def note_beat(self, beat: int, sent_at: float) -> None:
@@ -223,21 +173,7 @@
 
     async def receive(self, message: TaskMessage) -> None:
         """Take a message from an owner; what it asks for is done in the background."""
-        if isinstance(message, Renew):
-            await self._renewer.take(message)
-            return
-        action: Action
-        if isinstance(message, Start):
-            action = partial(self._desk.start, message)
-        elif isinstance(message, Stop):
-            action = partial(self._stop, message)
-        else:
-            action = partial(self._forget_acked, message)
-        if await self._work.put(message.task_id, action):
-            return
-        self._metrics.count("task.overloaded")
-        if isinstance(message, Start) and message.task_id not in self._table.runs:
-            self._desk.refuse(message, "overloaded")
+        await self._messages.receive(message)
 
     async def throttle(self, task_id: str, share: float) -> None:
         """Let a run use this share of its size from now on."""
@@ -247,14 +183,15 @@
         """Stop a run at a checkpoint; without one it goes on running."""
         held = self._table.runs.get(task_id)
         if held is not None:
-            await self._work.put_once(held.task_id, partial(self._evict, held))
-
-    async def _evict(self, held: HeldRun) -> None:
-        if held.phase is Phase.RUNNING:
-            await self._ender.evict(held)
+            await self._work.put_once(held.task_id, partial(self._ender.evict, held))
 
-    async def _leave(self, held: HeldRun) -> None:
+    async def _leave(self, held: HeldRun, try_until: float) -> None:
+        """Stop a run at a checkpoint, or without one after ``try_until``."""
         await self._ender.stop_lapsing(held, float("inf"))
+        # One refused or lost checkpoint would otherwise cost all the work done: the
+        # task would be seen to start from nothing elsewhere. It is tried again.
+        if held.phase is Phase.RUNNING and self._clock() < try_until:
+            return
         await self._ender.stop(held)
 
     async def _throttle(self, task_id: str, share: float) -> None:
@@ -270,46 +207,6 @@
         else:
             held.share = share
 
-    async def _stop(self, stop: Stop) -> None:
-        if not self._book.note_epoch(stop.partition, stop.epoch):
-            self._metrics.count("task.stale_epoch")
-            return
-        held = self._table.runs.get(stop.task_id)
-        if held is None or held.attempt != stop.attempt:
-            self._answer_unknown(stop)
-        elif held.ended:
-            self._outbox.hasten(stop.task_id, stop.attempt)
-        elif stop.evict:
-            await self._evict(held)
-        else:
-            await self._ender.stop(held)
-
-    def _answer_unknown(self, stop: Stop) -> None:
-        """Say that an attempt never ran here, and never will.
-
-        Its Start may still be on the way by another link; it is barred.
-        """
-        if self._outbox.hasten(stop.task_id, stop.attempt):
-            return
-        self._barred.bar(stop.task_id, stop.attempt, self._book.latest_beat)
-        ended = TaskEnded(
-            stop.task_id, stop.attempt, UNKNOWN_RUN, "", "", Resources(), 0
-        )
-        self._outbox.put(stop.partition, ended)
-
-    async def _forget_acked(self, ack: TaskAck) -> None:
-        held = self._table.runs.get(ack.task_id)
-        if held is not None and held.attempt != ack.attempt:
-            held = None
-        if held is not None and not held.ended:
-            return
-        self._outbox.drop(ack.task_id, ack.attempt)
-        self._barred.bar(ack.task_id, ack.attempt, self._book.latest_beat)
-        if held is not None:
-            del self._table.runs[ack.task_id]
-            await self._ender.forget(ack.task_id, ack.attempt)
-            await self._ender.delete_checkpoint(held)
-
     async def _send(self) -> None:
         while True:
             await self._outbox.send_due()
@@ -325,16 +222,23 @@
     settings: AgentSettings,
     metrics: Metrics,
     ledger_factory: Callable[[Resources], Ledger] = create_ledger,
-    clock: Callable[[], float] = time.monotonic,
+    clock: Clock = time.monotonic,
 ) -> TaskKeeper:
     """Make a keeper that accepts nothing until it is attached."""
+    parts = create_task_parts(
+        runtime,
+        objects,
+        route,
+        ledger_factory(Resources()),
+        settings=settings.runtime,
+        metrics=metrics,
+        clock=clock,
+    )
     return TaskKeeper(
         runtime=runtime,
-        objects=objects,
+        parts=parts,
         ledger_factory=ledger_factory,
-        route=route,
         policies=policies,
         settings=settings,
-        metrics=metrics,
         clock=clock,
     )
--- a/pistachiodeal/batch/admission.py
+++ b/pistachiodeal/batch/admission.py
@@ -7,8 +7,9 @@
 
 import curio
 
+from pistachiodeal.batch.context import HostContext
 from pistachiodeal.batch.events import CancelAsked, Submitted
-from pistachiodeal.batch.host import HostContext, PartitionHost
+from pistachiodeal.batch.host import PartitionHost
 from pistachiodeal.batch.journal import Append
 from pistachiodeal.batch.protocols import Outgoing
 from pistachiodeal.exceptions import Outcome, RequestError
@@ -19,6 +20,7 @@
 SETTLE_S = 2.0
 CANCEL_WAIT_S = 1.0
 QUEUE_RETRY_S = 5.0
+RETRY_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +31,7 @@
     created: bool
 
 
-class AdmissionDesk:
+class TaskAdmission:
     """Submits and cancels; every answer says truly what is known."""
 
     def __init__(self, context: HostContext) -> None:
@@ -78,14 +80,14 @@
 
         append = host.prepare([Submitted(spec)], finish, len(spec.payload))
         if append is None:
-            raise _build_unavailable("the partition is changing hands", 1.0)
+            raise _build_unavailable("the partition is changing hands")
         self._admitting[spec.task_id] = (spec, append)
         await host.submit(append)
         return append
 
     def _check_room(self, host: PartitionHost, spec: TaskSpec) -> None:
         if not host.has_authority or host.stalled:
-            raise _build_unavailable("the table is out of reach", 1.0)
+            raise _build_unavailable()
         waiting = host.state.waiting
         limit = self._context.settings.batch.queue_limit
         full = len(waiting) + len(self._admitting) >= limit
@@ -98,10 +100,10 @@
                 retry_after=QUEUE_RETRY_S,
                 step="batch.submit",
             )
-        board = self._context.board
-        if board.settled and not board.could_fit(spec.declared):
+        workers = self._context.workers
+        if workers.settled and not workers.could_fit(spec.declared):
             raise RequestError(
-                board.explain_misfit(spec.declared),
+                workers.explain_misfit(spec.declared),
                 code="never_fits",
                 status=422,
                 step="batch.submit",
@@ -110,7 +112,7 @@
     async def _ask(self, host: PartitionHost, record: TaskRecord) -> None:
         task_id = record.spec.task_id
         if not host.has_authority or host.stalled:
-            raise _build_unavailable("the table is out of reach", 1.0)
+            raise _build_unavailable()
 
         def finish(outcome: Outcome) -> Sequence[Outgoing]:
             return self._stop(host, task_id) if outcome is Outcome.RAN else ()
@@ -121,7 +123,7 @@
                 "another change of this task is under way",
                 code="in_progress",
                 status=409,
-                retry_after=1.0,
+                retry_after=RETRY_S,
                 step="batch.cancel",
             )
         await self._wait(host, append, task_id)
@@ -131,7 +133,7 @@
         if run is None:
             return ()
         run.stopping = True
-        session = self._context.board.find_session(run.placed.worker)
+        session = self._context.workers.find_session(run.placed.worker)
         if session is None:
             return ()
         stop = host.runs.stop(run, session)
@@ -144,7 +146,7 @@
         if append.outcome is Outcome.UNKNOWN:
             raise _build_unknown(task_id)
         if append.outcome is Outcome.NOT_RUN:
-            raise _build_unavailable("the table is out of reach", append.retry_after)
+            raise _build_unavailable(retry_after=append.retry_after)
 
 
 def find_task(host: PartitionHost, task_id: str) -> TaskRecord:
@@ -154,7 +156,7 @@
     """
     record = host.state.find(task_id)
     if record is None and not host.has_authority:
-        raise _build_unavailable("the table is out of reach", 1.0)
+        raise _build_unavailable()
     if record is None:
         raise RequestError(
             f"no task {task_id}", code="unknown_task", status=404, step="batch.find"
@@ -168,12 +170,14 @@
         code="store_uncertain",
         status=503,
         outcome=Outcome.UNKNOWN,
-        retry_after=1.0,
+        retry_after=RETRY_S,
         step="batch.append",
     )
 
 
-def _build_unavailable(detail: str, retry_after: float) -> RequestError:
+def _build_unavailable(
+    detail: str = "the table is out of reach", retry_after: float = RETRY_S
+) -> RequestError:
     return RequestError(
         detail,
         code="store_unavailable",
--- a/pistachiodeal/batch/api.py
+++ b/pistachiodeal/batch/api.py
@@ -10,9 +10,10 @@
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from pistachiodeal.batch.admission import AdmissionDesk, find_task
+from pistachiodeal.batch.admission import TaskAdmission, find_task
+from pistachiodeal.batch.context import HostContext
 from pistachiodeal.batch.forward import Forwarder
-from pistachiodeal.batch.host import HostContext, PartitionHost
+from pistachiodeal.batch.host import PartitionHost
 from pistachiodeal.batch.keys import build_task_id, parse_partition
 from pistachiodeal.batch.membership import OwnerRow
 from pistachiodeal.batch.partition import describe_task
@@ -21,6 +22,7 @@
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.model.tasks import TaskRecord, TaskSpec
 from pistachiodeal.web.messages import WebRequest, WebResponse, build_json, get_header
+from pistachiodeal.web.validation import describe_faults
 
 TASKS_PATH = "/tasks"
 KEY_HEADER = "idempotency-key"
@@ -53,13 +55,13 @@
     def __init__(
         self,
         context: HostContext,
-        desk: AdmissionDesk,
+        admission: TaskAdmission,
         forwarder: Forwarder,
         find_host: HostLookup,
         find_owner: OwnerLookup,
     ) -> None:
         self._context = context
-        self._desk = desk
+        self._admission = admission
         self._forwarder = forwarder
         self._find_host = find_host
         self._find_owner = find_owner
@@ -86,7 +88,7 @@
             return await self._forward(partition, request, forward)
         if request.method == "GET":
             return _build_answer(200, find_task(host, task_id), host)
-        record = await self._desk.cancel(host, task_id)
+        record = await self._admission.cancel(host, task_id)
         return _build_answer(200 if record.state.final else 202, record, host)
 
     async def _submit(self, request: WebRequest, forward: bool) -> WebResponse:
@@ -101,7 +103,7 @@
         if host is None:
             return await self._forward_submit(partition, task_id, request, forward)
         self._check_profile(body.profile)
-        admitted = await self._desk.submit(host, _build_spec(task_id, body))
+        admitted = await self._admission.submit(host, _build_spec(task_id, body))
         status = 201 if admitted.created else 200
         return _build_answer(status, admitted.record, host)
 
@@ -148,10 +150,7 @@
             f"the body is no JSON: {error}", code="bad_body", status=400
         ) from None
     except ValidationError as error:
-        faults = "; ".join(
-            f"{'.'.join(map(str, item['loc'])) or 'body'}: {item['msg']}"
-            for item in error.errors()
-        )
+        faults = describe_faults(error)
         raise RequestError(faults, code="bad_task", status=422) from None
 
 
--- a/pistachiodeal/batch/decisions.py
+++ b/pistachiodeal/batch/decisions.py
@@ -11,9 +11,9 @@
 )
 from pistachiodeal.model.tasks import TaskRecord, TaskState
 from pistachiodeal.platform.protocols import RunState
-from pistachiodeal.wire.messages import TaskEnded
+from pistachiodeal.wire.task_messages import UNKNOWN_RUN, StartRefused, TaskEnded
 
-UNKNOWN_RUN = "unknown_run"
+CHECKPOINT_MISSING = "checkpoint_missing"
 
 _CAUSES = {
     RunState.STOPPED: RequeueCause.STOPPED,
@@ -47,6 +47,14 @@
     return Requeued(ended.task_id, ended.attempt, cause, ended.checkpoint, ended.state)
 
 
+def decide_refusal(refused: StartRefused) -> Requeued:
+    """Return the event for an attempt that its agent never started."""
+    missing = refused.code == CHECKPOINT_MISSING
+    cause = RequeueCause.CHECKPOINT_MISSING if missing else RequeueCause.REFUSED
+    reason = f"{refused.code}: {refused.detail}"
+    return Requeued(refused.task_id, refused.attempt, cause, reason=reason)
+
+
 def _decide_failure(record: TaskRecord, ended: TaskEnded, max_attempts: int) -> Event:
     reason = ended.result or "failed without a reason"
     if record.failures + 1 >= max_attempts and not record.cancel_asked:
--- a/pistachiodeal/batch/endings.py
+++ b/pistachiodeal/batch/endings.py
@@ -1,4 +1,4 @@
-"""Takes agents' words that an attempt is over, and acknowledges them."""
+"""Messages by which agents end or refuse attempts, and their acknowledgements."""
 
 from __future__ import annotations
 
@@ -6,20 +6,20 @@
 
 from logbook import Logger
 
-from pistachiodeal.batch.decisions import decide_end, is_current
-from pistachiodeal.batch.events import RequeueCause, Requeued
-from pistachiodeal.batch.host import HostContext, PartitionHost
+from pistachiodeal.batch.context import HostContext
+from pistachiodeal.batch.decisions import decide_end, decide_refusal, is_current
+from pistachiodeal.batch.host import PartitionHost
 from pistachiodeal.batch.protocols import Outgoing, WorkerSession
 from pistachiodeal.exceptions import Outcome
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.model.tasks import TaskRecord
 from pistachiodeal.platform.protocols import RunState
-from pistachiodeal.wire.messages import StartRefused, TaskAck, TaskEnded
+from pistachiodeal.wire.task_messages import StartRefused, TaskAck, TaskEnded
 
 log = Logger("batch")
 
 
-class EndingDesk:
+class EndHandler:
     """Journals the ends of attempts; acknowledges only what is durable."""
 
     def __init__(self, context: HostContext) -> None:
@@ -59,15 +59,12 @@
         self, host: PartitionHost, session: WorkerSession, refused: StartRefused
     ) -> None:
         """Requeue an attempt that its agent never started."""
-        self._context.board.note_refused(session.worker)
+        self._context.workers.note_refused(session.worker)
         self._context.metrics.count("batch.refused")
         record = host.state.find(refused.task_id)
         if not is_current(record, refused.attempt, session.worker):
             return
-        reason = f"{refused.code}: {refused.detail}"
-        event = Requeued(
-            refused.task_id, refused.attempt, RequeueCause.REFUSED, reason=reason
-        )
+        event = decide_refusal(refused)
         # A refusal is not repeated. Where it can't be journaled now, it is kept as
         # "over for certain"; otherwise the task would wait until its lease is over.
         run = host.runs.find(refused.task_id)
--- a/pistachiodeal/batch/events.py
+++ b/pistachiodeal/batch/events.py
@@ -19,6 +19,7 @@
     STOPPED = "stopped"  # evicted, or its worker was drained
     EXPIRED = "expired"  # its lease ran out
     REFUSED = "refused"  # it was never started
+    CHECKPOINT_MISSING = "checkpoint_missing"  # nor could it be, from that one
     LOST = "lost"  # its worker was not heard of until the lease was over
 
 
--- a/pistachiodeal/batch/gathering.py
+++ b/pistachiodeal/batch/gathering.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass, field
 from itertools import chain, zip_longest
 
+from pistachiodeal.batch.context import HostContext
 from pistachiodeal.batch.events import Failed
-from pistachiodeal.batch.host import HostContext, PartitionHost
+from pistachiodeal.batch.host import PartitionHost
 from pistachiodeal.batch.placement import Level, PendingTask
 from pistachiodeal.batch.waiting import Level as LevelKey
 from pistachiodeal.model.resources import Resources
@@ -75,12 +76,12 @@
             yield self._build(host, record)
 
     def _is_impossible(self, spec: TaskSpec) -> bool:
-        board = self._context.board
-        return board.settled and not board.could_fit(spec.declared)
+        workers = self._context.workers
+        return workers.settled and not workers.could_fit(spec.declared)
 
     def _note_impossible(self, host: PartitionHost, record: TaskRecord) -> None:
         spec = record.spec
-        reason = self._context.board.explain_misfit(spec.declared)
+        reason = self._context.workers.explain_misfit(spec.declared)
         failed = Failed(spec.task_id, record.attempt, reason)
         self._found.impossible.setdefault(host.owner.partition, []).append(failed)
 
@@ -102,7 +103,7 @@
             size = self._context.sizes.reserve(*key)
             # What was learnt is a wish: beside the services of every worker it may
             # never find room, while the declared size would.
-            if not self._context.board.could_start(size):
+            if not self._context.workers.could_start(size):
                 size = spec.declared
             self._sizes[key] = size
         return size
--- a/pistachiodeal/batch/host.py
+++ b/pistachiodeal/batch/host.py
@@ -3,58 +3,31 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
 
 import curio
 from logbook import Logger
 
 from pistachiodeal.batch.checkpoints import CheckpointCleaner
+from pistachiodeal.batch.context import HostContext
 from pistachiodeal.batch.events import Event, Placed, RequeueCause, Requeued
 from pistachiodeal.batch.journal import Append, Journal, Position
-from pistachiodeal.batch.membership import Membership, OwnerRow
+from pistachiodeal.batch.membership import OwnerRow
 from pistachiodeal.batch.partition import PartitionState
-from pistachiodeal.batch.protocols import Clock, Outgoing, ProfileLookup
+from pistachiodeal.batch.protocols import Outgoing
 from pistachiodeal.batch.runs import RunTable
+from pistachiodeal.batch.sender import Sender
 from pistachiodeal.batch.snapshots import SnapshotKeeper, fold_quietly
 from pistachiodeal.batch.watchers import Watchers
-from pistachiodeal.batch.workers import WorkerBoard
-from pistachiodeal.config.entry import EntrySettings
-from pistachiodeal.exceptions import LinkClosedError, Outcome
-from pistachiodeal.learning.health import WorkerHealth
-from pistachiodeal.learning.sizes import SizeModel
-from pistachiodeal.metrics import Metrics
-from pistachiodeal.model.policies import Profile
+from pistachiodeal.exceptions import Outcome
 from pistachiodeal.model.tasks import TaskRecord
-from pistachiodeal.platform.protocols import ObjectStore, Table
+from pistachiodeal.task_groups import run_until_one_ends
 
 log = Logger("batch")
 
-OUTBOX_MESSAGES = 10_000
 FOLD_CHECK_S = 1.0
 FLUSH_STEP_S = 0.01
 PAUSE_S = 1.0
-DEFAULT_PROFILE = Profile(name="default", latency_critical=False)
-
-
-@dataclass(frozen=True, slots=True)
-class HostContext:
-    """What all partitions of an entry share."""
-
-    settings: EntrySettings
-    table: Table
-    objects: ObjectStore
-    membership: Membership
-    board: WorkerBoard
-    sizes: SizeModel
-    health: WorkerHealth
-    profile_of: ProfileLookup
-    metrics: Metrics
-    clock: Clock
-
-    def find_profile(self, name: str) -> Profile:
-        """Return a profile, or the default if it has been retired."""
-        return self.profile_of(name) or DEFAULT_PROFILE
 
 
 class PartitionHost:
@@ -66,18 +39,17 @@
         self._owner = owner
         self._keeper = SnapshotKeeper(context.table, context.objects, owner.partition)
         self._cleaner = CheckpointCleaner(context.objects)
-        self._outbox: curio.Queue = curio.Queue(maxsize=OUTBOX_MESSAGES)
+        self._sender = Sender()
         self._journal: Journal | None = None
         self._locked: set[str] = set()
         self._closing = False
         self._paused_until = float("-inf")
-        self._failure: Exception | None = None
         self.state = PartitionState(lambda name: context.find_profile(name).urgency)
         self.watchers = Watchers()
         self.runs = RunTable(
             owner.partition,
             owner.epoch,
-            context.board,
+            context.workers,
             safety_s=batch.owner_lease_s + 2 * batch.margin_s,
             clock=context.clock,
         )
@@ -124,6 +96,9 @@
 
         Two decisions on one task can never both reach the journal. What this
         returns must go to :meth:`submit` with no await in between.
+
+        :param then: see :class:`Append`.
+        :param payload: see :class:`Append`.
         """
         names = [event.task_id for event in events]
         if not self.serving or not self._locked.isdisjoint(names):
@@ -157,7 +132,7 @@
 
     async def emit(self, outgoing: Outgoing) -> None:
         """Send a message after those that wait already."""
-        await self._outbox.put(outgoing)
+        await self._sender.put(outgoing)
 
     async def withdraw(self, append: Append) -> bool:
         """Take an append back if it is not on its way to the table yet."""
@@ -179,7 +154,7 @@
                 self._owner.epoch,
                 len(self.state),
             )
-            await self._serve(self._journal)
+            await run_until_one_ends(self._journal.run, self._sender.run, self._fold)
         finally:
             self._closing = True
             self.runs.clear()
@@ -192,7 +167,7 @@
     async def close(self, deadline: float) -> bool:
         """Take nothing new and wait for what is on its way to the journal.
 
-        :param deadline: on the context's clock.
+        :param deadline: on the context's clock, seconds.
         :returns: False when something is unsettled at the deadline.
         """
         self.stop_taking()
@@ -211,22 +186,6 @@
             **self.state.describe(),
         }
 
-    async def _serve(self, journal: Journal) -> None:
-        children = (journal.run, self._send, self._fold)
-        async with curio.TaskGroup(wait=any) as group:
-            for child in children:
-                await group.spawn(self._keep, child)
-        if self._failure is not None:
-            raise self._failure
-
-    async def _keep(self, child: Callable[[], Awaitable[None]]) -> None:
-        # A task group doesn't raise what a child raised; without this a fenced
-        # journal would look like a child that has done its work.
-        try:
-            await child()
-        except Exception as error:
-            self._failure = self._failure or error
-
     def _pause(self) -> None:
         # While the store is down, the rounds would otherwise try again at once and
         # all entries would come back in the same moment.
@@ -239,7 +198,7 @@
             self._context.table,
             Position(owner.partition, owner.epoch, owner.version, seq),
             self._apply,
-            self._outbox.put,
+            self._sender.put,
             self.watchers.wake_ended,
             group_s=self._context.settings.store.group_s,
         )
@@ -276,18 +235,6 @@
         else:
             self.runs.note_ended(task_id)
 
-    async def _send(self) -> None:
-        while True:
-            outgoing: Outgoing = await self._outbox.get()
-            message = outgoing.build()
-            if message is None:
-                outgoing.unsent()
-                continue
-            try:
-                await outgoing.session.send(message)
-            except LinkClosedError:
-                outgoing.unsent()
-
     async def _fold(self) -> None:
         rows = self._context.settings.batch.snapshot_rows
         while True:
--- a/pistachiodeal/batch/journal.py
+++ b/pistachiodeal/batch/journal.py
@@ -48,8 +48,10 @@
 
     :ivar outcome: None until settled; then ``ran`` (durable), ``not_run`` (no
         effect, for certain) or ``unknown``.
+    :ivar payload: size of what callers and tasks wrote into the events, characters.
     :ivar then: called without an await once settled, after the events were
         applied; returns the messages to be sent.
+    :ivar retry_after: after how many seconds another try makes sense.
     """
 
     events: tuple[Event, ...]
--- a/pistachiodeal/batch/membership.py
+++ b/pistachiodeal/batch/membership.py
@@ -9,7 +9,7 @@
 from logbook import Logger
 
 from pistachiodeal.batch.keys import ENTRY_PREFIX, PARTITION_PREFIX
-from pistachiodeal.batch.protocols import Clock
+from pistachiodeal.clock import Clock
 from pistachiodeal.exceptions import StoreError
 from pistachiodeal.platform.protocols import Row, Table, Write
 
@@ -50,6 +50,13 @@
 
 @dataclass(slots=True)
 class _Sight:
+    """When another entry's row was last seen to change.
+
+    :param stamp: its incarnation and beat.
+    :param changed_at: when it changed, own monotonic clock, seconds.
+    :param started_at: when this incarnation was first seen, same clock.
+    """
+
     stamp: tuple[int, int]
     changed_at: float
     started_at: float
@@ -101,7 +108,10 @@
         return self._owners.get(partition)
 
     def authority_until(self) -> float:
-        """Return when this entry's word as an owner ends, on its own clock."""
+        """Return when this entry's authority as an owner ends unless it beats again.
+
+        :returns: monotonic clock, seconds.
+        """
         return self._beat_until
 
     def has_authority(self, partition: int, epoch: int) -> bool:
--- a/pistachiodeal/batch/ownership.py
+++ b/pistachiodeal/batch/ownership.py
@@ -21,7 +21,7 @@
     build_owner_value,
     parse_owner,
 )
-from pistachiodeal.batch.protocols import Clock
+from pistachiodeal.clock import Clock
 from pistachiodeal.exceptions import StoreError, StoreUnavailableError
 from pistachiodeal.platform.protocols import ABSENT, Table, Write
 
--- a/pistachiodeal/batch/owning.py
+++ b/pistachiodeal/batch/owning.py
@@ -1,4 +1,4 @@
-"""Rounds of membership, and the partitions that this entry holds."""
+"""Rounds of heartbeats and take-overs, and the partitions this entry holds."""
 
 from __future__ import annotations
 
@@ -7,7 +7,8 @@
 import curio
 from logbook import Logger
 
-from pistachiodeal.batch.host import HostContext, PartitionHost
+from pistachiodeal.batch.context import HostContext
+from pistachiodeal.batch.host import PartitionHost
 from pistachiodeal.batch.membership import OwnerRow
 from pistachiodeal.batch.ownership import OwnershipPlanner, OwnershipWriter
 from pistachiodeal.exceptions import FencedError, StoreError
@@ -18,7 +19,10 @@
 
 
 class PartitionKeeper:
-    """Beats, looks, takes over and hands over; one task for each partition."""
+    """Beats, reads the others' rows, takes partitions over and hands them over.
+
+    Each partition that is held has a task of its own.
+    """
 
     def __init__(self, context: HostContext) -> None:
         self._context = context
@@ -68,7 +72,7 @@
         """
         if self._draining:
             return
-        await self._membership.beat(self._context.board.team_cpu)
+        await self._membership.beat(self._context.workers.team_cpu)
         await self._membership.look()
         await self._drop_lost()
         held = {p: host.owner.epoch for p, host in self._hosts.items()}
--- a/pistachiodeal/batch/partition.py
+++ b/pistachiodeal/batch/partition.py
@@ -27,6 +27,7 @@
 log = Logger("batch")
 
 KEPT_RECORDS = 10_000
+MAX_CHECKPOINT_MISSES = 3
 _EVICTIONS = (RequeueCause.STOPPED, RequeueCause.EXPIRED)
 
 
@@ -140,13 +141,17 @@
     def _apply_requeued(self, record: TaskRecord, event: Requeued) -> TaskRecord | None:
         if record.state is not TaskState.PLACED:
             return None
-        record.checkpoint = event.checkpoint or record.checkpoint
+        if event.checkpoint:
+            record.checkpoint = event.checkpoint
+            record.checkpoint_misses = 0
         record.reason = event.reason
         if event.cause is RequeueCause.FAILED:
             record.failures += 1
             record.failed_workers.append(record.worker)
         if event.cause in _EVICTIONS:
             record.evictions += 1
+        if event.cause is RequeueCause.CHECKPOINT_MISSING:
+            _note_missing_checkpoint(record)
         if record.cancel_asked:
             self._end(record, TaskState.CANCELLED)
             return record
@@ -201,6 +206,16 @@
         state.apply(event)
 
 
+def _note_missing_checkpoint(record: TaskRecord) -> None:
+    # An object that was lost for good would have the task placed and refused for
+    # ever, seen as refusals with no end and a task that never runs. A store may
+    # show an object late, so the work in it is given up only after some tries.
+    record.checkpoint_misses += 1
+    if record.checkpoint_misses >= MAX_CHECKPOINT_MISSES:
+        record.checkpoint = ""
+        record.checkpoint_misses = 0
+
+
 def _decode_record(item: dict[str, Any]) -> TaskRecord:
     fields = dict(item)
     fields["spec"] = decode_spec(fields["spec"])
--- a/pistachiodeal/batch/placer.py
+++ b/pistachiodeal/batch/placer.py
@@ -9,14 +9,16 @@
 import curio
 from logbook import Logger
 
+from pistachiodeal.batch.context import HostContext
 from pistachiodeal.batch.events import Placed, RequeueCause, Requeued
 from pistachiodeal.batch.gathering import gather_tasks
-from pistachiodeal.batch.host import HostContext, PartitionHost
+from pistachiodeal.batch.host import PartitionHost
 from pistachiodeal.batch.placement import Placement, Planner
 from pistachiodeal.batch.protocols import Outgoing, WorkerSession
 from pistachiodeal.batch.runs import PlacedRun
 from pistachiodeal.exceptions import Outcome
-from pistachiodeal.wire.messages import Message, Start
+from pistachiodeal.wire.messages import Message
+from pistachiodeal.wire.task_messages import Start
 
 log = Logger("batch")
 
@@ -62,7 +64,7 @@
         }
         if not any(host.state.waiting for host in hosts.values()):
             return
-        rooms = self._context.board.rooms()
+        rooms = self._context.workers.rooms()
         if not rooms:
             return
         gathered = gather_tasks(self._context, hosts, self._look_ahead)
@@ -105,7 +107,7 @@
         return {team: cores * MILLI for team, cores in quotas.items()}
 
     def _count_team_cpu(self) -> dict[str, int]:
-        total = dict(self._context.board.team_cpu)
+        total = dict(self._context.workers.team_cpu)
         me = self._context.membership.me.node
         for node, entry in self._context.membership.live_entries().items():
             if node == me:
@@ -138,7 +140,7 @@
             int(profile.task_lease_s * MILLI),
         )
         run = host.runs.add(placed, record.spec.team, durable=False)
-        return _Planned(run, self._context.board.find_session(placement.worker))
+        return _Planned(run, self._context.workers.find_session(placement.worker))
 
     async def _journal(self, host: PartitionHost, planned: Sequence[_Planned]) -> None:
         def finish(outcome: Outcome) -> Sequence[Outgoing]:
@@ -179,7 +181,7 @@
         """Return the start, unless authority, session or task has gone since."""
         placed = run.placed
         record = host.state.find(placed.task_id)
-        beat = self._context.board.latest_beat(session)
+        beat = self._context.workers.latest_beat(session)
         current = host.runs.find(placed.task_id) is run
         if beat is None or record is None or not current or not host.has_authority:
             return None
--- a/pistachiodeal/batch/protocols.py
+++ b/pistachiodeal/batch/protocols.py
@@ -10,7 +10,6 @@
 from pistachiodeal.wire.messages import Message, Report
 
 ProfileLookup = Callable[[str], Profile | None]
-Clock = Callable[[], float]
 
 
 class WorkerSession(Protocol):
--- a/pistachiodeal/batch/runs.py
+++ b/pistachiodeal/batch/runs.py
@@ -12,9 +12,10 @@
 from dataclasses import dataclass
 
 from pistachiodeal.batch.events import Placed
-from pistachiodeal.batch.protocols import Clock, WorkerSession
-from pistachiodeal.batch.workers import WorkerBoard
-from pistachiodeal.wire.messages import LeaseGrant, Stop, TaskRef
+from pistachiodeal.batch.protocols import WorkerSession
+from pistachiodeal.batch.workers import WorkerTable
+from pistachiodeal.clock import Clock
+from pistachiodeal.wire.task_messages import LeaseGrant, Stop, TaskRef
 
 ASK_AGAIN_S = 30.0
 GRACE_S = 5.0
@@ -28,7 +29,8 @@
     """An attempt that may be running.
 
     :param durable: False between the decision and its journal row.
-    :param over_at: from then on it certainly runs no more.
+    :param over_at: from then on it certainly runs no more, own monotonic clock,
+        seconds.
     :param sent_on: session on which its start was sent, None for one that an
         earlier owner placed.
     :param asked_on: session on which a stop was last sent, at ``asked_at``.
@@ -63,7 +65,7 @@
         self,
         partition: int,
         epoch: int,
-        board: WorkerBoard,
+        workers: WorkerTable,
         *,
         safety_s: float,
         clock: Clock,
@@ -74,7 +76,7 @@
         """
         self._partition = partition
         self._epoch = epoch
-        self._board = board
+        self._workers = workers
         self._safety_s = safety_s
         self._clock = clock
         self._runs: dict[str, PlacedRun] = {}
@@ -94,7 +96,7 @@
         run = PlacedRun(placed, team, self._extend(placed), durable)
         self._runs[placed.task_id] = run
         self._by_worker.setdefault(placed.worker, {})[placed.task_id] = run
-        self._board.add_run(placed.worker, run.key, placed.size, team)
+        self._workers.add_run(placed.worker, run.key, placed.size, team)
         return run
 
     def remove(self, task_id: str) -> None:
@@ -106,7 +108,7 @@
         del self._by_worker[worker][task_id]
         if not self._by_worker[worker]:
             del self._by_worker[worker]
-        self._board.remove_run(worker, run.key, run.team)
+        self._workers.remove_run(worker, run.key, run.team)
 
     def note_ended(self, task_id: str) -> None:
         """Forget an attempt whose own agent said that it is over."""
@@ -199,7 +201,7 @@
         for a checkpoint, which makes a wrong guess an eviction and no lost work.
         """
         new_here = self._clock() < self._taken_at + GRACE_S
-        if new_here or self._board.session_age(session) < GRACE_S:
+        if new_here or self._workers.session_age(session) < GRACE_S:
             return []
         runs = self._by_worker.get(session.worker, {})
         return [
--- a/pistachiodeal/batch/service.py
+++ b/pistachiodeal/batch/service.py
@@ -8,17 +8,19 @@
 
 from logbook import Logger
 
-from pistachiodeal.batch.admission import AdmissionDesk
+from pistachiodeal.batch.admission import TaskAdmission
 from pistachiodeal.batch.api import TaskApi
-from pistachiodeal.batch.endings import EndingDesk
+from pistachiodeal.batch.context import HostContext
+from pistachiodeal.batch.endings import EndHandler
 from pistachiodeal.batch.forward import Forwarder
-from pistachiodeal.batch.host import HostContext, PartitionHost
+from pistachiodeal.batch.host import PartitionHost
 from pistachiodeal.batch.keys import parse_partition
 from pistachiodeal.batch.membership import EntryRow, Membership
 from pistachiodeal.batch.owning import PartitionKeeper
 from pistachiodeal.batch.placer import Placer
-from pistachiodeal.batch.protocols import Clock, ProfileLookup, WorkerSession
-from pistachiodeal.batch.workers import WorkerBoard
+from pistachiodeal.batch.protocols import ProfileLookup, WorkerSession
+from pistachiodeal.batch.workers import WorkerTable
+from pistachiodeal.clock import Clock
 from pistachiodeal.config.entry import EntrySettings
 from pistachiodeal.exceptions import LinkClosedError, RequestError
 from pistachiodeal.learning.health import create_worker_health
@@ -32,13 +34,15 @@
 from pistachiodeal.wire.messages import (
     Directory,
     EntryAddress,
-    LeaseGrant,
     PartitionOwner,
     Refusal,
-    Renew,
     Report,
     Request,
     Response,
+)
+from pistachiodeal.wire.task_messages import (
+    LeaseGrant,
+    Renew,
     StartRefused,
     Stop,
     TaskEnded,
@@ -56,13 +60,13 @@
     def __init__(self, context: HostContext, forwarder: Forwarder) -> None:
         self._context = context
         self._forwarder = forwarder
-        self._board = context.board
+        self._workers = context.workers
         self._keeper = PartitionKeeper(context)
         self._placer = Placer(context, self._keeper.serving_hosts)
-        self._endings = EndingDesk(context)
+        self._endings = EndHandler(context)
         self._api = TaskApi(
             context,
-            AdmissionDesk(context),
+            TaskAdmission(context),
             forwarder,
             self._keeper.find_serving,
             context.membership.find_owner,
@@ -103,11 +107,11 @@
 
     def session_opened(self, session: WorkerSession) -> None:
         """Note a link from a worker's agent."""
-        self._board.open_session(session)
+        self._workers.open_session(session)
 
     def session_closed(self, session: WorkerSession) -> None:
         """Note that a link has gone."""
-        self._board.close_session(session)
+        self._workers.close_session(session)
 
     async def receive(
         self, session: WorkerSession, message: Report | StartRefused | TaskEnded
@@ -149,7 +153,7 @@
             "entries": sorted(membership.live_entries()),
             "authority_s": max(0.0, round(membership.authority_until() - now, 3)),
             "quarantined": list(self._context.health.quarantined(now)),
-            "team_cpu_milli": self._board.team_cpu,
+            "team_cpu_milli": self._workers.team_cpu,
         }
 
     def _find_host(self, task_id: str) -> PartitionHost | None:
@@ -157,7 +161,7 @@
         return None if partition is None else self._keeper.find_serving(partition)
 
     async def _answer_report(self, session: WorkerSession, report: Report) -> None:
-        if not self._board.note_report(session, report):
+        if not self._workers.note_report(session, report):
             return
         refs = self._group_refs(report.tasks)
         grants: list[LeaseGrant] = []
@@ -229,7 +233,7 @@
         table=table,
         objects=objects,
         membership=membership,
-        board=WorkerBoard(clock),
+        workers=WorkerTable(clock),
         sizes=create_size_model(),
         health=create_worker_health(),
         profile_of=profile_of,
--- a/pistachiodeal/batch/watchers.py
+++ b/pistachiodeal/batch/watchers.py
@@ -35,7 +35,10 @@
         await self.wake_ended()
 
     async def wait(self, task_id: str, timeout: float) -> None:
-        """Wait until the task ends, or the time is over."""
+        """Wait until the task ends, or the time is over.
+
+        :param timeout: seconds.
+        """
         if task_id not in self._events and len(self._counts) >= MAX_WATCHED:
             return
         event = self._events.setdefault(task_id, curio.Event())
--- a/pistachiodeal/batch/workers.py
+++ b/pistachiodeal/batch/workers.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 
 from pistachiodeal.batch.placement import WorkerRoom
-from pistachiodeal.batch.protocols import Clock, WorkerSession
+from pistachiodeal.batch.protocols import WorkerSession
+from pistachiodeal.clock import Clock
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.messages import Report
 
@@ -35,8 +36,12 @@
     teams: Counter[str] = field(default_factory=Counter)
 
 
-class WorkerBoard:
-    """Shared by all partitions of an entry, so that none places over another."""
+class WorkerTable:
+    """The workers linked to this entry, their room, and the runs placed there.
+
+    One table serves all partitions of an entry: with one each, two partitions
+    would give the same room away until the worker's next report.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -73,7 +78,10 @@
         return known.session if known else None
 
     def session_age(self, session: WorkerSession) -> float:
-        """Return since when a link is a worker's current one, 0 if it isn't."""
+        """Return for how many seconds a link has been a worker's current one.
+
+        :returns: 0 for a link that isn't.
+        """
         worker = self._workers.get(session.worker)
         if worker is None or worker.session is not session:
             return 0.0
--- a/pistachiodeal/claims/keeper.py
+++ b/pistachiodeal/claims/keeper.py
@@ -16,6 +16,7 @@
 from pistachiodeal.exceptions import Outcome, StoreError, StoreUnavailableError
 from pistachiodeal.platform.group import GroupCommitter, create_group_committer
 from pistachiodeal.platform.protocols import ABSENT, Table, Write
+from pistachiodeal.task_groups import run_until_one_ends
 from pistachiodeal.web.messages import WebResponse
 
 OPEN_LIMIT = 10_000
@@ -61,11 +62,7 @@
 
     async def run(self) -> None:
         """Write claims and what became of them, until cancelled."""
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._committer.run)
-            await group.spawn(self._outcomes.run)
-        if group.exception is not None:
-            raise group.exception
+        await run_until_one_ends(self._committer.run, self._outcomes.run)
 
     async def flush(self, timeout: float) -> bool:
         """Wait until every end of a claim is written; False when time ran out.
--- a/pistachiodeal/commands/histograms.py
+++ b/pistachiodeal/commands/histograms.py
@@ -4,11 +4,9 @@
 
 import argparse
 import sys
-from pathlib import Path
 from typing import Any
 
-import orjson
-
+from pistachiodeal.commands.documents import read_document
 from pistachiodeal.commands.entries import call_entry
 from pistachiodeal.commands.errors import CommandError, UsageError
 from pistachiodeal.commands.options import Context
@@ -52,7 +50,7 @@
 
 async def run_histograms(context: Context, args: argparse.Namespace) -> None:
     """Print the merged histograms of all entries and files named."""
-    documents = [_read_file(path) for path in args.file]
+    documents = [read_document(path, "a document of histograms") for path in args.file]
     documents += await _ask_entries(context, needed=not documents)
     merged = create_histograms(MERGED_LIMIT)
     for document in documents:
@@ -79,18 +77,6 @@
     return documents
 
 
-def _read_file(path: str) -> dict[str, Any]:
-    try:
-        document = orjson.loads(Path(path).read_bytes())
-    except OSError as error:
-        raise UsageError(f"{path}: {error.strerror}") from error
-    except orjson.JSONDecodeError as error:
-        raise UsageError(f"{path}: {error}") from error
-    if not isinstance(document, dict):
-        raise UsageError(f"{path}: is not a document of histograms")
-    return document
-
-
 def _merge(merged: Histograms, document: dict[str, Any], by: str) -> None:
     rows = []
     for row in document.get("histograms", ()):
--- a/pistachiodeal/commands/profile_fields.py
+++ b/pistachiodeal/commands/profile_fields.py
@@ -4,12 +4,12 @@
 
 import argparse
 from collections.abc import Mapping
-from pathlib import Path
 from typing import Any
 
 import orjson
 from pydantic import ValidationError
 
+from pistachiodeal.commands.documents import read_document
 from pistachiodeal.commands.errors import UsageError
 from pistachiodeal.config.load import format_path
 from pistachiodeal.model.policies import Profile
@@ -46,7 +46,7 @@
     """
     fields: dict[str, Any] = {}
     if args.file is not None:
-        fields.update(_read_file(args.file))
+        fields.update(read_document(args.file, "a JSON object"))
     for dest, value in vars(args).items():
         if dest.startswith(DEST_PREFIX):
             fields[dest.removeprefix(DEST_PREFIX)] = value
@@ -70,15 +70,3 @@
             for fault in error.errors(include_url=False, include_input=False)
         ]
         raise UsageError("\n".join(faults)) from error
-
-
-def _read_file(path: str) -> dict[str, Any]:
-    try:
-        document = orjson.loads(Path(path).read_bytes())
-    except OSError as error:
-        raise UsageError(f"{path}: {error.strerror}") from error
-    except orjson.JSONDecodeError as error:
-        raise UsageError(f"{path}: {error}") from error
-    if not isinstance(document, dict):
-        raise UsageError(f"{path}: is not a JSON object")
-    return document
--- a/pistachiodeal/entry/inbox.py
+++ b/pistachiodeal/entry/inbox.py
@@ -8,7 +8,8 @@
 
 from pistachiodeal.entry.protocols import TaskService
 from pistachiodeal.entry.sessions import Session
-from pistachiodeal.wire.messages import Report, StartRefused, TaskEnded
+from pistachiodeal.wire.messages import Report
+from pistachiodeal.wire.task_messages import StartRefused, TaskEnded
 
 INBOX_LIMIT = 1024
 
--- a/pistachiodeal/entry/links.py
+++ b/pistachiodeal/entry/links.py
@@ -43,9 +43,8 @@
     Report,
     Request,
     Response,
-    StartRefused,
-    TaskEnded,
 )
+from pistachiodeal.wire.task_messages import StartRefused, TaskEnded
 
 log = Logger("entry")
 
--- a/pistachiodeal/entry/protocols.py
+++ b/pistachiodeal/entry/protocols.py
@@ -6,15 +6,8 @@
 
 from pistachiodeal.batch.protocols import WorkerSession
 from pistachiodeal.web.messages import WebRequest, WebResponse
-from pistachiodeal.wire.messages import (
-    Directory,
-    Refusal,
-    Report,
-    Request,
-    Response,
-    StartRefused,
-    TaskEnded,
-)
+from pistachiodeal.wire.messages import Directory, Refusal, Report, Request, Response
+from pistachiodeal.wire.task_messages import StartRefused, TaskEnded
 
 
 class TaskService(Protocol):
--- a/pistachiodeal/platform/group.py
+++ b/pistachiodeal/platform/group.py
@@ -8,90 +8,28 @@
 from collections.abc import Sequence
 
 import curio
-import logbook
 
 from pistachiodeal.exceptions import (
     StoreError,
     StoreUnavailableError,
     StoreUncertainError,
 )
-from pistachiodeal.platform.protocols import (
-    ANY_VERSION,
-    CommitResult,
-    Row,
-    Table,
-    Write,
+from pistachiodeal.platform.protocols import ANY_VERSION, CommitResult, Table, Write
+from pistachiodeal.platform.tickets import (
+    Ticket,
+    build_result,
+    is_in_force,
+    join_writes,
+    reject_all,
+    resolve_all,
 )
+from pistachiodeal.task_groups import run_until_one_ends
 
 LANES = 4
 QUEUE_LIMIT = 10_000
 SETTLE_TRIES = 3
 PAUSE_S = 0.05
 
-log = logbook.Logger("pistachiodeal.platform")
-
-
-class Ticket:
-    """One small transaction on its way.
-
-    :ivar sent: some commit that holds it was handed to the table; until then it
-        can be withdrawn without effect.
-    """
-
-    def __init__(self, writes: tuple[Write, ...]) -> None:
-        self._done = curio.Event()
-        self._result: CommitResult | None = None
-        self._error: StoreError | None = None
-        self.writes = writes
-        self.sent = False
-        self.withdrawn = False
-
-    @property
-    def answered(self) -> bool:
-        """Tell whether :meth:`wait` returns at once."""
-        return self._done.is_set()
-
-    @property
-    def rows(self) -> int:
-        """Return how many rows this transaction adds to a commit."""
-        return len(self.writes)
-
-    @property
-    def keys(self) -> frozenset[str]:
-        """Return the keys of its rows."""
-        return frozenset(write.key for write in self.writes)
-
-    def withdraw(self) -> bool:
-        """Keep it from being sent; False when it was sent already."""
-        self.withdrawn = not self.sent
-        return self.withdrawn
-
-    async def wait(self) -> CommitResult:
-        """Return the result.
-
-        :raises StoreUnavailableError: it took no effect and never will.
-        :raises StoreUncertainError: it may have taken effect, or still may.
-        """
-        await self._done.wait()
-        if self._error is not None:
-            raise self._error
-        assert self._result is not None
-        return self._result
-
-    async def resolve(self, result: CommitResult) -> None:
-        """Answer with a result; later answers are ignored."""
-        if self.answered:
-            return
-        self._result = result
-        await self._done.set()
-
-    async def reject(self, error: StoreError) -> None:
-        """Answer with an error; later answers are ignored."""
-        if self.answered:
-            return
-        self._error = error
-        await self._done.set()
-
 
 class GroupCommitter:
     """Joins small transactions into commits, and answers each by itself.
@@ -149,11 +87,7 @@
 
     async def run(self) -> None:
         """Commit what is queued, until cancelled."""
-        async with curio.TaskGroup(wait=any) as lanes:
-            for _ in range(LANES):
-                await lanes.spawn(self._run_lane)
-        if lanes.exception is not None:
-            raise lanes.exception
+        await run_until_one_ends(*[self._run_lane] * LANES)
 
     async def _run_lane(self) -> None:
         while True:
@@ -294,46 +228,6 @@
         raise ValueError("write is not conditional")
 
 
-def join_writes(tickets: Sequence[Ticket]) -> list[Write]:
-    """Return the writes of all tickets as one transaction."""
-    return [write for ticket in tickets for write in ticket.writes]
-
-
-def is_in_force(ticket: Ticket, rows: dict[str, Row]) -> bool:
-    """Tell whether every value of a transaction is what the table holds."""
-    for write in ticket.writes:
-        if write.check_only or write.value is None:
-            continue
-        row = rows.get(write.key)
-        if row is None or row.value != write.value:
-            return False
-    return True
-
-
-def build_result(ticket: Ticket, rows: dict[str, Row]) -> CommitResult:
-    """Return a transaction's result from the rows that were read back."""
-    return CommitResult(
-        versions={key: rows[key].version for key in ticket.keys if key in rows}
-    )
-
-
-async def resolve_all(tickets: Sequence[Ticket], result: CommitResult) -> None:
-    """Answer each ticket with its own part of a commit's result."""
-    for ticket in tickets:
-        own = {k: v for k, v in result.versions.items() if k in ticket.keys}
-        await ticket.resolve(CommitResult(versions=own))
-
-
-async def reject_all(tickets: Sequence[Ticket], error: StoreError | None) -> None:
-    """Answer all tickets with one error."""
-    if not tickets:
-        return
-    cause = error or StoreUncertainError("commit not settled", step="group.commit")
-    log.debug("platform: {} grouped transactions failed: {}", len(tickets), cause)
-    for ticket in tickets:
-        await ticket.reject(cause)
-
-
 def create_group_committer(
     table: Table, *, group_s: float, group_rows: int, pause_s: float = PAUSE_S
 ) -> GroupCommitter:
--- /dev/null
+++ b/pistachiodeal/task_groups.py
@@ -0,0 +1,34 @@
+"""Curio tasks that live and end together."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import curio
+
+Child = Callable[[], Awaitable[None]]
+
+
+async def run_until_one_ends(*children: Child) -> None:
+    """Run children side by side; when one ends, cancel the others.
+
+    :raises Exception: what the first child that failed has raised.
+    """
+    failures: list[Exception] = []
+
+    # Leaving a task group doesn't raise what a child raised: a fenced journal, or
+    # a worker that another agent has, would look like a child that has done its
+    # work. Curio also writes a trace of each such child to standard error.
+    async def keep(child: Child) -> None:
+        try:
+            await child()
+        except Exception as error:
+            failures.append(error)
+
+    async with curio.TaskGroup(wait=any) as group:
+        for child in children:
+            await group.spawn(keep, child)
+    if failures:
+        raise failures[0]
+    if group.exception is not None:
+        raise group.exception
--- a/pistachiodeal/wire/codec.py
+++ b/pistachiodeal/wire/codec.py
@@ -14,7 +14,8 @@
 import capnp
 
 from pistachiodeal.exceptions import FrameTooLargeError, ProtocolError
-from pistachiodeal.wire.messages import Headers, Message
+from pistachiodeal.wire.handshake_messages import Challenge, Hello, Welcome
+from pistachiodeal.wire.messages import Headers, Message, Request, Response
 
 LENGTH_BYTES = 4
 # Set in a frame's length: the message is packed (its zero bytes are left out).
@@ -122,11 +123,11 @@
 
 # The handshake is plain, so that a stranger cannot make us unpack anything.
 PLAIN_MESSAGES = (
-    messages.Challenge,
-    messages.Hello,
-    messages.Welcome,
-    messages.Request,
-    messages.Response,
+    Challenge,
+    Hello,
+    Welcome,
+    Request,
+    Response,
 )
 _TAGS = {cls: _to_tag(cls) for cls in get_args(Message)}
 _CLASSES = {tag: _get_converter(cls) for cls, tag in _TAGS.items()}
--- a/pistachiodeal/wire/task_messages.py
+++ b/pistachiodeal/wire/task_messages.py
@@ -6,6 +6,8 @@
 
 from pistachiodeal.model.resources import Resources
 
+UNKNOWN_RUN = "unknown_run"
+
 
 @dataclass(frozen=True, slots=True)
 class TaskRef:
@@ -87,7 +89,7 @@
     """Agent to owner, repeated until acknowledged: the run is over for certain.
 
     :param state: a :class:`pistachiodeal.platform.protocols.RunState` that is
-        not running, or ``unknown_run`` when the worker never had it.
+        not running, or :data:`UNKNOWN_RUN` when the worker never had it.
     :param checkpoint: object key to resume from, empty for none.
     :param used: largest use seen, by which sizes are learnt.
     """
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -220,10 +220,14 @@
         self._control(process, "/faults", switches, "port")
 
     def set_relay(
-        self, process: Process, mode: str, existing_only: bool = False
+        self,
+        process: Process,
+        mode: str,
+        existing_only: bool = False,
+        oldest: int | None = None,
     ) -> None:
-        """Set the mode of a relay."""
-        asked = {"mode": mode, "existing_only": existing_only}
+        """Set the mode of a relay, or of its oldest connections."""
+        asked = {"mode": mode, "existing_only": existing_only, "oldest": oldest}
         self._control(process, "/mode", asked, "control")
 
     def record(self, process: Process, label: str = "port") -> dict[str, Any]:
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -12,6 +12,8 @@
 from tests.scenarios.steps.deployment import *  # noqa: F403
 from tests.scenarios.steps.faults import *  # noqa: F403
 from tests.scenarios.steps.operators import *  # noqa: F403
+from tests.scenarios.steps.outages import *  # noqa: F403
+from tests.scenarios.steps.platform import *  # noqa: F403
 from tests.scenarios.steps.tasks import *  # noqa: F403
 from tests.scenarios.world import World
 
--- a/tests/scenarios/features/at_most_once.feature
+++ b/tests/scenarios/features/at_most_once.feature
@@ -70,3 +70,85 @@
     When "again" is sent as POST "/orders/b" with key "k7" until it runs
     Then "again" ends with status 200
     And the runners ran key "k7" once
+
+  Scenario: The entry is killed before its claim is written
+    Given 2 entries and 1 worker with 2 slots
+    When the table holds "commit/claim"
+    And "first" is sent as POST "/orders/a" with key "k8" through "e1" in the background
+    And the table has met such a call
+    And entry "e1" is killed
+    And the table drops what it held
+    Then "first" got no answer
+    And the runners never saw "first"
+    When "again" is sent as POST "/orders/a" with key "k8" through "e2" until the store answers
+    Then "again" ends with status 200
+    And the runners ran key "k8" once
+
+  Scenario Outline: The entry is killed between claim and dispatch
+    Given 2 entries and 1 worker with 2 slots
+    When the table <fault> "<calls>"
+    And "first" is sent as POST "/orders/a" with key "k9" through "e1" in the background
+    And the table has met such a call
+    And entry "e1" is killed
+    And the table carries out what it held
+    Then "first" got no answer
+    When entry "e1" is started
+    And key "k9" is sent again as POST "/orders/a" through every entry, 3 times
+    Then every repeat of "k9" ends with outcome "unknown"
+    And the runners never saw key "k9"
+
+    Examples:
+      | fault                | calls              |
+      | holds                | commit/claim       |
+      | holds the answers to | commit/claim, read |
+
+  Scenario Outline: The entry is killed after the answer, before it is recorded
+    Given 2 entries and 1 worker with 2 slots
+    When "first" is sent as POST "/orders/a?work_s=0.5" with key "k10" through "e1" in the background
+    And the runners have begun "first"
+    And the table holds "commit/claim"
+    Then "first" ends with status 200
+    When the table has met such a call
+    And entry "e1" is killed
+    And the table <then> what it held
+    And entry "e1" is started
+    And key "k10" is sent again as POST "/orders/a?work_s=0.5" through every entry, 2 times
+    Then every repeat of "k10" ends with <end>
+    And the runners ran key "k10" once
+
+    Examples:
+      | then        | end                   |
+      | drops       | outcome "unknown"     |
+      | carries out | the answer of "first" |
+
+  Scenario: A caller asks again and again after "unknown", through every entry
+    Given 3 entries and 2 workers with 2 slots
+    When "cut" is sent as POST "/orders/a?work_s=1.0" with key "k11" in the background
+    And the runners have begun "cut"
+    And the agent that serves "cut" is killed
+    Then "cut" ends with outcome "unknown"
+    When key "k11" is sent again as POST "/orders/a?work_s=1.0" through every entry, 5 times
+    Then every repeat of "k11" ends with outcome "unknown"
+    And the runners ran key "k11" once
+
+  Scenario Outline: The release of a refused request's key meets a fault
+    Given 2 entries and 1 worker with 1 slot
+    When "slow" is sent as POST "/orders/a?work_s=2.0" in the background
+    And the runners have begun "slow"
+    And "first" is sent as POST "/orders/b" with key "k12" and a deadline of 800 ms in the background
+    And the table has a claim
+    And the table <fault> "commit/claim"
+    Then "first" ends with outcome "not_run"
+    When the table has met such a call
+    And the table is well again
+    Then "slow" ends with status 200
+    When "again" is sent as POST "/orders/b" with key "k12" through "e2" until it runs
+    Then "again" ends with status 200
+    And the runners never saw "first"
+    And the runners ran key "k12" once
+
+    Examples:
+      | fault                |
+      | loses the answers to |
+      | holds the answers to |
+      | refuses              |
--- a/tests/scenarios/features/eviction.feature
+++ b/tests/scenarios/features/eviction.feature
@@ -53,3 +53,72 @@
     And task "t" is cancelled
     Then every task ends as its worker's record says
     And no task ran in two places at once
+
+  Scenario Outline: The agent is killed in the middle of a step, then started again
+    Given 1 entry and 2 workers with 1 slot
+    When task "t" of 2.0 s is submitted
+    And task "t" runs
+    And the <place> <fault> "<call>"
+    And the worker that runs task "t" leaves for good
+    And the <place> has met such a call
+    And the agent that waits is killed
+    And the <place> is well again
+    And the agent that waits is started again
+    Then task "t" ends as "finished"
+    And task "t" was finished once
+    And no task ran in two places at once
+
+    Examples:
+      | place        | fault                | call           |
+      | runtime      | holds                | checkpoint     |
+      | object store | holds                | put            |
+      | object store | holds the answers to | put            |
+      | runtime      | holds                | stop           |
+      | runtime      | holds the answers to | stop           |
+      | table        | holds                | commit/journal |
+      | table        | holds the answers to | commit/journal |
+      | runtime      | holds                | start          |
+      | runtime      | holds the answers to | start          |
+
+  Scenario Outline: The owner is killed while it queues the task again
+    Given 2 entries and 2 workers with 1 slot
+    When task "t" of 2.0 s is submitted
+    And task "t" runs
+    And the table <fault> "commit/journal"
+    And the worker that runs task "t" leaves for good
+    And the table has met such a call
+    And the entry that owns task "t" is killed
+    And the table <then> what it held
+    Then task "t" ends as "finished"
+    And task "t" was finished once
+    And no task ran in two places at once
+
+    Examples:
+      | fault                | then        |
+      | holds                | drops       |
+      | holds                | carries out |
+      | holds the answers to | carries out |
+
+  Scenario Outline: A step is refused, or its answer is lost
+    Given 1 entry and 2 workers with 1 slot
+    When task "t" of 2.0 s is submitted
+    And task "t" runs
+    And the <place> <fault> "<call>"
+    And the worker that runs task "t" leaves for good
+    And the <place> has met such a call
+    And the <place> is well again
+    Then task "t" ends as "finished"
+    And task "t" resumed from its checkpoint
+    And task "t" was finished once
+    And no task ran in two places at once
+
+    Examples:
+      | place        | fault                | call           |
+      | runtime      | refuses              | checkpoint     |
+      | runtime      | loses the answers to | checkpoint     |
+      | object store | loses the answers to | put            |
+      | runtime      | refuses              | stop           |
+      | runtime      | loses the answers to | stop           |
+      | table        | refuses              | commit/journal |
+      | runtime      | refuses              | start          |
+      | runtime      | loses the answers to | start          |
--- a/tests/scenarios/features/not_run.feature
+++ b/tests/scenarios/features/not_run.feature
@@ -57,3 +57,23 @@
     When 12 tasks "c" of 0.2 s are submitted and each is cancelled at once
     Then every task ends as its worker's record says
     And no task ran in two places at once
+
+  Scenario: The answer is lost on a silent link
+    Given 1 entry and 1 worker with 2 slots, with relays to the entries
+    When "cut" is sent as POST "/orders/a?work_s=1.0" in the background
+    And the runners have begun "cut"
+    And the existing links go silent
+    Then "cut" ends with outcome "unknown"
+    And the runners ran "cut" once
+
+  Scenario: The answer to a read is lost on a silent link, another worker gives it
+    Given 1 entry and 2 workers with 2 slots, with relays to the entries
+    When the agent of "w2" is killed
+    And "cut" is sent as GET "/orders/a?work_s=5.0" with a deadline of 15000 ms in the background
+    And the runners have begun "cut"
+    And the agent of "w2" is started
+    And entry "e1" sees 2 workers
+    And the oldest link to "e1" goes silent
+    Then "cut" ends with status 200
+    And the runners of "w1" ran "cut" 1 times
+    And the runners of "w2" ran "cut" 1 times
--- a/tests/scenarios/features/one_place.feature
+++ b/tests/scenarios/features/one_place.feature
@@ -86,3 +86,42 @@
     Then task "t" ends as "finished"
     And task "t" was finished once
     And no task ran in two places at once
+
+  Scenario: Two owners in a row are cut off from the store, and both believe they own
+    Given 2 entries and 2 workers with 1 slot, with relays to the table
+    When task "t" of 6.0 s is submitted
+    And task "t" runs
+    And the owner of task "t" is cut off from the table
+    And another entry owns task "t"
+    And the owner of task "t" is cut off from the table
+    And the cut entry reaches the table again
+    And another entry owns task "t"
+    And the cut entry reaches the table again
+    Then task "t" ends as "finished"
+    And task "t" was finished once
+    And no task ran in two places at once
+
+  Scenario: The agent is frozen between asking for the start and its answer
+    Given 1 entry and 2 workers with 1 slot
+    When the runtime holds "start"
+    And task "t" of 3.0 s is submitted
+    And the runtime has met such a call
+    And the agent that waits is frozen
+    And the runtime carries out what it held
+    And task "t" runs
+    And task "t" runs elsewhere
+    And the frozen agent is thawed
+    Then task "t" ends as "finished"
+    And task "t" was finished once
+    And no task ran in two places at once
+
+  Scenario: All agents are frozen as soon as a task is submitted
+    Given 1 entry and 2 workers with 1 slot
+    When task "t" of 1.0 s is submitted
+    And the agents are frozen
+    Then entry "e1" gives "w1" up within 3 s
+    And entry "e1" gives "w2" up within 3 s
+    When the frozen agents are thawed
+    Then task "t" ends as "finished"
+    And task "t" was finished once
+    And no task ran in two places at once
--- a/tests/scenarios/features/outage.feature
+++ b/tests/scenarios/features/outage.feature
@@ -16,3 +16,30 @@
     Given 1 entry and 1 worker with 2 slots
     When the table is slow by 20 s
     Then 50 requests are answered without a failure
+
+  Scenario: What needs the store is refused at once, also by an entry that restarts
+    Given 2 entries and 1 worker with 2 slots
+    When the table is down
+    Then a key, a task and a profile change are each refused at once with a time to come back
+    When entry "e1" is killed
+    And entry "e1" is started
+    Then requests are answered again
+    And 50 requests are answered without a failure
+    And a key, a task and a profile change are each refused at once with a time to come back
+    When the table is up
+    And "first" is sent as POST "/orders/a" with key "k1" until it runs
+    Then "first" ends with status 200
+    And the runners ran key "k1" once
+
+  Scenario: Recovery does not come as one wave
+    Given 2 entries and 2 workers of 8 cores with 2 slots
+    When the table is down
+    And 120 callers with tasks and 60 with keys ask until the table is up
+    And every one of them was refused
+    And the table is up
+    Then each of them was served exactly once
+    And all tasks end as "finished"
+    And no task was started more than once
+    And no worker was given more than it holds
+    # Two journals and two entries' claims, each a commit every 5 ms at most.
+    And the table saw fewer commits than callers after it, and at most 80 in any 100 ms
--- a/tests/scenarios/features/planned_stop.feature
+++ b/tests/scenarios/features/planned_stop.feature
@@ -48,3 +48,18 @@
     Then every caller got the whole answer to their own request
     And task "t" ends as "finished"
     And no task ran in two places at once
+
+  Scenario: A slow body is still on its way when the stop is asked for
+    Given 1 entry and 1 worker with 2 slots
+    When a caller sends half of a request to "e1"
+    And entry "e1" is asked to stop
+    And entry "e1" has logged "drain"
+    Then the request is answered once the caller has sent the rest
+    And entry "e1" has ended with status 0
+
+  Scenario: An agent is stopped under load
+    Given 2 entries and 2 workers with 4 slots
+    When callers send requests through all entries without pause
+    And the agent of "w1" is asked to stop
+    And the agent of "w1" has ended with status 0
+    Then every caller got the whole answer to their own request
--- a/tests/scenarios/features/profiles.feature
+++ b/tests/scenarios/features/profiles.feature
@@ -43,3 +43,22 @@
     And the profile "counter" is revised to promise 666 ms through "e1"
     Then the revision was accepted
     And the change is in force on every entry
+
+  Scenario: Two operators revise different profiles
+    Given 2 entries and 1 worker with 1 slot
+    Then two operators who revise different profiles at once both win, 5 times
+
+  Scenario: An entry that was cut off comes back with an old version
+    Given 2 entries and 2 workers with 1 slot, with relays to the table and entries
+    When the link between "e2" and the table is cut
+    And the link between "e2" and the agents is cut
+    And the profile "counter" is revised to promise 777 ms through "e1"
+    Then the change is in force on every agent
+    When the agents' promises are watched from now on
+    And the link between "e2" and the agents is back
+    Then the change is in force on "e2" through agents
+    When the link between "e2" and the table is back
+    And "plain" is sent as GET "/orders/a" through "e2"
+    Then "plain" ends with status 200
+    And the change is in force on every entry
+    And no agent went back to an earlier promise
--- a/tests/scenarios/load.py
+++ b/tests/scenarios/load.py
@@ -47,7 +47,7 @@
         case = f"caller-{self._number}-{count}"
         body = case.encode() * self._random.randint(0, 50)
         size = self._random.choice(SIZES)
-        method = self._random.choice(("GET", "PUT"))
+        method = self._random.choice(("GET", "PUT", "POST"))
         target = f"/orders/{case}?size={size}&work_s={self._random.random() / 50:.4f}"
         headers = {"x-case": case, "pistachiodeal-deadline-ms": DEADLINE_MS}
         try:
--- a/tests/scenarios/steps/callers.py
+++ b/tests/scenarios/steps/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import http.client
 import json
 import socket
@@ -21,11 +22,12 @@
     r'(?: with key "(?P<key>\w+)")?'
     r"(?: (?:with|and) a deadline of (?P<deadline>\d+) ms)?"
     r'(?: through "(?P<entry>\w+)")?'
-    r"(?P<how> in the background| until it runs)?"
+    r"(?P<how> in the background| until it runs| until the store answers)?"
 )
 RETRIES = 200
 RETRY_PAUSE_S = 0.1
 GRACE_S = 3.0
+HALF = 20_000
 PROBLEM = "application/problem+json"
 
 
@@ -48,17 +50,48 @@
         if how == " in the background":
             return
         sent.finish()
-        if how != " until it runs" or not must_retry(sent):
+        if not must_retry(sent, how):
             return
         time.sleep(RETRY_PAUSE_S)
 
 
-def must_retry(sent: Sent) -> bool:
+def must_retry(sent: Sent, how: str | None) -> bool:
     """Tell whether a caller would ask again with the same key."""
+    if not how:
+        return False
     reply = sent.answer()
+    if how == " until the store answers":
+        return reply.status == 503
     return reply.outcome == "not_run" or reply.status == 409
 
 
+@when(
+    parsers.parse(
+        'key "{key}" is sent again as POST "{target}" '
+        "through every entry, {count:d} times"
+    )
+)
+def send_again(world: World, key: str, target: str, count: int) -> None:
+    how = " until the store answers"
+    for number in range(count * len(world.entries)):
+        entry = world.entries[number % len(world.entries)]
+        send(world, f"repeat_{key}_{number}", "POST", target, key, "", entry, how)
+
+
+@then(
+    parsers.re(
+        r'every repeat of "(?P<key>\w+)" ends with '
+        r'(?P<kind>outcome|the answer of) "(?P<wanted>\w+)"'
+    )
+)
+def check_repeats(world: World, key: str, kind: str, wanted: str) -> None:
+    names = [name for name in world.sent if name.startswith(f"repeat_{key}_")]
+    assert names
+    check = check_outcome if kind == "outcome" else check_same_answer
+    for name in names:
+        check(world, name, wanted)
+
+
 @when(parsers.parse('the runners have begun "{name}"'))
 def wait_begun(world: World, name: str) -> None:
     wait_until(lambda: world.executions(case=name), f"{name} begins")
@@ -110,6 +143,12 @@
     assert world.executions(case=name) == []
 
 
+@then(parsers.parse('the runners of "{worker}" ran "{name}" {count:d} times'))
+def check_ran_at(world: World, worker: str, name: str, count: int) -> None:
+    runner = f"{SERVICE}-{worker}"
+    assert len(world.executions(case=name, runner=runner)) == count
+
+
 @then(parsers.parse('the runners ran "{name}" once'))
 def check_ran_once(world: World, name: str) -> None:
     assert len(world.executions(case=name)) == 1
@@ -120,6 +159,11 @@
     assert len(world.executions(key=key)) == 1
 
 
+@then(parsers.parse('the runners never saw key "{key}"'))
+def check_key_never_ran(world: World, key: str) -> None:
+    assert world.executions(key=key) == []
+
+
 @when(
     parsers.parse(
         '{count:d} callers send POST "{target}" with key "{key}" '
@@ -270,6 +314,29 @@
     assert response.getheader("connection") == "close"
 
 
+@when(parsers.parse('a caller sends half of a request to "{entry}"'))
+def send_half(world: World, entry: str) -> None:
+    host, _, port = world.address(entry).rpartition(":")
+    sock = socket.create_connection((host, int(port)), timeout=10)
+    head = f"POST /orders/half HTTP/1.1\r\nhost: a\r\ncontent-length: {2 * HALF}\r\n"
+    sock.sendall(f"{head}x-case: half\r\nexpect: 100-continue\r\n\r\n".encode())
+    go_on = b""
+    while not go_on.endswith(b"\r\n\r\n"):
+        go_on += sock.recv(1)
+    assert go_on.startswith(b"HTTP/1.1 100 "), go_on
+    sock.sendall(b"h" * HALF)
+    world.notes["half"] = sock
+
+
+@then("the request is answered once the caller has sent the rest")
+def send_rest(world: World) -> None:
+    with world.notes["half"] as sock:
+        sock.sendall(b"h" * HALF)
+        answer = read_answer(sock)
+    assert answer["case"] == "half"
+    assert answer["sha"] == hashlib.sha256(b"h" * HALF * 2).hexdigest()
+
+
 @then(
     parsers.parse('the runners of "{worker}" are handed nothing more after {limit:d} s')
 )
--- a/tests/scenarios/steps/deployment.py
+++ b/tests/scenarios/steps/deployment.py
@@ -11,7 +11,7 @@
 SHAPE = (
     r"(?P<entries>\d+) entr(?:y|ies) and (?P<workers>\d+) workers?"
     r"(?: of (?P<cores>\d+) cores)? with (?P<slots>\d+) slots?"
-    r"(?:, with relays to the (?P<relays>table|entries))?"
+    r"(?:, with relays to the (?P<relays>table and entries|table|entries))?"
 )
 TASK_LEASE_S = 2.0
 
@@ -40,10 +40,10 @@
     cluster = world.cluster
     overrides = {}
     table = None
-    if relays == "table" and f"table-{name}" not in world.relays:
+    if "table" in relays and f"table-{name}" not in world.relays:
         relay = cluster.start_relay(cluster["table"], name=f"relay-table-{name}")
         world.relays[f"table-{name}"] = relay
-    if relays == "entries" and name not in world.relays:
+    if "entries" in relays and name not in world.relays:
         # The relay's address is what the entry tells its peers, so the entry's
         # own port has to be known first.
         entry = cluster.start_entry(name)
--- a/tests/scenarios/steps/faults.py
+++ b/tests/scenarios/steps/faults.py
@@ -105,6 +105,19 @@
     world.cluster[f"{SERVICE}-{run['worker']}"].kill()
 
 
+@when("the agents are frozen")
+def freeze_agents(world: World) -> None:
+    freeze(world, *[f"agent-{worker}" for worker in world.workers])
+
+
+@when(parsers.parse('the link between "{entry}" and {peers} is {mode}'))
+def set_links(world: World, entry: str, peers: str, mode: str) -> None:
+    relay = world.relays[f"table-{entry}" if peers == "the table" else entry]
+    modes = {"silent": "silent", "cut": "refuse", "back": "pass"}
+    world.cluster.set_relay(relay, modes[mode])
+
+
+@when("the frozen agents are thawed")
 @when("the frozen agent is thawed")
 @when("the frozen worker and agent are thawed")
 @when("the frozen entry is thawed")
@@ -128,13 +141,15 @@
 def cut_owner(world: World) -> None:
     owner = world.owner("t")
     world.notes["owner"] = owner
+    world.notes.setdefault("cut", []).append(owner)
     world.cluster.set_relay(world.relays[f"table-{owner}"], "refuse")
     halt(world, owner)
 
 
 @when("the cut entry reaches the table again")
 def join_owner(world: World) -> None:
-    owner = world.notes["owner"]
+    # Of several, the one that was cut off first.
+    owner = world.notes["cut"].pop(0)
     world.cluster.set_relay(world.relays[f"table-{owner}"], "pass")
     world.notes["halted"].discard(owner)
 
@@ -174,6 +189,11 @@
     assert world.cluster[entry].wait_end() == status
 
 
+@when(parsers.parse('the agent of "{worker}" has ended with status {status:d}'))
+def agent_has_ended(world: World, worker: str, status: int) -> None:
+    assert world.cluster[f"agent-{worker}"].wait_end() == status
+
+
 @then(parsers.parse('entry "{entry}" has ended'))
 def entry_is_gone(world: World, entry: str) -> None:
     world.cluster[entry].wait_end()
@@ -254,6 +274,16 @@
         wait_until(lambda w=whole: world.load.tally.whole > w + 20, "answers again")
 
 
+@when(parsers.parse('the oldest link to "{entry}" goes silent'))
+def silence_oldest(world: World, entry: str) -> None:
+    world.cluster.set_relay(world.relays[entry], "silent", oldest=1)
+
+
+@when(parsers.parse('entry "{entry}" sees {count:d} workers'))
+def entry_sees(world: World, entry: str, count: int) -> None:
+    wait_served(world, entry, count)
+
+
 @when("the existing links go silent")
 def silence_links(world: World) -> None:
     for name in world.entries:
--- a/tests/scenarios/steps/operators.py
+++ b/tests/scenarios/steps/operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 
 from pytest_bdd import parsers, then, when
 
@@ -20,12 +21,14 @@
     return int(in_force.get(SERVICE, {}).get("promised_ms", 0))
 
 
-def revise(world: World, entry: str, promise: int, tag: str = "") -> Reply:
+def revise(
+    world: World, entry: str, promise: int, tag: str = "", profile: str = PROFILE
+) -> Reply:
     process = world.cluster[entry]
-    target = f"/-/profiles/{PROFILE}"
+    target = f"/-/profiles/{profile}"
     if not tag:
         tag = world.cluster.operate(process, "GET", target).headers["etag"]
-    document = {"name": PROFILE, "promised_ms": promise}
+    document = {"name": profile, "promised_ms": promise}
     headers = {"if-match": tag}
     return world.cluster.operate(process, "PUT", target, document, headers)
 
@@ -36,7 +39,9 @@
     )
 )
 def revise_through(world: World, promise: int, entry: str) -> None:
+    started = time.monotonic()
     world.notes["revision"] = revise(world, entry, promise)
+    world.notes["revision_s"] = time.monotonic() - started
     world.notes["promise"] = promise
 
 
@@ -54,20 +59,83 @@
 def race_revisions(world: World) -> None:
     entry = world.cluster[world.entries[0]]
     tag = world.cluster.operate(entry, "GET", f"/-/profiles/{PROFILE}").headers["etag"]
+    world.notes["replies"] = revise_at_once(world, tag, [PROFILE, PROFILE])
+
+
+def revise_at_once(world: World, tag: str, profiles: list[str]) -> dict[int, Reply]:
+    """Revise one profile through each entry; return the replies by promise."""
     replies: dict[int, Reply] = {}
 
-    def run(name: str, promise: int) -> None:
-        replies[promise] = revise(world, name, promise, tag)
+    def run(name: str, promise: int, profile: str) -> None:
+        replies[promise] = revise(world, name, promise, tag, profile)
 
     threads = [
-        threading.Thread(target=run, args=(name, 600 + number))
-        for number, name in enumerate(world.entries)
+        threading.Thread(target=run, args=(name, 600 + number, profile))
+        for number, (name, profile) in enumerate(
+            zip(world.entries, profiles, strict=True)
+        )
     ]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
-    world.notes["replies"] = replies
+    return replies
+
+
+@then(
+    parsers.parse(
+        "two operators who revise different profiles at once both win, {count:d} times"
+    )
+)
+def check_both_win(world: World, count: int) -> None:
+    entry = world.cluster[world.entries[0]]
+    profiles = [f"desk-{number}" for number in range(len(world.entries))]
+    for profile in profiles:
+        assert world.cluster.define_profile(entry, profile).status == 201
+    for _ in range(count):
+        listing = world.cluster.operate(entry, "GET", "/-/profiles")
+        tag = listing.headers["etag"]
+        replies = revise_at_once(world, tag, profiles)
+        assert {reply.status for reply in replies.values()} == {200}, replies
+        for name in world.entries:
+            listing = world.cluster.operate(world.cluster[name], "GET", "/-/profiles")
+            shown = {
+                item["name"]: item["profile"]["promised_ms"]
+                for item in listing.document()["profiles"]
+            }
+            found = [shown[profile] for profile in profiles]
+            assert found == [600, 601], (name, shown)
+
+
+@when("the agents' promises are watched from now on")
+def watch_agents(world: World) -> None:
+    """Note every promise that an agent applies, as fast as it can be asked."""
+    seen: set[int] = set()
+    stop = threading.Event()
+
+    def run() -> None:
+        while not stop.is_set():
+            seen.update(agent_promise(world, worker) for worker in world.workers)
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    world.notes["watched"] = (seen, stop, thread)
+
+
+@then("no agent went back to an earlier promise")
+def check_watched(world: World) -> None:
+    seen, stop, thread = world.notes["watched"]
+    stop.set()
+    thread.join()
+    assert seen == {world.notes["promise"]}
+
+
+def agent_promise(world: World, worker: str) -> int:
+    """Return the promise that an agent applies to the service now."""
+    agent = world.cluster[f"agent-{worker}"]
+    shown = world.cluster.http(agent.address("announce"), "GET", "/status")
+    in_force = shown.document()["policies"]
+    return int(in_force.get(SERVICE, {}).get("promised_ms", 0))
 
 
 @then("one of them wins and the other gets status 412")
@@ -103,14 +171,11 @@
 def check_on_agents(world: World) -> None:
     promise = world.notes["promise"]
     for worker in world.workers:
-        agent = world.cluster[f"agent-{worker}"]
-
-        def look(agent=agent) -> bool:
-            shown = world.cluster.http(agent.address("announce"), "GET", "/status")
-            in_force = shown.document()["policies"]
-            return in_force.get(SERVICE, {}).get("promised_ms") == promise
-
-        wait_until(look, f"the agent of {worker} applies {promise}", FORCE_LIMIT_S)
+        wait_until(
+            lambda name=worker: agent_promise(world, name) == promise,
+            f"the agent of {worker} applies {promise}",
+            FORCE_LIMIT_S,
+        )
 
 
 @when(
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import threading
+import time
 from base64 import b64decode
 from dataclasses import dataclass, field
 from typing import Any
@@ -34,6 +35,7 @@
     reply: Reply | None = None
     error: Exception | None = None
     thread: threading.Thread | None = None
+    took_s: float = 0.0
 
     def finish(self) -> None:
         """Wait until it has an answer, or the connection broke."""
@@ -86,10 +88,12 @@
         address = self.address(entry)
 
         def run() -> None:
+            started = time.monotonic()
             try:
                 sent.reply = call(address, method, target, named, body)
             except (OSError, http.client.HTTPException) as error:
                 sent.error = error
+            sent.took_s = time.monotonic() - started
 
         sent.thread = threading.Thread(target=run, daemon=True)
         sent.thread.start()
--- a/tests/standins/base.py
+++ b/tests/standins/base.py
@@ -11,7 +11,7 @@
 import itertools
 import json
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass, field, fields
 from http import HTTPStatus
@@ -66,6 +66,7 @@
     :param slow_s: seconds before a call takes effect.
     :param lose_answers: the next calls take effect but get no answer.
     :param frozen: accept, do and answer nothing until it is off again.
+    :param mute: do what is asked, but answer nothing until it is off again.
     :param usage_lag_s: age of the measurements that a worker reports.
     :param fail_all: a worker fails all that it is given from now on.
     :param only: limits the faults to operations that begin with one of these;
@@ -76,6 +77,7 @@
     slow_s: float = 0.0
     lose_answers: int = 0
     frozen: bool = False
+    mute: bool = False
     usage_lag_s: float = 0.0
     fail_all: bool = False
     only: list[str] = field(default_factory=list)
@@ -111,6 +113,8 @@
     def __init__(self, record: Record | None = None) -> None:
         self.faults = Faults()
         self.record = record or Record()
+        self._held: Counter[str] = Counter()
+        self._spoilt = 0
 
     def operation(self, call: Call) -> str:
         """Return the name by which faults may be limited to a call."""
@@ -127,7 +131,9 @@
     async def answer(self, call: Call) -> Answer:
         """Answer a call, with the faults that are set."""
         if call.path == "/record":
-            return answer_json(self.build_record())
+            held = sum(self._held.values())
+            shown = {"held": held, "spoilt": self._spoilt, **self.build_record()}
+            return answer_json(shown)
         if call.path == "/faults":
             if call.method == "POST":
                 self.faults.update(call.document())
@@ -137,19 +143,28 @@
     async def _answer_faulty(self, call: Call) -> Answer:
         operation = self.operation(call)
         faults = self.faults
-        while faults.frozen and self._hit_by_faults(operation):
-            await curio.sleep(UNFREEZE_POLL_S)
+        await self._hold(operation, "frozen")
         if faults.slow_s > 0 and self._hit_by_faults(operation):
             await curio.sleep(faults.slow_s)
         if faults.down and self._hit_by_faults(operation):
+            self._spoilt += 1
             return answer_error(503, "down")
         answer = await self.handle(operation, call)
+        await self._hold(operation, "mute")
         can_lose = self.lossy is None or operation.partition("/")[0] in self.lossy
         if faults.lose_answers > 0 and can_lose and self._hit_by_faults(operation):
             faults.lose_answers -= 1
+            self._spoilt += 1
             raise AnswerLostError
         return answer
 
+    async def _hold(self, operation: str, switch: str) -> None:
+        """Keep a call while a switch is on; a call whose sender died stays, too."""
+        self._held[operation] += 1
+        while getattr(self.faults, switch) and self._hit_by_faults(operation):
+            await curio.sleep(UNFREEZE_POLL_S)
+        self._held[operation] -= 1
+
     def _hit_by_faults(self, operation: str) -> bool:
         return not self.faults.only or operation.startswith(tuple(self.faults.only))
 
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -4,6 +4,7 @@
 false}`` with the modes ``pass``, ``silent`` (connections stay open, bytes
 vanish), ``cut`` (close all, then pass) and ``refuse`` (close all, refuse new
 ones). A connection that went silent stays so: part of its stream is lost.
+With ``oldest`` only so many of the existing connections go silent.
 """
 
 from __future__ import annotations
@@ -11,15 +12,17 @@
 import socket
 import struct
 from dataclasses import dataclass
+from itertools import islice
 from typing import Any
 
 import curio
 from curio.io import Socket
-from curio.network import open_connection, run_server, tcp_server_socket
+from curio.network import open_connection, run_server
 
 from tests.standins import base
 
 MODES = ("pass", "silent", "cut", "refuse")
+BACKLOG = 1000
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -42,8 +45,9 @@
         self._to = (host, int(far_port))
         self._port = port
         self._mode = "pass"
-        self._pairs: set[Pair] = set()
+        self._pairs: dict[Pair, None] = {}
         self._listening: curio.Task | None = None
+        self._reserved: Socket | None = None
         self._counts = {"connections": 0, "bytes": 0, "lost_bytes": 0}
 
     @property
@@ -56,7 +60,9 @@
         asked = call.document()
         if operation != "mode" or asked.get("mode") not in MODES:
             return base.answer_error(400, "no_such_mode")
-        await self.set_mode(asked["mode"], bool(asked.get("existing_only")))
+        oldest = asked.get("oldest")
+        existing_only = bool(oldest or asked.get("existing_only"))
+        await self.set_mode(asked["mode"], existing_only, oldest)
         return base.answer_json({"mode": self._mode})
 
     def build_record(self) -> dict[str, Any]:
@@ -65,10 +71,12 @@
         state = {"mode": self._mode, "open": len(self._pairs), "silent": silent}
         return {**state, **self._counts}
 
-    async def set_mode(self, mode: str, existing_only: bool) -> None:
+    async def set_mode(
+        self, mode: str, existing_only: bool, oldest: int | None = None
+    ) -> None:
         """Change what becomes of connections."""
         if mode == "silent":
-            for pair in self._pairs:
+            for pair in islice(self._pairs, oldest):
                 pair.silent = True
         if mode in ("cut", "refuse"):
             await self._close_all()
@@ -82,7 +90,9 @@
     async def listen(self) -> None:
         """Accept connections."""
         if self._listening is None:
-            sock = tcp_server_socket(base.HOST, self._port, backlog=1000)
+            sock = self._reserved or open_port(self._port)
+            self._reserved = None
+            sock.listen(BACKLOG)
             self._port = sock.getsockname()[1]
             self._listening = await curio.spawn(
                 run_server, sock, self._relay, daemon=True
@@ -92,9 +102,14 @@
         if self._listening is not None:
             await self._listening.cancel()
             self._listening = None
+            # Bound, but not listening: it refuses, and nobody else's outgoing
+            # connection is given this port meanwhile.
+            self._reserved = open_port(self._port)
 
     async def _close_all(self) -> None:
         for pair in list(self._pairs):
+            if pair not in self._pairs:
+                continue
             for end in (pair.near, pair.far):
                 end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             await pair.task.cancel()
@@ -107,13 +122,15 @@
             return
         task = await curio.current_task()
         pair = Pair(near, far, task, silent=self._mode == "silent")
-        self._pairs.add(pair)
-        try:
-            async with far, curio.TaskGroup(wait=any) as group:
-                await group.spawn(self._pump, pair, near, far)
-                await group.spawn(self._pump, pair, far, near)
-        finally:
-            self._pairs.discard(pair)
+        async with far:
+            self._pairs[pair] = None
+            try:
+                async with curio.TaskGroup(wait=any) as group:
+                    await group.spawn(self._pump, pair, near, far)
+                    await group.spawn(self._pump, pair, far, near)
+            finally:
+                # Only pairs with open sockets are listed, or closing all fails.
+                del self._pairs[pair]
 
     async def _pump(self, pair: Pair, source: Socket, sink: Socket) -> None:
         try:
@@ -130,6 +147,14 @@
             await curio.Event().wait()
 
 
+def open_port(port: int) -> Socket:
+    """Return a socket that is bound and does not listen yet."""
+    sock = Socket(socket.socket())
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((base.HOST, port))
+    return sock
+
+
 async def run_relay(relay: Relay, control_port: int) -> None:
     """Relay for ever, and serve the control port."""
     await relay.listen()
--- a/tests/unit/test_agent_tasks_fakes.py
+++ b/tests/unit/fake_agent_tasks.py
@@ -1,10 +1,9 @@
-"""Fakes of the worker, the object store and the way to the owners."""
+"""Fakes of the worker and the way to the owners, and a keeper between them."""
 
 from __future__ import annotations
 
 from collections import defaultdict
 from dataclasses import replace
-from functools import partial
 from typing import Any
 
 import curio
@@ -13,7 +12,6 @@
 from pistachiodeal.config.agent import AgentSettings
 from pistachiodeal.config.common import StatsdSettings
 from pistachiodeal.exceptions import (
-    StoreUnavailableError,
     WorkerError,
     WorkerFencedError,
     WorkerRefusedError,
@@ -22,7 +20,8 @@
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.platform.protocols import Run, RunRequest, RunState
 from pistachiodeal.profiles.cache import create_policy_cache
-from pistachiodeal.wire.messages import Start, Stop, TaskAck
+from pistachiodeal.wire.task_messages import Start, Stop, TaskAck
+from tests.unit.fakes import FakeObjects
 
 CAPACITY = Resources(8000, 8000, 0)
 SIZE = Resources(3000, 3000, 0)
@@ -120,32 +119,6 @@
         self.runs[key] = replace(self.runs[key], state=state, result=str(state))
 
 
-class FakeObjects:
-    def __init__(self) -> None:
-        self.down = False
-        self.stored: dict[str, bytes] = {}
-        self.before_call: Any = lambda: None
-        self.wait: Any = partial(curio.sleep, 0)
-
-    async def _enter(self) -> None:
-        await self.wait()
-        self.before_call()
-        if self.down:
-            raise StoreUnavailableError("down")
-
-    async def put(self, key: str, data: bytes) -> None:
-        await self._enter()
-        self.stored[key] = data
-
-    async def get(self, key: str) -> bytes | None:
-        await self._enter()
-        return self.stored.get(key)
-
-    async def delete(self, key: str) -> None:
-        await self._enter()
-        self.stored.pop(key, None)
-
-
 class Bench:
     """A keeper between fakes that works on demand; also the route to owners."""
 
--- a/tests/unit/fake_batch.py
+++ b/tests/unit/fake_batch.py
@@ -6,8 +6,8 @@
 
 import curio
 
-from pistachiodeal.batch.admission import AdmissionDesk
-from pistachiodeal.batch.endings import EndingDesk
+from pistachiodeal.batch.admission import TaskAdmission
+from pistachiodeal.batch.endings import EndHandler
 from pistachiodeal.batch.service import BatchService, create_batch_service
 from pistachiodeal.config.common import StoreSettings
 from pistachiodeal.config.entry import BatchSettings, EntrySettings
@@ -17,10 +17,10 @@
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.platform.protocols import CommitResult, Row, Write
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.messages import (
-    Message,
+from pistachiodeal.wire.messages import Message, Report
+from pistachiodeal.wire.task_messages import (
+    UNKNOWN_RUN,
     Renew,
-    Report,
     Start,
     StartRefused,
     Stop,
@@ -29,6 +29,7 @@
     TaskRef,
 )
 from tests.unit.fake_table import FakeTable
+from tests.unit.fakes import Clock, FakeObjects
 
 LEASE_S = 30.0
 CAPACITY = Resources(4_000, 4_096, 0)
@@ -37,34 +38,6 @@
 )
 
 
-class Clock:
-    """Time that only a test moves."""
-
-    def __init__(self) -> None:
-        self.now = 1_000.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
-class FakeObjects:
-    """Objects in memory."""
-
-    def __init__(self) -> None:
-        self.objects: dict[str, bytes] = {}
-
-    async def put(self, key: str, data: bytes) -> None:
-        await curio.sleep(0)
-        self.objects[key] = data
-
-    async def get(self, key: str) -> bytes | None:
-        await curio.sleep(0)
-        return self.objects.get(key)
-
-    async def delete(self, key: str) -> None:
-        self.objects.pop(key, None)
-
-
 class Gate:
     """Holds an entry that is frozen at each of its awaits."""
 
@@ -149,8 +122,8 @@
         self.keeper = self.service._keeper
         self.placer = self.service._placer
         self.context = self.service._context
-        self.desk = AdmissionDesk(self.context)
-        self.endings = EndingDesk(self.context)
+        self.desk = TaskAdmission(self.context)
+        self.endings = EndHandler(self.context)
 
     def host(self, task_id: str):
         return self.service._find_host(task_id)
@@ -255,7 +228,7 @@
             self.end(stop.task_id, "stopped")
         if key not in self.ended:
             self.barred.add(key)
-            self.ended[key] = TaskEnded(*key, "unknown_run", "", "", Resources(), 0)
+            self.ended[key] = TaskEnded(*key, UNKNOWN_RUN, "", "", Resources(), 0)
         return [self.ended[key]]
 
 
--- a/tests/unit/test_agent_app.py
+++ b/tests/unit/test_agent_app.py
@@ -27,8 +27,8 @@
     Policies,
     PolicyPart,
     Report,
-    TaskRef,
 )
+from pistachiodeal.wire.task_messages import TaskRef
 
 PROFILE = '{"name":"quotes"}'
 
--- a/tests/unit/test_agent_eviction.py
+++ b/tests/unit/test_agent_eviction.py
@@ -7,11 +7,17 @@
 import curio
 import pytest
 
-from pistachiodeal.agent.ledger import Phase
+from pistachiodeal.agent.held_runs import Phase
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.platform.protocols import RunState
-from pistachiodeal.wire.messages import LeaseGrant, Renew, Stop, TaskAck
-from tests.unit.test_agent_tasks_fakes import TASK, Bench, build_start, run_bench
+from pistachiodeal.wire.task_messages import LeaseGrant, Renew, Stop, TaskAck
+from tests.unit.fake_agent_tasks import (
+    SETTINGS,
+    TASK,
+    Bench,
+    build_start,
+    run_bench,
+)
 
 KEY = f"checkpoint/{TASK}/1"
 EVICT = Stop(TASK, 1, 3, 5, evict=True)
@@ -125,13 +131,37 @@
         await bench.keeper.drain()
         await worker.cancel()
         assert [ended.state for ended in bench.sent] == ["stopped"] * 2
-        assert sorted(bool(ended.checkpoint) for ended in bench.sent) == [False, True]
+        assert all(ended.checkpoint for ended in bench.sent)
         await bench.settle(build_start(task_id="0003-c"))
         assert [refused.code for refused in await bench.send()] == ["draining"]
 
     run_bench(case)
 
 
+def test_drain_does_without_a_checkpoint_after_half_its_time():
+    """Symptom: a worker that leaves runs into the limit, its tasks left running.
+
+    Sequence: drain asked for; every checkpoint refused; half the limit passes.
+    Cause: tries for a checkpoint without a bound of their own.
+    """
+
+    async def case(bench: Bench) -> None:
+        await bench.settle(build_start())
+        bench.runtime.faults["checkpoint"] = ["refused"] * 10_000
+        bench.acknowledges = True
+        worker = await curio.spawn(bench.keeper.run)
+        drain = await curio.spawn(bench.keeper.drain)
+        while bench.runtime.calls.count("checkpoint") < 2:
+            await curio.sleep(0)
+        assert "stop" not in bench.runtime.calls
+        bench.now += SETTINGS.drain_s / 2
+        await drain.join()
+        await worker.cancel()
+        assert [(e.state, e.checkpoint) for e in bench.sent] == [("stopped", "")]
+
+    run_bench(case)
+
+
 def test_renewals_count_from_their_beat_and_go_in_one_call():
     async def case(bench: Bench) -> None:
         await bench.settle(build_start(), build_start(task_id="0003-b"))
--- a/tests/unit/test_agent_guarding.py
+++ b/tests/unit/test_agent_guarding.py
@@ -15,7 +15,7 @@
 from pistachiodeal.platform.protocols import RunState, UsageSample
 from pistachiodeal.profiles.cache import create_policy_cache
 from pistachiodeal.wire.messages import ServiceLoad
-from tests.unit.test_agent_tasks_fakes import (
+from tests.unit.fake_agent_tasks import (
     CAPACITY,
     SIZE,
     TASK,
--- a/tests/unit/test_agent_links.py
+++ b/tests/unit/test_agent_links.py
@@ -11,17 +11,13 @@
 
 from pistachiodeal.agent import links as links_module
 from pistachiodeal.agent.directory import AgentDirectory
-from pistachiodeal.agent.links import LinkKeeper, Pauses
+from pistachiodeal.agent.links import LinkKeeper
+from pistachiodeal.agent.peers import Pauses
 from pistachiodeal.config.agent import AgentSettings, RuntimeSettings
 from pistachiodeal.exceptions import LinkClosedError, LinkSilentError
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.messages import (
-    Directory,
-    EntryAddress,
-    Goodbye,
-    PartitionOwner,
-    TaskAck,
-)
+from pistachiodeal.wire.messages import Directory, EntryAddress, Goodbye, PartitionOwner
+from pistachiodeal.wire.task_messages import TaskAck
 
 ADDRESSES = {f"e{n}": f"127.0.0.1:{9000 + n}" for n in range(4)}
 SETTINGS = AgentSettings(
--- a/tests/unit/test_agent_tasks.py
+++ b/tests/unit/test_agent_tasks.py
@@ -10,8 +10,8 @@
 from pistachiodeal.exceptions import WorkerFencedError
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.platform.protocols import RunState
-from pistachiodeal.wire.messages import StartRefused, TaskAck, TaskEnded
-from tests.unit.test_agent_tasks_fakes import (
+from pistachiodeal.wire.task_messages import StartRefused, TaskAck, TaskEnded
+from tests.unit.fake_agent_tasks import (
     CANCEL,
     CAPACITY,
     SIZE,
--- /dev/null
+++ b/tests/unit/test_batch_endings.py
@@ -0,0 +1,74 @@
+"""How refused attempts go back to the queue."""
+
+import orjson
+
+from pistachiodeal.batch.decisions import decide_refusal
+from pistachiodeal.batch.events import (
+    Event,
+    Placed,
+    RequeueCause,
+    Requeued,
+    Submitted,
+    decode_events,
+    encode_events,
+)
+from pistachiodeal.batch.partition import MAX_CHECKPOINT_MISSES, PartitionState
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.model.tasks import TaskSpec, TaskState
+from pistachiodeal.wire.task_messages import StartRefused
+
+SIZE = Resources(1_000, 1_024)
+SPEC = TaskSpec("0001-k", "press", "hall", "batch", SIZE)
+
+
+def create_state() -> PartitionState:
+    """Return a state with one task that waits to go on from a checkpoint."""
+    state = PartitionState(lambda profile: 0)
+    state.apply(Submitted(SPEC))
+    state.apply(Placed(SPEC.task_id, 1, "w1", SIZE, 30_000))
+    state.apply(Requeued(SPEC.task_id, 1, RequeueCause.STOPPED, "saved"))
+    return state
+
+
+def refuse_next(state: PartitionState, code: str) -> Event:
+    """Place the task once more and let its agent refuse it."""
+    record = state.find(SPEC.task_id)
+    assert record is not None
+    state.apply(Placed(SPEC.task_id, record.attempt, "w1", SIZE, 30_000))
+    refused = StartRefused(SPEC.task_id, record.attempt, code, "")
+    event = decide_refusal(refused)
+    state.apply(event)
+    return event
+
+
+def test_a_lost_checkpoint_is_given_up_after_some_tries():
+    """Symptom: a task is placed and refused for ever, and never runs.
+    Sequence: it was evicted; the object of its checkpoint got lost.
+    Cause: each refusal requeued it with the same checkpoint.
+    """
+    state = create_state()
+    for tries in range(MAX_CHECKPOINT_MISSES):
+        record = state.find(SPEC.task_id)
+        assert record is not None
+        assert (record.checkpoint, record.checkpoint_misses) == ("saved", tries)
+        event = refuse_next(state, "checkpoint_missing")
+        assert decode_events(orjson.loads(orjson.dumps(encode_events([event])))) == [
+            event
+        ]
+        successor = PartitionState(lambda profile: 0)
+        successor.load(state.dump())
+        state = successor
+    record = state.find(SPEC.task_id)
+    assert record is not None
+    assert (record.checkpoint, record.state) == ("", TaskState.QUEUED)
+    assert record.evictions == 1
+    assert record.failures == 0
+
+
+def test_other_refusals_keep_the_checkpoint():
+    state = create_state()
+    for _ in range(5 * MAX_CHECKPOINT_MISSES):
+        refuse_next(state, "checkpoint_unavailable")
+    record = state.find(SPEC.task_id)
+    assert record is not None
+    assert (record.checkpoint, record.checkpoint_misses) == ("saved", 0)
--- a/tests/unit/test_batch_service.py
+++ b/tests/unit/test_batch_service.py
@@ -13,8 +13,9 @@
 from pistachiodeal.exceptions import Outcome, RequestError, StoreUncertainError
 from pistachiodeal.model.tasks import TaskState
 from pistachiodeal.web.messages import WebRequest
-from tests.unit.fake_batch import Agent, Clock, Entry, FakeObjects, Session, settle
+from tests.unit.fake_batch import Agent, Entry, Session, settle
 from tests.unit.fake_table import FakeTable, Fault
+from tests.unit.fakes import Clock, FakeObjects
 
 BODY = {"kind": "press", "team": "hall", "profile": "batch", "cpu_milli": 1000}
 
@@ -36,6 +37,12 @@
     def entry(self, name: str, incarnation: int = 1) -> Entry:
         return Entry(name, self.table, self.objects, self.clock, incarnation)
 
+    async def open(self, name: str) -> tuple[Entry, Session]:
+        """Return an entry that owns all partitions, linked to the agent."""
+        entry = self.entry(name)
+        await self.round(entry)
+        return entry, await self.connect(entry)
+
     async def round(self, *entries: Entry) -> None:
         for entry in entries:
             await entry.keeper.run_round()
@@ -77,6 +84,14 @@
     return WebRequest("POST", "/tasks", (("idempotency-key", key),), body)
 
 
+async def submit(entry: Entry, key: str) -> str:
+    """Submit a task that is new, and return its id."""
+    answer = await entry.service.handle(post(key))
+    assert answer.status == 201
+    task_id: str = orjson.loads(answer.body)["id"]
+    return task_id
+
+
 async def call(entry: Entry, method: str, task_id: str) -> dict:
     answer = await entry.service.handle(WebRequest(method, f"/tasks/{task_id}"))
     return {"status": answer.status, **orjson.loads(answer.body)}
@@ -85,12 +100,8 @@
 def test_task_runs_once_and_its_key_is_known_afterwards():
     async def main():
         world = World()
-        entry = world.entry("a")
-        await world.round(entry)
-        session = await world.connect(entry)
-        answer = await entry.service.handle(post("k1"))
-        task_id = orjson.loads(answer.body)["id"]
-        assert answer.status == 201
+        entry, session = await world.open("a")
+        task_id = await submit(entry, "k1")
         await world.place(entry, session)
         assert world.agent.started == [(task_id, 1)]
         await world.finish(entry, session, task_id)
@@ -198,11 +209,8 @@
 
     async def main():
         world = World()
-        first = world.entry("a")
-        await world.round(first)
-        session = await world.connect(first)
-        answer = await first.service.handle(post("k1"))
-        task_id = orjson.loads(answer.body)["id"]
+        first, session = await world.open("a")
+        task_id = await submit(first, "k1")
         await world.place(first, session)
         second = world.entry("a", incarnation=2)
         await world.round(second)
@@ -237,14 +245,11 @@
 
     async def main():
         world = World()
-        old = world.entry("a")
-        await world.round(old)
-        stale = await world.connect(old)
+        old, stale = await world.open("a")
         new = world.entry("a", incarnation=2)
         await world.round(new)
         session = await world.connect(new)
-        answer = await new.service.handle(post("k1"))
-        task_id = orjson.loads(answer.body)["id"]
+        task_id = await submit(new, "k1")
         await world.place(new, session)
         world.agent.end(task_id, "finished", "done")
         for ended in list(world.agent.ended.values()):
@@ -259,13 +264,10 @@
 def test_cancel_and_finish_have_one_winner():
     async def main():
         world = World()
-        entry = world.entry("a")
-        await world.round(entry)
-        session = await world.connect(entry)
+        entry, session = await world.open("a")
         ids = []
         for key in ("queued", "placed"):
-            answer = await entry.service.handle(post(key))
-            ids.append(orjson.loads(answer.body)["id"])
+            ids.append(await submit(entry, key))
             if key == "queued":
                 document = await call(entry, "DELETE", ids[0])
                 assert document["state"] == "cancelled"
@@ -289,8 +291,7 @@
         session = await world.connect(first)
         ids = []
         for n in range(8):
-            answer = await first.service.handle(post(f"k{n}"))
-            ids.append(orjson.loads(answer.body)["id"])
+            ids.append(await submit(first, f"k{n}"))
         await world.place(first, session)
         started = list(world.agent.started)
         await world.round(second)
@@ -319,11 +320,8 @@
 
     async def main():
         world = World()
-        entry = world.entry("a")
-        await world.round(entry)
-        session = await world.connect(entry)
-        answer = await entry.service.handle(post("k1"))
-        task_id = orjson.loads(answer.body)["id"]
+        entry, session = await world.open("a")
+        task_id = await submit(entry, "k1")
         await world.place(entry, session)
         runs = entry.host(task_id).runs
         refs = session.agent.report({0, 1}).tasks
@@ -348,9 +346,7 @@
 
     async def main():
         world = World()
-        entry = world.entry("a")
-        await world.round(entry)
-        session = await world.connect(entry)
+        entry, session = await world.open("a")
         for key in ("k1", "k2"):
             await entry.service.handle(post(key))
         await world.place(entry, session)
@@ -371,11 +367,8 @@
 def test_task_under_way_is_not_decided_twice():
     async def main():
         world = World()
-        entry = world.entry("a")
-        await world.round(entry)
-        session = await world.connect(entry)
-        answer = await entry.service.handle(post("k1"))
-        task_id = orjson.loads(answer.body)["id"]
+        entry, session = await world.open("a")
+        task_id = await submit(entry, "k1")
         entry.gate.freeze()  # the table's answers are held back
         await entry.placer.run_round()
         await entry.placer.run_round()
--- a/tests/unit/test_entry_links.py
+++ b/tests/unit/test_entry_links.py
@@ -25,8 +25,8 @@
     Request,
     Response,
     ServiceLoad,
-    TaskEnded,
 )
+from pistachiodeal.wire.task_messages import TaskEnded
 
 SECRET = "a secret of the tests"
 TIMINGS = LinkTimings(ping_s=5.0, silent_s=30.0, handshake_s=10.0)
--- a/tests/unit/test_fuzz_batch.py
+++ b/tests/unit/test_fuzz_batch.py
@@ -23,13 +23,12 @@
 from tests.unit.fake_batch import (
     LEASE_S,
     Agent,
-    Clock,
     Entry,
-    FakeObjects,
     Session,
     settle,
 )
 from tests.unit.fake_table import FakeTable, Fault
+from tests.unit.fakes import Clock, FakeObjects
 
 BODY = orjson.dumps(
     {"kind": "press", "team": "hall", "profile": "batch", "cpu_milli": 1000}
--- a/tests/unit/test_fuzz_leases.py
+++ b/tests/unit/test_fuzz_leases.py
@@ -8,8 +8,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pistachiodeal.agent.leases import LeaseBook
-from pistachiodeal.wire.messages import LeaseGrant, Renew
-from tests.unit.test_agent_tasks_fakes import TASK, Bench, build_start
+from pistachiodeal.wire.task_messages import LeaseGrant, Renew
+from tests.unit.fake_agent_tasks import TASK, Bench, build_start
 
 FAULTS = st.sampled_from(["", "before", "after"])
 BACK = st.sampled_from([0, 0, 0, 1, 2, 5])
--- a/tests/unit/test_fuzz_ledger.py
+++ b/tests/unit/test_fuzz_ledger.py
@@ -12,8 +12,8 @@
 from pistachiodeal.agent.ledger import create_ledger
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.platform.protocols import RunState
-from pistachiodeal.wire.messages import StartRefused, Stop, TaskAck, TaskEnded
-from tests.unit.test_agent_tasks_fakes import CAPACITY, Bench, build_start
+from pistachiodeal.wire.task_messages import StartRefused, Stop, TaskAck, TaskEnded
+from tests.unit.fake_agent_tasks import CAPACITY, Bench, build_start
 
 TASKS = st.sampled_from(["0003-a", "0003-b", "0003-c"])
 SIZES = st.sampled_from([Resources(n, n, 0) for n in (1000, 3000, 5000)])
--- a/tests/unit/test_platform_breaker.py
+++ b/tests/unit/test_platform_breaker.py
@@ -17,19 +17,12 @@
     BreakerState,
     create_breaker,
 )
+from tests.unit.fakes import Clock
 
 CONNECTIONS = 2
 TIMEOUT_S = 1.0
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 @pytest.fixture
 def clock() -> Clock:
     return Clock()
