Give test processes ports outside the range of outgoing connections

Cause: an agent restarted by the rolling scenario found its port taken by another process's outgoing connection (OSError 98), since port 0 is served from that range. Seen once in 30 scenarios run beside other runs. Ruled out: the drain (the earlier process had ended with status 0). Change: ports below that range, a span for each test worker, checked before use.

--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -10,6 +10,7 @@
 
 from tests.harness import documents
 from tests.harness.calls import Reply, call, call_json
+from tests.harness.ports import take_port
 from tests.harness.processes import Process
 from tests.harness.waiting import LIMIT_S, NotReachedError, wait_until
 
@@ -107,10 +108,10 @@
             get_address(objects or self["objects"]),
         )
         for label in ("http", "internal"):
-            document[label]["port"] = self._ports.get((name, label), 0)
+            document[label]["port"] = self._find_port(name, label)
         document = documents.merge(document, overrides)
         process = self._start_program(name, "pistachiodeal.entry.cli", document)
-        self._keep_ports(process, "http", "internal")
+        self._wait_ports(process, "http", "internal")
         return process
 
     def start_agent(
@@ -133,10 +134,10 @@
             get_address(objects or self["objects"]),
         )
         node = document["node"] = node or document["node"]
-        document["announce"]["port"] = self._ports.get((node, "announce"), 0)
+        document["announce"]["port"] = self._find_port(node, "announce")
         document = documents.merge(document, overrides)
         process = self._start_program(node, "pistachiodeal.agent.cli", document)
-        self._keep_ports(process, "announce")
+        self._wait_ports(process, "announce")
         return process
 
     def http(
@@ -267,10 +268,10 @@
     def _start_stand_in(
         self, name: str, module: str, arguments: Sequence[str]
     ) -> Process:
-        port = str(self._ports.get((name, "port"), 0))
+        port = str(self._find_port(name, "port"))
         common = ["--port", port, "--record-file", str(self._record_path(name))]
         process = self._start(name, f"tests.standins.{module}", [*common, *arguments])
-        self._keep_ports(process, "port")
+        self._wait_ports(process, "port")
         return process
 
     def _start_program(self, name: str, module: str, document: Any) -> Process:
@@ -287,9 +288,15 @@
         self._processes[name] = process
         return process
 
-    def _keep_ports(self, process: Process, *labels: str) -> None:
+    def _find_port(self, name: str, label: str) -> int:
+        """Return the port of a process, the same after a restart."""
+        if (name, label) not in self._ports:
+            self._ports[name, label] = take_port()
+        return self._ports[name, label]
+
+    def _wait_ports(self, process: Process, *labels: str) -> None:
         for label in labels:
-            self._ports[process.name, label] = process.wait_port(label)
+            process.wait_port(label)
 
     def _record_path(self, name: str) -> Path:
         return self._directory / f"{name}.record"
--- /dev/null
+++ b/tests/harness/ports.py
@@ -0,0 +1,45 @@
+"""Ports that stay free while the process that uses them restarts.
+
+A port that the kernel hands out (port 0) lies in the range from which it also
+serves outgoing connections: between a process's end and its restart another
+process's connection can take it, and the restart fails with "address in use".
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import socket
+
+from tests.harness.processes import HOST
+
+LOWEST = 12_000
+HIGHEST = 32_000  # below the range of outgoing connections
+WORKERS = 16
+SPAN = (HIGHEST - LOWEST) // WORKERS
+
+_given: set[int] = set()
+
+
+def take_port() -> int:
+    """Return a port that nothing uses, and that this process never gives again."""
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]) % WORKERS
+    first = LOWEST + worker * SPAN
+    # Another run of the tests on this machine starts elsewhere in the span.
+    offset = random.SystemRandom().randrange(SPAN)
+    for step in range(SPAN):
+        port = first + (offset + step) % SPAN
+        if port not in _given and _is_free(port):
+            _given.add(port)
+            return port
+    raise RuntimeError("no free port")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
