Count in histograms how long tasks wait for their start

Cause: histograms of each tenant and class existed for interactive work only. Change: the time from admission to placement, by team and profile, as rows task-start/PROFILE. Ruled out: run times (the histograms end at 60 s, runs do not).

--- a/pistachiodeal/batch/context.py
+++ b/pistachiodeal/batch/context.py
@@ -9,6 +9,7 @@
 from pistachiodeal.batch.workers import WorkerTable
 from pistachiodeal.clock import Clock
 from pistachiodeal.config.entry import EntrySettings
+from pistachiodeal.histograms import Histograms
 from pistachiodeal.learning.health import WorkerHealth
 from pistachiodeal.learning.sizes import SizeModel
 from pistachiodeal.metrics import Metrics
@@ -31,6 +32,7 @@
     health: WorkerHealth
     profile_of: ProfileLookup
     metrics: Metrics
+    histograms: Histograms
     clock: Clock
 
     def find_profile(self, name: str) -> Profile:
--- a/pistachiodeal/batch/placer.py
+++ b/pistachiodeal/batch/placer.py
@@ -26,12 +26,15 @@
 MAX_LOOK_AHEAD = 4_096
 MAX_OVERDUE = 500
 MILLI = 1_000
+TASK_START = "task-start/"  # histograms of the time from admission to placement
 
 
 @dataclass(frozen=True, slots=True)
 class _Planned:
     run: PlacedRun
     session: WorkerSession | None
+    series: str
+    waited_s: float
 
 
 class Placer:
@@ -140,7 +143,12 @@
             int(profile.task_lease_s * MILLI),
         )
         run = host.runs.add(placed, record.spec.team, durable=False)
-        return _Planned(run, self._context.workers.find_session(placement.worker))
+        return _Planned(
+            run,
+            self._context.workers.find_session(placement.worker),
+            TASK_START + record.spec.profile,
+            host.state.waiting.waited(record.spec.task_id),
+        )
 
     async def _journal(self, host: PartitionHost, planned: Sequence[_Planned]) -> None:
         def finish(outcome: Outcome) -> Sequence[Outgoing]:
@@ -159,6 +167,7 @@
 
     def _start(self, host: PartitionHost, planned: _Planned) -> Sequence[Outgoing]:
         run, session = planned.run, planned.session
+        self._context.histograms.record(run.team, planned.series, planned.waited_s)
         if session is None:
             host.runs.note_unsent(run)
             return ()
--- a/pistachiodeal/batch/service.py
+++ b/pistachiodeal/batch/service.py
@@ -23,6 +23,7 @@
 from pistachiodeal.clock import Clock
 from pistachiodeal.config.entry import EntrySettings
 from pistachiodeal.exceptions import LinkClosedError, RequestError
+from pistachiodeal.histograms import Histograms, create_histograms
 from pistachiodeal.learning.health import create_worker_health
 from pistachiodeal.learning.sizes import create_size_model
 from pistachiodeal.metrics import Metrics
@@ -206,12 +207,14 @@
     profile_of: ProfileLookup,
     metrics: Metrics,
     clock: Clock = time.monotonic,
+    histograms: Histograms | None = None,
 ) -> BatchService:
     """Create the batch path of an entry.
 
     :param internal_address: ``ip:port`` that agents and entries dial.
     :param http_address: ``ip:port`` for callers, for the operators' eyes.
     :param profile_of: returns a profile by its name.
+    :param histograms: where the waits of tasks go, by team and profile.
     """
     me = EntryRow(
         node=identity.node,
@@ -238,6 +241,7 @@
         health=create_worker_health(),
         profile_of=profile_of,
         metrics=metrics,
+        histograms=histograms or create_histograms(),
         clock=clock,
     )
     timings = LinkTimings(
--- a/pistachiodeal/batch/waiting.py
+++ b/pistachiodeal/batch/waiting.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterator
 from itertools import islice
 
+from pistachiodeal.clock import Clock
 from pistachiodeal.model.tasks import TaskSpec
 
 Level = tuple[bool, int]
@@ -13,10 +15,12 @@
 class WaitingTasks:
     """First come, first served for each level and team; all steps in O(1)."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock = time.monotonic) -> None:
+        self._clock = clock
         self._levels: dict[Level, dict[str, dict[str, None]]] = {}
         self._places: dict[str, tuple[Level, str]] = {}
         self._bytes: dict[str, int] = {}
+        self._added_at: dict[str, float] = {}
         self._total_bytes = 0
 
     def __len__(self) -> int:
@@ -40,6 +44,7 @@
         teams.setdefault(spec.team, {})[spec.task_id] = None
         self._places[spec.task_id] = (level, spec.team)
         self._bytes[spec.task_id] = len(spec.payload)
+        self._added_at[spec.task_id] = self._clock()
         self._total_bytes += len(spec.payload)
 
     def remove(self, task_id: str) -> None:
@@ -48,6 +53,7 @@
         if place is None:
             return
         self._total_bytes -= self._bytes.pop(task_id)
+        del self._added_at[task_id]
         level, team = place
         teams = self._levels[level]
         del teams[team][task_id]
@@ -56,6 +62,11 @@
         if not teams:
             del self._levels[level]
 
+    def waited(self, task_id: str) -> float:
+        """Return the seconds for which a task has waited here, 0 if it doesn't."""
+        now = self._clock()
+        return now - self._added_at.get(task_id, now)
+
     def teams(self, level: Level) -> list[str]:
         """Return the teams with tasks at a level."""
         return list(self._levels.get(level, ()))
--- a/pistachiodeal/entry/composition.py
+++ b/pistachiodeal/entry/composition.py
@@ -158,6 +158,7 @@
             objects,
             self._keeper.profile,
             self._metrics,
+            histograms=self._histograms,
         )
 
     def _build_internal_address(self) -> str:
--- a/tests/unit/test_batch_placement.py
+++ b/tests/unit/test_batch_placement.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from pistachiodeal.batch.placement import HOLD_S, PendingTask, Planner, WorkerRoom
+from pistachiodeal.batch.waiting import WaitingTasks
 from pistachiodeal.model.resources import Resources
+from pistachiodeal.model.tasks import TaskSpec
 
 BIG = Resources(8_000, 8_000)
 
@@ -69,3 +71,13 @@
         levels = [{"t": [task("large", cpu=8_000)]}, {"u": [task("small", "u")]}]
         placed = planner.plan(levels, rooms, {}, {}, now)
         assert [p.task.task_id for p in placed] == (["small"] if now == 0.0 else [])
+
+
+def test_waits_are_counted_from_admission():
+    now = [100.0]
+    waiting = WaitingTasks(lambda: now[0])
+    waiting.add(TaskSpec("0000-a", "press", "hall", "batch", Resources(1)), 0)
+    now[0] = 101.5
+    assert waiting.waited("0000-a") == 1.5
+    waiting.remove("0000-a")
+    assert waiting.waited("0000-a") == 0
