--- a/bench/slopes/inner.py
+++ b/bench/slopes/inner.py
@@ -12,8 +12,9 @@
 from bench.slopes.probes import watch_cpu
 from bench.slopes.service import Agents, Session, build_service, submit_all
 from pistachiodeal.batch.keys import ENTRY_PREFIX, partition_key
-from pistachiodeal.batch.membership import EntryRow, Membership
+from pistachiodeal.batch.membership import Membership
 from pistachiodeal.batch.ownership import choose_winner
+from pistachiodeal.batch.rows import EntryRow
 from pistachiodeal.claims.keeper import Claimed, ClaimKeeper, create_claim_keeper
 from pistachiodeal.model.policies import Profile
 from pistachiodeal.model.resources import Resources
@@ -37,6 +38,7 @@
     EntryAddress,
     Message,
     PartitionOwner,
+    Ping,
     Policies,
     PolicyPart,
     Report,
@@ -284,6 +286,7 @@
         "Report of 5 services and 9 runs": Report(
             2**40, False, SIZE, SIZE, _build_loads(5).services, _build_refs(9).tasks
         ),
+        "Ping": Ping(),
         "Renew": Renew(2**40, (LeaseGrant(1, 1, 60_000),)),
         "Start": start,
         "TaskEnded": TaskEnded(name, 1, "finished", "done", "", SIZE, 500),
--- a/bench/slopes/journal.py
+++ b/bench/slopes/journal.py
@@ -20,6 +20,7 @@
     submit_steadily,
     submit_task,
 )
+from pistachiodeal.batch.appends import Position
 from pistachiodeal.batch.events import (
     Event,
     Finished,
@@ -27,7 +28,6 @@
     Submitted,
     encode_events,
 )
-from pistachiodeal.batch.journal import Position
 from pistachiodeal.batch.keys import journal_key
 from pistachiodeal.batch.partition import PartitionState, replay
 from pistachiodeal.batch.snapshots import SnapshotKeeper
--- a/pistachiodeal/batch/admission.py
+++ b/pistachiodeal/batch/admission.py
@@ -7,10 +7,10 @@
 
 import curio
 
+from pistachiodeal.batch.appends import Append
 from pistachiodeal.batch.context import HostContext
 from pistachiodeal.batch.events import CancelAsked, Submitted
 from pistachiodeal.batch.host import PartitionHost
-from pistachiodeal.batch.journal import Append
 from pistachiodeal.batch.protocols import Outgoing
 from pistachiodeal.exceptions import Outcome, RequestError
 from pistachiodeal.model.tasks import TaskRecord, TaskSpec
--- a/pistachiodeal/batch/api.py
+++ b/pistachiodeal/batch/api.py
@@ -15,8 +15,8 @@
 from pistachiodeal.batch.forward import Forwarder
 from pistachiodeal.batch.host import PartitionHost
 from pistachiodeal.batch.keys import build_task_id, parse_partition
-from pistachiodeal.batch.membership import OwnerRow
 from pistachiodeal.batch.partition import describe_task
+from pistachiodeal.batch.rows import OwnerRow
 from pistachiodeal.exceptions import Outcome, RequestError
 from pistachiodeal.model.policies import NAME_PATTERN
 from pistachiodeal.model.resources import Resources
--- a/pistachiodeal/batch/host.py
+++ b/pistachiodeal/batch/host.py
@@ -8,13 +8,14 @@
 import curio
 from logbook import Logger
 
+from pistachiodeal.batch.appends import Append, Position
 from pistachiodeal.batch.checkpoints import CheckpointCleaner
 from pistachiodeal.batch.context import HostContext
 from pistachiodeal.batch.events import Event, Placed, RequeueCause, Requeued
-from pistachiodeal.batch.journal import Append, Journal, Position
-from pistachiodeal.batch.membership import OwnerRow
+from pistachiodeal.batch.journal import Journal
 from pistachiodeal.batch.partition import PartitionState
 from pistachiodeal.batch.protocols import Outgoing
+from pistachiodeal.batch.rows import OwnerRow
 from pistachiodeal.batch.runs import RunTable
 from pistachiodeal.batch.sender import Sender
 from pistachiodeal.batch.snapshots import SnapshotKeeper, fold_quietly
--- a/pistachiodeal/batch/journal.py
+++ b/pistachiodeal/batch/journal.py
@@ -5,12 +5,12 @@
 import secrets
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, field
 
 import curio
 import orjson
 from logbook import Logger
 
+from pistachiodeal.batch.appends import Append, Position
 from pistachiodeal.batch.events import Event, encode_events
 from pistachiodeal.batch.keys import (
     journal_key,
@@ -35,46 +35,6 @@
 SETTLE_PAUSE_S = 0.2
 MAX_SETTLE_PAUSE_S = 3.0
 
-Settled = Callable[[Outcome], Sequence[Outgoing]]
-
-
-def _settle_nothing(outcome: Outcome) -> Sequence[Outgoing]:
-    return ()
-
-
-@dataclass(eq=False, slots=True)
-class Append:
-    """Events that are to become durable together.
-
-    :ivar outcome: None until settled; then ``ran`` (durable), ``not_run`` (no
-        effect, for certain) or ``unknown``.
-    :ivar payload: size of what callers and tasks wrote into the events, characters.
-    :ivar then: called without an await once settled, after the events were
-        applied; returns the messages to be sent.
-    :ivar retry_after: after how many seconds another try makes sense.
-    """
-
-    events: tuple[Event, ...]
-    payload: int = 0
-    then: Settled = _settle_nothing
-    outcome: Outcome | None = None
-    retry_after: float = 1.0
-    settled: curio.Event = field(default_factory=curio.Event)
-
-
-@dataclass(frozen=True, slots=True)
-class Position:
-    """Where an owner stands in a partition's journal.
-
-    :param row_version: version of the partition row that makes it the owner.
-    :param seq: the last journal row there is.
-    """
-
-    partition: int
-    epoch: int
-    row_version: int
-    seq: int
-
 
 class Journal:
     """Appends events for a partition's owner.
--- a/pistachiodeal/batch/membership.py
+++ b/pistachiodeal/batch/membership.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass
 
 import orjson
 from logbook import Logger
 
 from pistachiodeal.batch.keys import ENTRY_PREFIX, PARTITION_PREFIX
+from pistachiodeal.batch.rows import EntryRow, OwnerRow, parse_owner
 from pistachiodeal.clock import Clock
 from pistachiodeal.exceptions import StoreError
 from pistachiodeal.platform.protocols import Row, Table, Write
@@ -18,36 +19,6 @@
 SCAN_ROWS = 1_000
 
 
-@dataclass(frozen=True, slots=True)
-class EntryRow:
-    """What an entry says of itself with each beat.
-
-    :param team_cpu: thousandths of cores that each team's tasks hold in the
-        partitions of this entry, for quotas.
-    """
-
-    node: str
-    incarnation: int
-    beat: int
-    address: str
-    data_centre: str
-    http: str
-    team_cpu: dict[str, int] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class OwnerRow:
-    """Who owns a partition; node empty when it was handed over to nobody."""
-
-    partition: int
-    node: str
-    incarnation: int
-    address: str
-    epoch: int
-    nonce: str
-    version: int = 0
-
-
 @dataclass(slots=True)
 class _Sight:
     """When another entry's row was last seen to change.
@@ -241,15 +212,3 @@
         self._owners = owners
         named = {owner.node for owner in owners.values()}
         self._absent = {n: t for n, t in self._absent.items() if n in named}
-
-
-def parse_owner(row: Row) -> OwnerRow:
-    """Return a partition row's content with its version."""
-    return OwnerRow(**orjson.loads(row.value), version=row.version)
-
-
-def build_owner_value(row: OwnerRow) -> bytes:
-    """Return the stored form of a partition row."""
-    fields = asdict(row)
-    del fields["version"]
-    return orjson.dumps(fields)
--- a/pistachiodeal/batch/ownership.py
+++ b/pistachiodeal/batch/ownership.py
@@ -15,12 +15,8 @@
 from logbook import Logger
 
 from pistachiodeal.batch.keys import partition_key
-from pistachiodeal.batch.membership import (
-    Membership,
-    OwnerRow,
-    build_owner_value,
-    parse_owner,
-)
+from pistachiodeal.batch.membership import Membership
+from pistachiodeal.batch.rows import OwnerRow, build_owner_value, parse_owner
 from pistachiodeal.clock import Clock
 from pistachiodeal.exceptions import StoreError, StoreUnavailableError
 from pistachiodeal.platform.protocols import ABSENT, Table, Write
--- a/pistachiodeal/batch/owning.py
+++ b/pistachiodeal/batch/owning.py
@@ -9,8 +9,8 @@
 
 from pistachiodeal.batch.context import HostContext
 from pistachiodeal.batch.host import PartitionHost
-from pistachiodeal.batch.membership import OwnerRow
 from pistachiodeal.batch.ownership import OwnershipPlanner, OwnershipWriter
+from pistachiodeal.batch.rows import OwnerRow
 from pistachiodeal.exceptions import FencedError, StoreError
 
 log = Logger("batch")
--- a/pistachiodeal/batch/service.py
+++ b/pistachiodeal/batch/service.py
@@ -15,10 +15,11 @@
 from pistachiodeal.batch.forward import Forwarder
 from pistachiodeal.batch.host import PartitionHost
 from pistachiodeal.batch.keys import parse_partition
-from pistachiodeal.batch.membership import EntryRow, Membership
+from pistachiodeal.batch.membership import Membership
 from pistachiodeal.batch.owning import PartitionKeeper
 from pistachiodeal.batch.placer import Placer
 from pistachiodeal.batch.protocols import ProfileLookup, WorkerSession
+from pistachiodeal.batch.rows import EntryRow
 from pistachiodeal.batch.workers import WorkerTable
 from pistachiodeal.clock import Clock
 from pistachiodeal.config.entry import EntrySettings
--- a/pistachiodeal/batch/snapshots.py
+++ b/pistachiodeal/batch/snapshots.py
@@ -7,8 +7,8 @@
 import orjson
 from logbook import Logger
 
+from pistachiodeal.batch.appends import Position
 from pistachiodeal.batch.events import decode_events
-from pistachiodeal.batch.journal import Position
 from pistachiodeal.batch.keys import (
     journal_key,
     journal_prefix,
