Smooth what reports say of other entries' load

Believe a rise in a target's load at once, and a fall by and by

Cause: every entry gets the same report in the same instant. Taken at its word, a report of one idle moment turned them all to one target (herding). Smoothing both rises and falls mended that, but let two tests fail: that a data centre reported full is left at once, and that own requests count once beside the report.

Ruled out: that rises have to be smoothed as well. Outstanding-weighted and hot/cold as in Prequal were not tried.

Change: REPORT_WEIGHT holds for falls only. Both tests hold as they were; the new test_one_report_does_not_turn_every_entry holds the other side. No test changed.

--- a/pistachiodeal/routing/candidate.py
+++ b/pistachiodeal/routing/candidate.py
@@ -10,6 +10,7 @@
 STALE_AFTER_S = 1.5
 DEBT_HALF_LIFE_S = 2.0
 DEBT_LIMIT_PER_SLOT = 4.0
+REPORT_WEIGHT = 0.3
 FIRST_BACKOFF_S = 0.05
 LONGEST_BACKOFF_S = 2.0
 
@@ -21,7 +22,7 @@
     :param slots: requests that the runners take at once.
     :param latency_s: recent latency of the runners, 0 when not known.
     :param outstanding: requests of this entry that are open there, counted at once.
-    :param elsewhere: work there that other entries sent, at the last report.
+    :param elsewhere: work there that other entries sent; a fall counts by and by.
     :param joined_at: when the target appeared, by which it starts slowly.
     :param refused_until: taken only when nothing better is left before this time.
     :param debt: penalty for recent failures, in requests; decays.
@@ -37,7 +38,7 @@
     joined_at: float = -math.inf
     refused_until: float = -math.inf
     reported_at: float = math.inf
-    elsewhere: int = 0
+    elsewhere: float = 0.0
     chosen_at: float = -math.inf
     refusals: int = 0
     debt: float = 0.0
@@ -53,8 +54,15 @@
         self.busy = busy
         self.queued = queued
         self.latency_s = latency_s
+        elsewhere = float(max(0, busy + queued - self.outstanding))
+        falls = self.reported_at <= now and elsewhere < self.elsewhere
+        # Every entry gets the same report in the same instant. Taken at its word it
+        # turns them all to the target that looked idle, and half a second later all
+        # away again: one would see load swing between targets and the tail grow.
+        # A rise is believed at once, so that nobody runs into a full target.
+        weight = REPORT_WEIGHT if falls else 1.0
+        self.elsewhere += weight * (elsewhere - self.elsewhere)
         self.reported_at = now
-        self.elsewhere = max(0, busy + queued - self.outstanding)
 
     def is_doubtful(self, now: float) -> bool:
         """Tell whether the target refused just now, or has fallen silent."""
--- a/tests/unit/test_routing_choice.py
+++ b/tests/unit/test_routing_choice.py
@@ -152,3 +152,16 @@
     limits.leave("a", 0.1)
     assert limits.enter("a")
     assert limits.total == 3
+
+
+def test_one_report_does_not_turn_every_entry():
+    """Symptom: load swings between targets, the tail grows with the entries.
+    Sequence: all entries get the same report of one idle moment at once.
+    Cause: the report's instant taken for the load of the next half second.
+    """
+    steady, swinging = build_candidate("a", busy=4), build_candidate("b", busy=6)
+    swinging.apply_report(8, 0, 0, 0.01, NOW)
+    assert swinging.compute_load(NOW) > steady.compute_load(NOW)
+    for _ in range(5):
+        swinging.apply_report(8, 0, 0, 0.01, NOW)
+    assert swinging.compute_load(NOW) < steady.compute_load(NOW)
