Reserve the ports of test processes until the tests end

Cause: take_port() found a port free and forgot it; another run of the tests on this machine, whose test worker has the same number and so the same span, could be given it before the program had bound it. Two of 94 scenarios failed so in one full run (entry and agent ended with OSError 98 at their first start), beside other runs. Ruled out: a restart (both were first starts); outgoing connections (the range begins at 32768). Change: the port stays bound, without listening, by the tests' process. The bind is exclusive, so a second taker is refused; the programs allow the reuse of addresses and bind beside it. A full run after it was not made.

--- a/tests/harness/ports.py
+++ b/tests/harness/ports.py
@@ -18,7 +18,7 @@
 WORKERS = 16
 SPAN = (HIGHEST - LOWEST) // WORKERS
 
-_given: set[int] = set()
+_reserved: dict[int, socket.socket] = {}
 
 
 def take_port() -> int:
@@ -29,17 +29,25 @@
     offset = random.SystemRandom().randrange(SPAN)
     for step in range(SPAN):
         port = first + (offset + step) % SPAN
-        if port not in _given and _is_free(port):
-            _given.add(port)
+        if port not in _reserved and _reserve(port):
             return port
     raise RuntimeError("no free port")
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((HOST, port))
-        except OSError:
-            return False
+def _reserve(port: int) -> bool:
+    """Keep a port bound, without listening; False when anyone has it.
+
+    Another run of the tests on this machine would otherwise find the same port
+    free before the process that it is meant for has bound it, and one of the two
+    processes end with "address in use". The programs allow the reuse of addresses,
+    so they can bind it beside this socket.
+    """
+    holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        holder.bind((HOST, port))
+    except OSError:
+        holder.close()
+        return False
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _reserved[port] = holder
     return True
