Let scenarios fail without the ledger, the owner's authority and the agent's drain

Cause: found by putting mechanisms out of action (docs/proofs.md). - The harness had two partitions, and rendezvous hashing gives both to e1, be there 2, 3 or 4 entries. So one entry placed all tasks, and "burst of placements from several entries" passed without any ledger. - With the owner cut off, its successor always saw the worker and adopted the same run, so neither authority nor epoch was needed. - The kept-alive request went out before the listener closed; with idle connections closed at once the scenario passed. - The agent's slow request took 1.0 s, the time for which links are kept anyway. - An end of an earlier attempt was noticed by no test with both checks off.

Change: four partitions; the deployment waits until they are shared out and every entry has the same profiles (a first task was refused in between: 503 while they were handed over, 422 unknown_profile at an entry that had not polled yet). A scenario in which only the cut-off owner reaches the worker. The kept-alive request waits until the entry refuses connections. The agent's slow request takes 2.5 s. A unit test of late ends. Nothing is weakened.

--- a/tests/harness/documents.py
+++ b/tests/harness/documents.py
@@ -10,6 +10,8 @@
 
 Document = dict[str, Any]
 
+# With fewer, rendezvous hashing gives all of them to the entry e1.
+PARTITIONS = 4
 LINK: Document = {"ping_s": 0.2, "silent_s": 1.0, "handshake_s": 1.0}
 
 
@@ -35,7 +37,7 @@
         "store": {"table": table, "objects": objects, "timeout_s": 0.5},
         "link": LINK,
         "batch": {
-            "partitions": 2,
+            "partitions": PARTITIONS,
             "beat_s": 0.3,
             "owner_lease_s": 1.5,
             "margin_s": 0.3,
--- a/tests/scenarios/features/one_place.feature
+++ b/tests/scenarios/features/one_place.feature
@@ -125,3 +125,13 @@
     Then task "t" ends as "finished"
     And task "t" was finished once
     And no task ran in two places at once
+
+  Scenario: The owner is cut off from the store, and it alone reaches the worker
+    Given 2 entries and 2 workers with 1 slot, with relays to the table, each agent linked to one entry
+    When task "t" of 9.0 s is submitted
+    And task "t" runs
+    And the owner of task "t" is cut off from the table
+    And another entry owns task "t"
+    Then task "t" ends as "finished"
+    And task "t" was finished once
+    And no task ran in two places at once
--- a/tests/scenarios/features/planned_stop.feature
+++ b/tests/scenarios/features/planned_stop.feature
@@ -11,7 +11,7 @@
     Given 1 entry and 1 worker with 2 slots
     When a caller keeps a connection to "e1" open
     And entry "e1" is asked to stop
-    And entry "e1" has logged "drain"
+    And entry "e1" accepts no more connections
     Then the caller's next request on it is answered with "connection: close"
     And entry "e1" has ended with status 0
 
@@ -25,7 +25,7 @@
 
   Scenario: An agent is stopped with a slow request in flight
     Given 1 entry and 1 worker with 2 slots
-    When "slow" is sent as POST "/orders/a?work_s=1.0" in the background
+    When "slow" is sent as POST "/orders/a?work_s=2.5" in the background
     And the runners have begun "slow"
     And the agent of "w1" is asked to stop
     Then "slow" ends with status 200
--- a/tests/scenarios/steps/callers.py
+++ b/tests/scenarios/steps/callers.py
@@ -304,6 +304,20 @@
     world.notes["connection"] = connection
 
 
+@when(parsers.parse('entry "{entry}" accepts no more connections'))
+def wait_refused(world: World, entry: str) -> None:
+    host, _, port = world.address(entry).rpartition(":")
+
+    def look() -> bool:
+        try:
+            socket.create_connection((host, int(port)), timeout=1).close()
+        except ConnectionRefusedError:
+            return True
+        return False
+
+    wait_until(look, f"{entry} refuses connections")
+
+
 @then('the caller\'s next request on it is answered with "connection: close"')
 def check_kept_open(world: World) -> None:
     connection = world.notes["connection"]
--- a/tests/scenarios/steps/deployment.py
+++ b/tests/scenarios/steps/deployment.py
@@ -5,6 +5,7 @@
 from pytest_bdd import given, parsers
 
 from tests.harness.cluster import get_address
+from tests.harness.documents import PARTITIONS
 from tests.harness.waiting import wait_until
 from tests.scenarios.world import BATCH_PROFILE, PROFILE, SERVICE, World
 
@@ -12,33 +13,46 @@
     r"(?P<entries>\d+) entr(?:y|ies) and (?P<workers>\d+) workers?"
     r"(?: of (?P<cores>\d+) cores)? with (?P<slots>\d+) slots?"
     r"(?:, with relays to the (?P<relays>table and entries|table|entries))?"
+    r"(?P<apart>, each agent linked to one entry)?"
 )
 TASK_LEASE_S = 2.0
 
 
 @given(parsers.re(SHAPE))
 def deploy(
-    world: World, entries: str, workers: str, cores: str, slots: str, relays: str
+    world: World,
+    entries: str,
+    workers: str,
+    cores: str,
+    slots: str,
+    relays: str,
+    apart: str,
 ) -> None:
     cluster = world.cluster
     cluster.start_table()
     cluster.start_objects()
     world.entries = [f"e{number + 1}" for number in range(int(entries))]
     world.workers = [f"w{number + 1}" for number in range(int(workers))]
+    places = {}
+    if apart:
+        # An agent's only link goes to an entry of its own data centre.
+        names = [*world.entries, *world.workers]
+        places = {name: {"data_centre": f"dc{name[1:]}"} for name in names}
     for name in world.entries:
-        start_entry(world, name, relays or "")
+        start_entry(world, name, relays or "", **places.get(name, {}))
     for name in world.workers:
         cluster.start_worker(name, cpu_milli=int(cores or 16) * 1000)
-        start_agent(world, name)
+        links = {"entry_links": 1} if apart else {}
+        start_agent(world, name, **links, **places.get(name, {}))
         start_runner(world, name, int(slots))
     define_profiles(world)
     for name in world.entries:
-        wait_served(world, name, len(world.workers))
+        wait_served(world, name, 1 if apart else len(world.workers))
+    wait_owned(world)
 
 
-def start_entry(world: World, name: str, relays: str = "") -> None:
+def start_entry(world: World, name: str, relays: str = "", **overrides: object) -> None:
     cluster = world.cluster
-    overrides = {}
     table = None
     if "table" in relays and f"table-{name}" not in world.relays:
         relay = cluster.start_relay(cluster["table"], name=f"relay-table-{name}")
@@ -86,6 +100,31 @@
     assert assigned.status in (200, 201), assigned
 
 
+def wait_owned(world: World) -> None:
+    """Wait until the partitions have gone to those that are to own them.
+
+    The first entry takes them all and hands some over to the others a little later; a
+    task that comes in at that moment is refused.
+    """
+    cluster = world.cluster
+
+    def look() -> bool:
+        shares = []
+        versions = set()
+        for name in world.entries:
+            status = cluster.operate(cluster[name], "GET", "/-/status").document()
+            versions.add(status["profiles_version"])
+            held = status["batch"]["partitions"].values()
+            shares.append(sum(one["authority"] for one in held))
+        return all(shares) and sum(shares) == PARTITIONS and len(versions) == 1
+
+    wait_until(look, "the partitions are shared out")
+    for name in world.entries:
+        for partition in range(PARTITIONS):
+            unknown = f"/tasks/{partition:04d}-{'0' * 32}"
+            cluster.wait_reply(cluster[name], unknown, 404)
+
+
 def wait_served(world: World, entry: str, workers: int) -> None:
     """Wait until an entry sees every worker and answers requests."""
 
