Ask the table before a task's profile is refused as unknown

Ruled out: a 503 with Retry-After (a profile that never existed would be asked for again and again). Change: an unknown name makes the owner look at the table, at most each 0.1 s. Before: test_profile_defined_just_now_elsewhere_is_known fails with 422; after: 201.

--- a/pistachiodeal/batch/api.py
+++ b/pistachiodeal/batch/api.py
@@ -102,7 +102,7 @@
         host = self._find_host(partition)
         if host is None:
             return await self._forward_submit(partition, task_id, request, forward)
-        self._check_profile(body.profile)
+        await self._check_profile(body.profile)
         admitted = await self._admission.submit(host, _build_spec(task_id, body))
         status = 201 if admitted.created else 200
         return _build_answer(status, admitted.record, host)
@@ -132,7 +132,11 @@
             )
         return await self._forwarder.call(owner.address, request, FORWARD_S)
 
-    def _check_profile(self, name: str) -> None:
+    async def _check_profile(self, name: str) -> None:
+        # A profile that was defined through another entry is not known here until
+        # the next poll. Callers take the refusal for final, so the table is asked.
+        if self._context.profile_of(name) is None:
+            await self._context.refresh_profiles()
         if self._context.profile_of(name) is None:
             raise RequestError(
                 f"no profile {name}",
--- a/pistachiodeal/batch/context.py
+++ b/pistachiodeal/batch/context.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from pistachiodeal.batch.membership import Membership
-from pistachiodeal.batch.protocols import ProfileLookup
+from pistachiodeal.batch.protocols import ProfileLookup, ProfileRefresh
 from pistachiodeal.batch.workers import WorkerTable
 from pistachiodeal.clock import Clock
 from pistachiodeal.config.entry import EntrySettings
@@ -31,6 +31,7 @@
     sizes: SizeModel
     health: WorkerHealth
     profile_of: ProfileLookup
+    refresh_profiles: ProfileRefresh
     metrics: Metrics
     histograms: Histograms
     clock: Clock
--- a/pistachiodeal/batch/protocols.py
+++ b/pistachiodeal/batch/protocols.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from pistachiodeal.model.policies import Profile
 from pistachiodeal.wire.messages import Message, Report
 
+ProfileRefresh = Callable[[], Awaitable[None]]
 ProfileLookup = Callable[[str], Profile | None]
 
 
--- a/pistachiodeal/batch/service.py
+++ b/pistachiodeal/batch/service.py
@@ -18,7 +18,11 @@
 from pistachiodeal.batch.membership import Membership
 from pistachiodeal.batch.owning import PartitionKeeper
 from pistachiodeal.batch.placer import Placer
-from pistachiodeal.batch.protocols import ProfileLookup, WorkerSession
+from pistachiodeal.batch.protocols import (
+    ProfileLookup,
+    ProfileRefresh,
+    WorkerSession,
+)
 from pistachiodeal.batch.rows import EntryRow
 from pistachiodeal.batch.workers import WorkerTable
 from pistachiodeal.clock import Clock
@@ -198,6 +202,10 @@
         return groups
 
 
+async def keep_profiles() -> None:
+    """Leave what is known of the profiles as it is."""
+
+
 def create_batch_service(  # noqa: PLR0917  (the signature agreed between the parts)
     settings: EntrySettings,
     identity: Identity,
@@ -209,12 +217,14 @@
     metrics: Metrics,
     clock: Clock = time.monotonic,
     histograms: Histograms | None = None,
+    refresh_profiles: ProfileRefresh = keep_profiles,
 ) -> BatchService:
     """Create the batch path of an entry.
 
     :param internal_address: ``ip:port`` that agents and entries dial.
     :param http_address: ``ip:port`` for callers, for the operators' eyes.
     :param profile_of: returns a profile by its name.
+    :param refresh_profiles: looks at the table again, if it can.
     :param histograms: where the waits of tasks go, by team and profile.
     """
     me = EntryRow(
@@ -241,6 +251,7 @@
         sizes=create_size_model(),
         health=create_worker_health(),
         profile_of=profile_of,
+        refresh_profiles=refresh_profiles,
         metrics=metrics,
         histograms=histograms or create_histograms(),
         clock=clock,
--- a/pistachiodeal/entry/composition.py
+++ b/pistachiodeal/entry/composition.py
@@ -159,6 +159,7 @@
             self._keeper.profile,
             self._metrics,
             histograms=self._histograms,
+            refresh_profiles=self._keeper.refresh_quietly,
         )
 
     def _build_internal_address(self) -> str:
--- a/pistachiodeal/profiles/keeper.py
+++ b/pistachiodeal/profiles/keeper.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import random
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -19,6 +21,7 @@
 from pistachiodeal.wire.messages import PolicyPart
 
 JITTER = 0.25
+LEAST_PAUSE_S = 0.1
 
 log = logbook.Logger("pistachiodeal.profiles")
 
@@ -40,6 +43,7 @@
         self._document = ProfileDocument()
         self._parsed: dict[str, tuple[int, Profile]] = {}
         self._failing = False
+        self._asked_at = -math.inf
         self.on_change: Callable[[set[str]], None] = ignore_change
 
     @property
@@ -142,6 +146,19 @@
             log.notice("profiles: table answers again")
         self._failing = False
 
+    async def refresh_quietly(self) -> None:
+        """Look at the table unless that was done just now; failures are logged.
+
+        Many callers who name a profile that does not exist must not cost a read
+        each.
+        """
+        now = time.monotonic()
+        if now - self._asked_at < LEAST_PAUSE_S:
+            return
+        self._asked_at = now
+        with contextlib.suppress(PistachiodealError):
+            await self.refresh()
+
     async def run(self) -> None:
         """Look at the table again and again, until cancelled."""
         while True:
--- a/tests/unit/fake_batch.py
+++ b/tests/unit/fake_batch.py
@@ -100,6 +100,8 @@
     ) -> None:
         self.name = name
         self.gate = Gate()
+        self.profiles = {PROFILE.name: PROFILE}
+        self.newer_profiles: dict[str, Profile] = {}
         settings = EntrySettings(
             node=name,
             data_centre="dc1",
@@ -115,9 +117,10 @@
             "127.0.0.1:80",
             GatedTable(table, self.gate),
             objects,
-            lambda profile: PROFILE if profile == PROFILE.name else None,
+            self.profiles.get,
             MemoryMetrics(),
             clock,
+            refresh_profiles=self.refresh_profiles,
         )
         self.keeper = self.service._keeper
         self.placer = self.service._placer
@@ -125,6 +128,9 @@
         self.desk = TaskAdmission(self.context)
         self.endings = EndHandler(self.context)
 
+    async def refresh_profiles(self) -> None:
+        self.profiles.update(self.newer_profiles)
+
     def host(self, task_id: str):
         return self.service._find_host(task_id)
 
--- a/tests/unit/test_batch_service.py
+++ b/tests/unit/test_batch_service.py
@@ -11,6 +11,7 @@
 from pistachiodeal.batch import journal
 from pistachiodeal.batch.keys import build_task_id
 from pistachiodeal.exceptions import Outcome, RequestError, StoreUncertainError
+from pistachiodeal.model.policies import Profile
 from pistachiodeal.model.tasks import TaskState
 from pistachiodeal.web.messages import WebRequest
 from tests.unit.fake_batch import Agent, Entry, Session, settle
@@ -117,6 +118,26 @@
     curio.run(main)
 
 
+def test_profile_defined_just_now_elsewhere_is_known():
+    """Symptom: 422 for a task whose profile an operator has just defined.
+    Sequence: defined through one entry, the task comes to another's partition.
+    Cause: entries poll profiles; until then the owner doesn't know the new one.
+    """
+
+    async def main():
+        world = World()
+        entry, _ = await world.open("a")
+        entry.newer_profiles["fresh"] = Profile(name="fresh")
+        body = orjson.dumps({**BODY, "profile": "fresh"})
+        answer = await entry.service.handle(WebRequest("POST", "/tasks", (), body))
+        assert answer.status == 201
+        body = orjson.dumps({**BODY, "profile": "nobody-knows"})
+        with pytest.raises(RequestError, match="no profile"):
+            await entry.service.handle(WebRequest("POST", "/tasks", (), body))
+
+    curio.run(main)
+
+
 def test_lost_answer_of_an_admission_is_settled():
     """A caller is told the truth though the store's answer was lost.
 
