--- a/bench/slopes/agent.py
+++ b/bench/slopes/agent.py
@@ -20,6 +20,7 @@
 from bench.slopes.cluster import LINK
 from bench.slopes.fitting import Slope, fit_line
 from bench.slopes.probes import Window, read_cpu_s, read_memory_kib
+from pistachiodeal.entry.pushing import DIRECTORY_S
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.identity import Identity
 from pistachiodeal.wire.link import Link, LinkTimings, accept_link
@@ -56,7 +57,9 @@
     :param directory_s: how often each repeats the directory, as entries do.
     """
 
-    def __init__(self, count: int, tasks: int, directory_s: float = 3.0) -> None:
+    def __init__(
+        self, count: int, tasks: int, directory_s: float = DIRECTORY_S
+    ) -> None:
         self._socks = [tcp_server_socket("127.0.0.1", 0) for _ in range(count)]
         self._tasks = tasks
         self._directory_s = directory_s
--- a/bench/slopes/size.py
+++ b/bench/slopes/size.py
@@ -7,238 +7,34 @@
 
 import json
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from pathlib import Path
 
+from bench.slopes.installation import (
+    BATCH,
+    RUNNERS,
+    WORKERS,
+    Plan,
+    Row,
+    Slopes,
+    build_changed,
+    build_present,
+    count_rows,
+    work_out_agent,
+    work_out_entry,
+    work_out_entry_memory,
+)
+
 RESULTS = Path(__file__).parents[1] / "results" / "slopes.json"
 ENTRIES = (20, 40, 80, 160, 320, 640)
-SMALL = (2, 4, 8, 16)
-# The size of the aim (docs/dev-guide/aim.md).
-WORKERS = 28_000
-RUNNERS = 150_000
-BATCH = 250_000
-STARTS = 18_000
-TEAMS = 79
-CHANGES = 61_000 / 86_400
-# Choices that the aim leaves open.
-SERVICES = 4_000
-LOOK_AHEAD = 64
-MEASURED_REPORT_S = 0.5
-RENEW_BYTES = 88
-PING_BYTES = 36
-PING_S = 0.5
-EVENTS_OF_START = 3
-COMMIT_S = 0.005
-SNAPSHOT_ROWS = 200
-KEPT_RECORDS = 10_000
+SMALL = (2, 3, 4, 6, 8, 16)
+GROUPS_MS = (5.0, 60.0, 120.0, 1_000.0)
+PARTITIONS = (64, 160, 640, 1_280)
 # Half a core for control on an entry's own VM.
 ENTRY_BUDGET = 500.0
-
-Row = tuple[str, float]
-
-
-@dataclass(frozen=True, slots=True)
-class Slopes:
-    """The kept results."""
-
-    runs: dict[str, dict]
-
-    def find(self, run: str, name: str, x: str = "") -> float:
-        """Return a slope."""
-        return float(self._find(run, name, x)["slope"])
-
-    def base(self, run: str, name: str, x: str = "") -> float:
-        """Return an intercept."""
-        return float(self._find(run, name, x)["intercept"])
-
-    def _find(self, run: str, name: str, x: str) -> dict:
-        for slope in self.runs[run]["slopes"]:
-            if slope["name"] == name and slope["x"].startswith(x):
-                return slope
-        raise KeyError(f"{run}: {name}")
-
-
-@dataclass(frozen=True, slots=True)
-class Plan:
-    """An installation; the defaults are those of the settings.
-
-    :param teams: teams of which many tasks wait at each entry.
-    :param rounds: rounds of placement in each second that look at the queue.
-    :param lean: reports name services only to an agent's chosen entries, and only
-        there is room for tasks; runs go to their owner as today.
-    """
-
-    entries: int
-    partitions: int = 8
-    workers: int = WORKERS
-    tasks: float = BATCH / WORKERS
-    report_s: float = 0.5
-    directory_s: float = 3.0
-    beat_s: float = 2.0
-    rounds: float = 10.0
-    entry_links: int = 3
-    teams: int = TEAMS
-    lean: bool = False
-
-    @property
-    def owned(self) -> float:
-        """Return the owners' links of an agent, those it chose itself left out."""
-        owners = min(self.entries, self.partitions)
-        held = owners * (1 - (1 - 1 / owners) ** self.tasks)
-        return held * (1 - self.chosen / self.entries)
-
-    @property
-    def chosen(self) -> int:
-        """Return the links that an agent chooses itself."""
-        return min(self.entry_links, self.entries)
-
-    @property
-    def links(self) -> float:
-        """Return the links of an agent."""
-        return self.chosen + self.owned
-
-    @property
-    def rate(self) -> float:
-        """Return the reports of a link against those that were measured."""
-        return MEASURED_REPORT_S / self.report_s
-
-    @property
-    def scale(self) -> float:
-        """Return the workers against those of the aim."""
-        return self.workers / WORKERS
-
-
-def build_present(entries: int) -> Plan:
-    """Return the aim's size with the settings of today."""
-    return Plan(entries, partitions=min(8 * entries, 4_096))
-
-
-def build_changed(entries: int) -> Plan:
-    """Return the same with what scale.md would change first."""
-    return Plan(
-        entries,
-        partitions=min(4 * entries, 4_096),
-        report_s=2.0,
-        directory_s=600.0,
-        rounds=1.0,
-        lean=True,
-    )
-
-
-def work_out_entry(slopes: Slopes, plan: Plan) -> list[Row]:
-    """Return an average entry's milliseconds of processor time in each second."""
-    links = plan.workers * plan.links / plan.entries
-    link = slopes.find("entry-links", "entry cpu by links") * plan.rate
-    task = slopes.find("entry-running", "entry cpu by running tasks") * plan.rate
-    start = slopes.find("entry-starts", "entry cpu of starts")
-    return [
-        ("partitions", plan.partitions),
-        ("links", links),
-        ("base", slopes.base("entry-links", "entry cpu by links")),
-        ("reports, 4 services each", link * links),
-        ("renewals", task * plan.tasks * plan.workers / plan.entries),
-        ("starts", start * STARTS * plan.scale / plan.entries),
-        ("placement rounds", _work_out_rounds(slopes, plan, links)),
-        ("membership", _work_out_membership(slopes, plan)),
-        ("snapshots", _work_out_snapshots(slopes, plan)),
-        ("directory", _work_out_directory(slopes, plan)[1] * links),
-        ("profiles", _work_out_profiles(slopes)),
-    ]
-
-
-def _work_out_rounds(slopes: Slopes, plan: Plan, links: float) -> float:
-    by_worker = slopes.find("placement", "cpu of a round, no room", "worker")
-    by_task = slopes.find("placement", "cpu of a round, no room", "waiting")
-    if not plan.teams:
-        return 0.0
-    return plan.rounds * (by_worker * links + by_task * plan.teams * LOOK_AHEAD)
-
-
-def _work_out_membership(slopes: Slopes, plan: Plan) -> float:
-    look = slopes.find("membership", "cpu of a look", "entry") * plan.entries
-    look += slopes.find("membership", "cpu of a look", "partition") * plan.partitions
-    plans = slopes.find("membership", "cpu of a plan") * plan.entries * plan.partitions
-    return (look + plans) / plan.beat_s
-
-
-def count_rows(slopes: Slopes, plan: Plan) -> float:
-    """Return a partition's journal rows in each second, at the peak of starts."""
-    rate = STARTS * plan.scale / plan.partitions
-    name = "rows of a partition"
-    rows = slopes.base("rows", name) + slopes.find("rows", name) * rate * 4
-    return min(EVENTS_OF_START * rate, rows, 1 / COMMIT_S)
-
-
-def _work_out_snapshots(slopes: Slopes, plan: Plan) -> float:
-    folds = count_rows(slopes, plan) / SNAPSHOT_ROWS * plan.partitions / plan.entries
-    cost = slopes.find("snapshots", "cpu of a fold", "ended") * KEPT_RECORDS
-    running = plan.tasks * plan.workers / plan.partitions
-    cost += slopes.find("snapshots", "cpu of a fold", "running") * running
-    return folds * cost
-
-
-def _work_out_directory(slopes: Slopes, plan: Plan) -> tuple[float, float]:
-    """Return bytes and milliseconds (of one side) of a link in each second."""
-    size = cpu = 0.0
-    for x, count in (("entry", plan.entries), ("partition", plan.partitions)):
-        size += count * slopes.find("directory", "bytes of a directory", x)
-        name = "cpu to encode and decode a directory"
-        cpu += count * slopes.find("directory", name, x)
-    return size / plan.directory_s, cpu / plan.directory_s / 2
-
-
-def _work_out_profiles(slopes: Slopes) -> float:
-    name = "cpu of an entry to take a change in"
-    return min(1.0, CHANGES) * SERVICES * slopes.find("profiles", name)
-
-
-def work_out_entry_memory(slopes: Slopes, plan: Plan) -> float:
-    """Return an average entry's memory, MiB; no tasks wait."""
-    links = plan.workers * plan.links / plan.entries
-    base = slopes.base("entry-links", "entry memory by links")
-    link = slopes.find("entry-links", "entry memory by links")
-    task = slopes.find("entry-running", "entry memory by running tasks")
-    ended = slopes.find("entry-starts", "entry memory by ended tasks") * KEPT_RECORDS
-    base += ended * plan.partitions / plan.entries
-    running = plan.tasks * plan.workers / plan.entries
-    return (base + link * links + task * running) / 1024
-
-
-def work_out_agent(slopes: Slopes, plan: Plan) -> list[Row]:
-    """Return an average agent's figures."""
-    runners = RUNNERS / WORKERS
-    size, directory = _work_out_directory(slopes, plan)
-    cpu = slopes.base("agent-links", "agent cpu by links")
-    cpu += plan.links * slopes.find("agent-links", "agent cpu by links") * plan.rate
-    cpu += plan.tasks * slopes.find("agent-tasks", "agent cpu by tasks")
-    cpu += runners * slopes.find("agent-runners", "agent cpu by runners")
-    # Measured with three links, each of whose reports named every service.
-    runner = slopes.find("agent-runners", "agent bytes out by runners") / 3
-    told = plan.chosen if plan.lean else plan.links
-    sent = plan.links * slopes.find("agent-links", "agent bytes out by links")
-    sent += told * runners * runner
-    sent += plan.tasks * slopes.find("agent-tasks", "agent bytes out by tasks")
-    renewals = RENEW_BYTES * (plan.owned / plan.report_s)
-    return [
-        ("links", plan.links),
-        ("cpu without directories, ms/s", cpu),
-        ("cpu of directories, ms/s", plan.links * directory),
-        ("reports sent, B/s", sent * plan.rate),
-        ("renewals received, B/s", renewals),
-        ("directories received, B/s", plan.links * size),
-        ("pings, B/s", _work_out_pings(plan)),
-    ]
-
-
-def _work_out_pings(plan: Plan) -> float:
-    """Return bytes of pings both ways: an agent's reports stand for its own.
-
-    Lean: owners' links ping at the rate of reports, chosen links as today.
-    """
-    if not plan.lean:
-        return plan.links * PING_BYTES / PING_S
-    chosen = 2 * plan.chosen * PING_BYTES / PING_S
-    return chosen + plan.owned * PING_BYTES / plan.report_s
+AGENT_BYTES = 3_000.0
+# The settings want report_s under link.silent_s, which is 2 s by default.
+MAX_REPORT_S = 1.9
 
 
 def find_largest(slopes: Slopes, entries: int, teams: int) -> int:
@@ -251,6 +47,15 @@
         workers += 50
 
 
+def find_period(slopes: Slopes, plan: Plan) -> str:
+    """Return the shortest time between reports that an agent's bytes allow."""
+    for tenths in range(5, round(10 * MAX_REPORT_S) + 1):
+        found = dict(work_out_agent(slopes, replace(plan, report_s=tenths / 10)))
+        if found["bytes in all, B/s"] <= AGENT_BYTES:
+            return f"{tenths / 10:.1f}"
+    return "none"
+
+
 def main() -> None:
     """Print tables."""
     slopes = Slopes(json.loads(RESULTS.read_text()))
@@ -262,6 +67,19 @@
             print(f"\n{title}: an agent with {tasks:.1f} leased tasks\n")
             plans = [replace(build(n), tasks=tasks) for n in ENTRIES]
             _print_rows([work_out_agent(slopes, plan) for plan in plans], 1)
+    print("\ntoday, default settings: an agent\n")
+    _print("entries", [str(n) for n in SMALL])
+    _print_rows([work_out_agent(slopes, Plan(n)) for n in SMALL], 1)
+    print(f"\ntoday: report_s, s, from which an agent keeps {AGENT_BYTES:.0f} B/s\n")
+    _print("entries", [str(n) for n in (*SMALL, *ENTRIES)])
+    plans = [Plan(n) for n in SMALL] + [build_present(n) for n in ENTRIES]
+    _print("report_s", [find_period(slopes, plan) for plan in plans])
+    print("\npeak of starts: journal commits of all partitions, 1/s, by group_s\n")
+    _print("partitions", [str(n) for n in PARTITIONS])
+    for group_ms in GROUPS_MS:
+        rows = [count_rows(slopes, Plan(160, n, group_ms=group_ms)) for n in PARTITIONS]
+        commits = [f"{r * n:.0f}" for r, n in zip(rows, PARTITIONS, strict=True)]
+        _print(f"group_s {group_ms:.0f} ms", commits)
     print("\ntoday: workers at which default settings leave an entry half busy\n")
     _print("entries", [str(n) for n in SMALL])
     for teams in (0, 10):
@@ -270,16 +88,21 @@
 
 
 def _print_fits(slopes: Slopes) -> None:
-    """Print every fit as a row: run, figure, slope, intercept, r2, sizes, load."""
+    """Print every fit as a row.
+
+    Run, figure, slope, intercept, r2, sizes, load, and the digest of the code, with
+    a star if the code changed meanwhile.
+    """
     for run, kept in slopes.runs.items():
         load = f"{kept['load_before'][0]:.0f}-{kept['load_after'][0]:.0f}"
+        code = kept["code"][:6] + "*" * kept["code_changed_meanwhile"]
         for slope in kept["slopes"]:
             sizes = [point[0] for point in slope["points"]]
             unit = f"{slope['unit']} for each {slope['x']}"
             line = f"{slope['slope']:.3g} {unit} | {slope['intercept']:.3g}"
             span = f"{min(sizes):.0f}-{max(sizes):.0f}"
             name = f"`{run}` | {slope['name']}"
-            print(f"| {name} | {line} | {slope['r2']:.3f} | {span} | {load} |")
+            print(f"| {name} | {line} | {slope['r2']:.3f} | {span} | {load} | {code} |")
 
 
 def _print_entry(slopes: Slopes, plans: Sequence[Plan]) -> None:
