Let the ledger machine's late calls be refused

Cause: a long random run (make fuzz, 800 cases) failed in the model itself: a stop whose answer was given up arrived after the run was forgotten, and the fake worker's refusal, which nobody waits for any more, ended the machine. Ruled out: the product (nothing of it is called at that step). Change: the refusal of a late call is dropped; the invariants are as before.

--- a/tests/unit/test_fuzz_ledger.py
+++ b/tests/unit/test_fuzz_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from functools import partial
 
 import curio
@@ -10,6 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pistachiodeal.agent.ledger import create_ledger
+from pistachiodeal.exceptions import WorkerRefusedError
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.platform.protocols import RunState
 from pistachiodeal.wire.task_messages import StartRefused, Stop, TaskAck, TaskEnded
@@ -102,7 +104,10 @@
     def arrive_late(self, pick: int) -> None:
         """Let a call whose answer was given up take effect; a late start won't."""
         if self.runtime.late:
-            self.runtime.late.pop(pick % len(self.runtime.late))()
+            # A late call may be refused (a stop of what was forgotten since); its
+            # caller is gone, so the refusal reaches nobody.
+            with suppress(WorkerRefusedError):
+                self.runtime.late.pop(pick % len(self.runtime.late))()
             self.expire()
 
     @rule(seconds=st.sampled_from([0.1, 5.0, 62.0]))
