--- a/tests/unit/test_batch_service.py
+++ b/tests/unit/test_batch_service.py
@@ -282,6 +282,53 @@
     curio.run(main)
 
 
+def test_burst_of_cancels_shares_rows():
+    """Symptom: a burst of cancels fills the table's budget of writes.
+    Sequence: many waiting tasks are cancelled in the same moment.
+    Cause: a row written for each of them.
+    """
+
+    async def main():
+        world = World()
+        entry, _ = await world.open("a")
+        ids = [await submit(entry, f"k{number}") for number in range(40)]
+        before = world.table.commits
+        cancels = [await curio.spawn(call, entry, "DELETE", name) for name in ids]
+        states = [(await cancel.join())["state"] for cancel in cancels]
+        assert set(states) == {"cancelled"}
+        partitions = entry.context.settings.batch.partitions
+        # A row that is on its way when the burst comes, then one for all the rest.
+        assert world.table.commits - before <= 2 * partitions
+
+    curio.run(main)
+
+
+def test_dead_entrys_partitions_are_not_all_taken_in_one_round():
+    """Symptom: all survivors read whole partitions at once after a loss.
+    Sequence: an entry that owned everything dies; another sees it dead.
+    Cause: every partition taken over in the first round.
+    """
+
+    async def main():
+        world = World()
+        owned = {"partitions": 64}
+        dead = Entry("a", world.table, world.objects, world.clock, **owned)
+        for _ in range(64):
+            await world.round(dead)
+        assert len(dead.keeper.hosts()) == 64
+        heir = Entry("b", world.table, world.objects, world.clock, **owned)
+        await world.round(heir)
+        world.clock.now += 60.0
+        await world.round(heir)
+        first = len(heir.keeper.hosts())
+        for _ in range(64):
+            await world.round(heir)
+        assert 0 < first < 64
+        assert len(heir.keeper.hosts()) == 64
+
+    curio.run(main)
+
+
 def test_cancel_and_finish_have_one_winner():
     async def main():
         world = World()
