--- a/bench/slopes/agent.py
+++ b/bench/slopes/agent.py
@@ -23,8 +23,9 @@
 from pistachiodeal.entry.pushing import DIRECTORY_S
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.link import Link, LinkTimings, accept_link
+from pistachiodeal.wire.link import Link, LinkTimings
 from pistachiodeal.wire.messages import Directory, EntryAddress, PartitionOwner, Report
+from pistachiodeal.wire.opening import accept_link
 from pistachiodeal.wire.task_messages import LeaseGrant, Renew, Start
 from tests.harness import documents
 from tests.harness.cluster import Cluster, run_cluster
--- a/bench/slopes/agents_driver.py
+++ b/bench/slopes/agents_driver.py
@@ -14,8 +14,9 @@
 
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.link import Link, LinkTimings, dial_link
+from pistachiodeal.wire.link import Link, LinkTimings
 from pistachiodeal.wire.messages import Report, ServiceLoad
+from pistachiodeal.wire.opening import dial_link
 from pistachiodeal.wire.task_messages import Start, TaskEnded, TaskRef
 from tests.harness.documents import SECRET
 
--- a/pistachiodeal/agent/links.py
+++ b/pistachiodeal/agent/links.py
@@ -20,8 +20,9 @@
     PistachiodealError,
 )
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.link import Link, LinkTimings, dial_link
+from pistachiodeal.wire.link import Link, LinkTimings
 from pistachiodeal.wire.messages import Goodbye, Message
+from pistachiodeal.wire.opening import dial_link
 
 log = logbook.Logger("agent")
 
--- a/pistachiodeal/batch/forward.py
+++ b/pistachiodeal/batch/forward.py
@@ -18,7 +18,7 @@
 from pistachiodeal.supervisor import compute_pause
 from pistachiodeal.web.messages import WebRequest, WebResponse
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.link import Link, LinkTimings, dial_link
+from pistachiodeal.wire.link import Link, LinkTimings
 from pistachiodeal.wire.messages import (
     Failure,
     Message,
@@ -26,6 +26,7 @@
     Request,
     Response,
 )
+from pistachiodeal.wire.opening import dial_link
 
 log = Logger("batch")
 
--- a/pistachiodeal/entry/links.py
+++ b/pistachiodeal/entry/links.py
@@ -32,7 +32,7 @@
 from pistachiodeal.metrics import Metrics
 from pistachiodeal.profiles.keeper import ProfileKeeper
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.link import Link, LinkTimings, accept_link
+from pistachiodeal.wire.link import Link, LinkTimings
 from pistachiodeal.wire.messages import (
     Evidence,
     Failure,
@@ -44,6 +44,7 @@
     Request,
     Response,
 )
+from pistachiodeal.wire.opening import accept_link
 from pistachiodeal.wire.task_messages import StartRefused, TaskEnded
 
 log = Logger("entry")
--- a/pistachiodeal/wire/link.py
+++ b/pistachiodeal/wire/link.py
@@ -5,8 +5,7 @@
 import socket as stdlib_socket
 import time
 from collections import deque
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 from dataclasses import dataclass
 
 import curio
@@ -19,7 +18,6 @@
     LinkSilentError,
     ProtocolError,
 )
-from pistachiodeal.wire import handshake
 from pistachiodeal.wire.codec import (
     LENGTH_BYTES,
     MAX_FRAME_BYTES,
@@ -249,68 +247,3 @@
         await self._room.set()
         with suppress(OSError):
             await self._sock.shutdown(stdlib_socket.SHUT_RDWR)
-
-
-@asynccontextmanager
-async def dial_link(
-    address: str, identity: Identity, secret: str, timings: LinkTimings
-) -> AsyncIterator[Link]:
-    """Connect to ``ip:port`` and prove who we are; closes the link at the end.
-
-    :raises LinkClosedError: not reachable, or closed in the handshake.
-    :raises AuthenticationError: the peer does not hold the secret.
-    """
-    host, _, port = address.rpartition(":")
-    raw = stdlib_socket.socket(stdlib_socket.AF_INET, stdlib_socket.SOCK_STREAM)
-    sock = Socket(raw)
-    link = Link(sock, address, timings)
-    try:
-        async with _handshake_guard(link, timings):
-            await sock.connect((host, int(port)))
-            sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
-            peer = await handshake.introduce(link, identity, secret)
-            await link.open(peer)
-        yield link
-    finally:
-        await link.close()
-
-
-@asynccontextmanager
-async def accept_link(
-    sock: Socket, identity: Identity, secret: str, timings: LinkTimings
-) -> AsyncIterator[Link]:
-    """Do the handshake on an accepted curio socket; closes the link at the end.
-
-    :raises AuthenticationError: the peer does not hold the secret.
-    :raises ProtocolError: garbage, or another version.
-    """
-    host, port = sock.getpeername()[:2]
-    link = Link(sock, f"{host}:{port}", timings)
-    try:
-        sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
-        async with _handshake_guard(link, timings):
-            peer = await handshake.admit(link, identity, secret)
-            await link.open(peer)
-        yield link
-    finally:
-        await link.close()
-
-
-@asynccontextmanager
-async def _handshake_guard(link: Link, timings: LinkTimings) -> AsyncIterator[None]:
-    try:
-        async with curio.timeout_after(timings.handshake_s):
-            yield
-    except curio.TaskTimeout:
-        raise LinkClosedError(
-            f"no handshake within {timings.handshake_s:.3g} s",
-            step="link.handshake",
-            peer=link.address,
-        ) from None
-    except OSError as error:
-        raise LinkClosedError(
-            repr(error), step="link.handshake", peer=link.address
-        ) from None
-    except ProtocolError as error:
-        error.peer = error.peer or link.address
-        raise
--- a/tests/unit/test_batch_forward.py
+++ b/tests/unit/test_batch_forward.py
@@ -9,8 +9,9 @@
 from pistachiodeal.exceptions import LinkClosedError, Outcome, RequestError
 from pistachiodeal.web.messages import WebRequest
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.link import LinkTimings, accept_link
+from pistachiodeal.wire.link import LinkTimings
 from pistachiodeal.wire.messages import Refusal, Request, Response
+from pistachiodeal.wire.opening import accept_link
 
 SECRET = "s" * 16
 TIMINGS = LinkTimings()
--- a/tests/unit/test_entry_links.py
+++ b/tests/unit/test_entry_links.py
@@ -13,7 +13,7 @@
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.web.server import bind_listener
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.link import LinkTimings, dial_link
+from pistachiodeal.wire.link import LinkTimings
 from pistachiodeal.wire.messages import (
     Directory,
     Evidence,
@@ -26,6 +26,7 @@
     Response,
     ServiceLoad,
 )
+from pistachiodeal.wire.opening import dial_link
 from pistachiodeal.wire.task_messages import TaskEnded
 
 SECRET = "a secret of the tests"
--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -1,5 +1,7 @@
 """Links between our processes: secret, version, garbage, silence."""
 
+import socket
+import struct
 from contextlib import asynccontextmanager
 
 import curio
@@ -26,8 +28,9 @@
     parse_length,
 )
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.link import LinkTimings, accept_link, dial_link
+from pistachiodeal.wire.link import LinkTimings
 from pistachiodeal.wire.messages import Ping, Report, Request, Response, ServiceLoad
+from pistachiodeal.wire.opening import accept_link, dial_link
 from pistachiodeal.wire.task_messages import TaskRef
 
 SECRET = "a-secret-of-tests"
@@ -234,3 +237,25 @@
                 assert isinstance(caught.value.__cause__, LinkClosedError)
 
     curio.run(main)
+
+
+def test_peer_that_is_gone_before_it_is_accepted():
+    """Symptom: an unknown error of the operating system in the task of a link.
+
+    Sequence: a peer connects and resets; only then is its connection accepted.
+    Cause: the address of a connection that is gone can't be asked for.
+    """
+
+    async def main():
+        listener = bind_listener("127.0.0.1", 0)
+        peer = socket.create_connection(listener.getsockname())
+        reset = struct.pack("ii", 1, 0)
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        peer.close()
+        sock, _ = await Socket(listener).accept()
+        with pytest.raises(LinkClosedError):
+            async with accept_link(sock, ENTRY, SECRET, PATIENT):
+                pass
+        listener.close()
+
+    curio.run(main)
