Name the request path for what it does

Cause: "desk", "journey" and a runner's "word" are metaphors; the house style asks for the field's terms. Behaviour as before.

--- a/pistachiodeal/agent/admission.py
+++ b/pistachiodeal/agent/admission.py
@@ -62,7 +62,7 @@
     def count_slots(self, service: str) -> int:
         """Return the slots of all usable runners."""
         runners = self._runners.list_runners(service)
-        return sum(runner.word.slots for runner in runners if runner.usable)
+        return sum(runner.announcement.slots for runner in runners if runner.usable)
 
     def find_refusal(self, pending: Pending) -> Refusal | None:
         """Return why a request cannot be taken, or None."""
--- a/pistachiodeal/agent/announce.py
+++ b/pistachiodeal/agent/announce.py
@@ -9,7 +9,7 @@
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
-from pistachiodeal.agent.runners import RunnerTable, RunnerWord
+from pistachiodeal.agent.runners import AnnouncedRunner, RunnerTable
 from pistachiodeal.config.common import ADDRESS_PATTERN, NODE_PATTERN
 from pistachiodeal.exceptions import RequestError
 from pistachiodeal.model.policies import NAME_PATTERN
@@ -45,10 +45,10 @@
             raise ValueError("no such port")
         return value
 
-    def build_word(self, name: str) -> RunnerWord:
-        """Return it as the runner's word."""
+    def build_runner(self, name: str) -> AnnouncedRunner:
+        """Return it as the runner's announcement."""
         size = Resources(self.cpu_milli, self.memory_mib, self.accelerators)
-        return RunnerWord(name, self.service, self.address, self.slots, size)
+        return AnnouncedRunner(name, self.service, self.address, self.slots, size)
 
 
 class RunnerName(BaseModel):
@@ -87,8 +87,8 @@
         raise RequestError(code="not_found", status=404, step="announce")
 
     async def _announce(self, name: str, request: WebRequest) -> WebResponse:
-        word = _read_announcement(request.body).build_word(name)
-        added = await self._table.announce(word)
+        announcement = _read_announcement(request.body).build_runner(name)
+        added = await self._table.announce(announcement)
         document = {"name": name, "expiry_s": self._expiry_s}
         return build_json(201 if added else 200, document)
 
--- a/pistachiodeal/agent/app.py
+++ b/pistachiodeal/agent/app.py
@@ -19,7 +19,7 @@
 from pistachiodeal.agent.guarding import Guarding, create_guarding
 from pistachiodeal.agent.links import LinkKeeper
 from pistachiodeal.agent.reporting import Reporter
-from pistachiodeal.agent.requests import RequestDesk
+from pistachiodeal.agent.requests import RequestHandler
 from pistachiodeal.agent.runners import RunnerTable
 from pistachiodeal.agent.status import StatusParts, build_status
 from pistachiodeal.config.agent import AgentSettings
@@ -57,25 +57,25 @@
         self._links = LinkKeeper(
             settings, create_identity(settings), self._directory, self._list_partitions
         )
-        self._desk = RequestDesk(
+        self._requests = RequestHandler(
             self._runners,
             self._policies,
             self._metrics,
             window_s=settings.guard.window_s,
         )
-        self._runners.on_change = self._desk.note_change
+        self._runners.on_change = self._requests.note_change
         self._tasks = create_tasks(settings, self._links, self._policies, self._metrics)
         self._directory.on_epoch = self._tasks.note_epoch
         self._reporter = Reporter(
             settings.report_s,
             tasks=self._tasks,
-            list_loads=self._desk.figures,
+            list_loads=self._requests.figures,
             directory=self._directory,
             links=self._links,
         )
         self._drainer = Drainer(
             settings.drain_s,
-            desk=self._desk,
+            requests=self._requests,
             tasks=self._tasks,
             links=self._links,
             reporter=self._reporter,
@@ -106,7 +106,7 @@
 
     async def close(self) -> None:
         """Close what is left open."""
-        await self._desk.stop()
+        await self._requests.stop()
         await self._runners.close()
 
     async def _drain_on_signal(self, watch: SignalWatch) -> None:
@@ -119,7 +119,7 @@
     async def _cut_on_signal(self, watch: SignalWatch) -> None:
         await watch.wait()
         self._cut = True
-        log.error("agent: stopped at once, {} requests cut", self._desk.open_count)
+        log.error("agent: stopped at once, {} requests cut", self._requests.open_count)
         await self._supervisor.stop()
 
     async def _run_tasks(self) -> None:
@@ -152,7 +152,7 @@
 
     def _create_dispatch(self) -> MessageDispatch:
         return MessageDispatch(
-            desk=self._desk,
+            requests=self._requests,
             tasks=self._tasks,
             directory=self._directory,
             links=self._links,
@@ -166,7 +166,7 @@
         timeline = create_timeline()
         return create_guarding(
             self._tasks,
-            self._desk,
+            self._requests,
             create_guard(self._settings.guard, model, timeline),
             timeline,
             self._policies,
@@ -187,7 +187,7 @@
         parts = StatusParts(
             settings=self._settings,
             tasks=self._tasks,
-            desk=self._desk,
+            requests=self._requests,
             links=self._links,
             policies=self._policies,
             metrics=self._metrics,
--- a/pistachiodeal/agent/dispatch.py
+++ b/pistachiodeal/agent/dispatch.py
@@ -11,7 +11,7 @@
 from pistachiodeal.agent.evidence import EvidenceExchange
 from pistachiodeal.agent.links import LinkKeeper
 from pistachiodeal.agent.reporting import Reporter
-from pistachiodeal.agent.requests import RequestDesk
+from pistachiodeal.agent.requests import RequestHandler
 from pistachiodeal.agent.tasks import TaskKeeper
 from pistachiodeal.metrics import Metrics
 from pistachiodeal.profiles.cache import PolicyCache
@@ -39,7 +39,7 @@
     def __init__(
         self,
         *,
-        desk: RequestDesk,
+        requests: RequestHandler,
         tasks: TaskKeeper,
         directory: AgentDirectory,
         links: LinkKeeper,
@@ -48,7 +48,7 @@
         reporter: Reporter,
         metrics: Metrics,
     ) -> None:
-        self._desk = desk
+        self._requests = requests
         self._tasks = tasks
         self._directory = directory
         self._links = links
@@ -69,9 +69,9 @@
     async def receive(self, link: Link, message: Message) -> None:
         """Act on a message; waits for nothing but a full outbox."""
         if isinstance(message, Request):
-            await self._desk.handle(link, message)
+            await self._requests.handle(link, message)
         elif isinstance(message, Withdraw):
-            await self._desk.withdraw(link, message.request_id)
+            await self._requests.withdraw(link, message.request_id)
         elif isinstance(message, Start | Stop | Renew | TaskAck):
             await self._tasks.receive(message)
         elif isinstance(message, Directory):
@@ -88,14 +88,14 @@
 
     async def part(self, link: Link) -> None:
         """Drop what waits from a closed link, and what its entry said."""
-        await self._desk.close_origin(link)
+        await self._requests.close_origin(link)
         node = link.peer.node
         if all(other.peer.node != node for other in self._links.links):
             self._directory.forget(node)
 
     def count_open(self, link: Link) -> int:
         """Return the number of requests that the link waits for."""
-        return self._desk.count_open(link)
+        return self._requests.count_open(link)
 
     async def _merge_policies(self, link: Link, message: Policies) -> None:
         """Take newer policies, and pass them on to the other entries."""
--- a/pistachiodeal/agent/draining.py
+++ b/pistachiodeal/agent/draining.py
@@ -9,7 +9,7 @@
 
 from pistachiodeal.agent.links import LinkKeeper
 from pistachiodeal.agent.reporting import Reporter
-from pistachiodeal.agent.requests import RequestDesk
+from pistachiodeal.agent.requests import RequestHandler
 from pistachiodeal.agent.tasks import TaskKeeper
 
 GOODBYE_GRACE_S = 1.0
@@ -29,13 +29,13 @@
         self,
         limit: float,
         *,
-        desk: RequestDesk,
+        requests: RequestHandler,
         tasks: TaskKeeper,
         links: LinkKeeper,
         reporter: Reporter,
     ) -> None:
         self._limit = limit
-        self._desk = desk
+        self._requests = requests
         self._tasks = tasks
         self._links = links
         self._reporter = reporter
@@ -54,9 +54,9 @@
         started = time.monotonic()
         self._draining = True
         self._reporter.draining = True
-        self._desk.start_draining()
+        self._requests.start_draining()
         self._tasks.stop_accepting()
-        log.notice("agent: draining, {} requests open", self._desk.open_count)
+        log.notice("agent: draining, {} requests open", self._requests.open_count)
         await self._links.say_goodbye("draining")
         await self._reporter.report()
         leaving = await curio.spawn(self._leave_worker, leave, daemon=True)
@@ -65,11 +65,11 @@
         # told "unknown"; for this long they get a refusal instead.
         await curio.sleep(min(GOODBYE_GRACE_S, self._limit))
         left = self._limit - (time.monotonic() - started)
-        drained = await self._desk.drain(max(left, 0.0))
+        drained = await self._requests.drain(max(left, 0.0))
         if not drained:
-            log.error("agent: {} requests cut", self._desk.open_count)
+            log.error("agent: {} requests cut", self._requests.open_count)
         await leaving.join()
-        await self._desk.stop()
+        await self._requests.stop()
         return drained
 
     async def _leave_worker(self, leave: bool) -> None:
--- a/pistachiodeal/agent/guarding.py
+++ b/pistachiodeal/agent/guarding.py
@@ -61,7 +61,7 @@
         self,
         *,
         keeper: TaskControl,
-        desk: ServiceFigures,
+        figures: ServiceFigures,
         guard: Guard,
         timeline: Timeline,
         policies: PolicyCache,
@@ -70,7 +70,7 @@
         clock: Clock,
     ) -> None:
         self._keeper = keeper
-        self._desk = desk
+        self._figures = figures
         self._guard = guard
         self._timeline = timeline
         self._policies = policies
@@ -101,9 +101,9 @@
     def _read_services(self, now: float) -> list[ServiceReading]:
         """Return a reading of each service that has a promise and had requests."""
         readings = []
-        for load in self._desk.figures():
+        for load in self._figures.figures():
             policy = self._policies.policy(load.service)
-            latency_s = self._desk.latency(load.service)
+            latency_s = self._figures.latency(load.service)
             if policy is None or policy.profile is None or latency_s <= 0:
                 continue
             if policy.profile.latency_critical:
@@ -171,7 +171,7 @@
 
 def create_guarding(
     keeper: TaskControl,
-    desk: ServiceFigures,
+    figures: ServiceFigures,
     guard: Guard,
     timeline: Timeline,
     policies: PolicyCache,
@@ -183,7 +183,7 @@
     """Make the child that guards the services of one worker."""
     return Guarding(
         keeper=keeper,
-        desk=desk,
+        figures=figures,
         guard=guard,
         timeline=timeline,
         policies=policies,
--- a/pistachiodeal/agent/requests.py
+++ b/pistachiodeal/agent/requests.py
@@ -36,7 +36,7 @@
 LATENCY_WINDOW_S = 5.0
 
 
-class RequestDesk:
+class RequestHandler:
     """The only authority on which requests this worker's runners get."""
 
     def __init__(
@@ -109,7 +109,7 @@
         if runner.gone:
             while runner.parked:
                 await runner.parked.pop().put(None)
-        service = runner.word.service
+        service = runner.announcement.service
         await self._pump(service)
         if not self._runners.list_runners(service):
             await self._refuse_all(service, "no_runner")
@@ -169,7 +169,7 @@
         free = [r for r in self._runners.list_runners(service) if r.has_room]
         if not free:
             return None
-        return min(free, key=lambda runner: runner.busy / runner.word.slots)
+        return min(free, key=lambda runner: runner.busy / runner.announcement.slots)
 
     async def _hand_over(self, runner: Runner, pending: Pending) -> None:
         if runner.parked:
@@ -193,7 +193,7 @@
 
     async def _take_next(self, runner: Runner) -> Pending | None:
         """Return what the slot does next; the slot is free when that is nothing."""
-        service = runner.word.service
+        service = runner.announcement.service
         queue = self._queues.get(service)
         if queue:
             await self.refuse_late(queue)
@@ -222,7 +222,7 @@
         except CallError as error:
             await self._settle_error(runner, pending, error, started)
         except Exception as error:
-            log.error("agent: call of {} failed: {!r}", runner.word.name, error)
+            log.error("agent: call of {} failed: {!r}", runner.announcement.name, error)
             await self._fail(pending, Outcome.UNKNOWN, "internal", repr(error))
         else:
             await self._settle_answer(runner, pending, answer, started)
@@ -231,7 +231,7 @@
         self, runner: Runner, pending: Pending, answer: WebResponse, started: float
     ) -> None:
         now = self._clock()
-        queue = self._queues.get(runner.word.service)
+        queue = self._queues.get(runner.announcement.service)
         if queue is not None:
             queue.service_time.record(now - started)
             queue.latency.record(now - pending.received_at)
@@ -251,7 +251,7 @@
             await self._put_back(pending)
             return
         now = self._clock()
-        queue = self._queues.get(runner.word.service)
+        queue = self._queues.get(runner.announcement.service)
         if queue is not None:
             queue.service_time.record_failure(now - started)
             queue.latency.record(now - pending.received_at)
--- a/pistachiodeal/agent/runners.py
+++ b/pistachiodeal/agent/runners.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RunnerWord:
+class AnnouncedRunner:
     """What a runner says of itself."""
 
     name: str
@@ -57,7 +57,7 @@
     :param gone: it left, expired or was replaced; it gets nothing new.
     """
 
-    word: RunnerWord
+    announcement: AnnouncedRunner
     client: WebClient
     heard_at: float
     busy: int = 0
@@ -71,7 +71,7 @@
     @property
     def has_room(self) -> bool:
         """Tell whether a slot can take a request."""
-        return self.usable and not self.gone and self.busy < self.word.slots
+        return self.usable and not self.gone and self.busy < self.announcement.slots
 
 
 class RunnerTable:
@@ -84,7 +84,7 @@
         self,
         expiry_s: float,
         clock: Callable[[], float] = time.monotonic,
-        connect: Callable[[RunnerWord], WebClient] | None = None,
+        connect: Callable[[AnnouncedRunner], WebClient] | None = None,
     ) -> None:
         self.on_change: Callable[[Runner], Awaitable[None]] | None = None
         self._expiry_s = expiry_s
@@ -114,23 +114,25 @@
         """Take runners from now on, with room from this ledger."""
         self._ledger = ledger
 
-    async def announce(self, word: RunnerWord) -> bool:
-        """Take a runner's word; return True when the runner is new.
+    async def announce(self, announcement: AnnouncedRunner) -> bool:
+        """Take an announcement; return True when the runner is new.
 
         :raises RequestError: ``no_room``, ``too_many_runners`` or ``not_ready``.
         """
         now = self._clock()
-        runner = self._runners.get(word.name)
-        if runner and runner.word == word:
+        runner = self._runners.get(announcement.name)
+        if runner and runner.announcement == announcement:
             runner.heard_at = now
             await self._readmit(runner, now)
             return False
-        added = self._replace(runner, word, now)
+        added = self._replace(runner, announcement, now)
         await self._tell(added)
         if runner:
             await self._tell(runner)
             await self.retire_if_idle(runner)
-        log.notice("agent: runner {} of {} announced", word.name, word.service)
+        log.notice(
+            "agent: runner {} of {} announced", announcement.name, announcement.service
+        )
         return True
 
     async def remove(self, name: str) -> bool:
@@ -141,7 +143,7 @@
         self._take_out(runner)
         await self._tell(runner)
         await self.retire_if_idle(runner)
-        log.notice("agent: runner {} of {} left", name, runner.word.service)
+        log.notice("agent: runner {} of {} left", name, runner.announcement.service)
         return True
 
     async def run(self) -> None:
@@ -152,19 +154,19 @@
             await self.sweep()
 
     async def sweep(self) -> None:
-        """Drop runners whose word has expired."""
+        """Drop runners whose announcement has expired."""
         now = self._clock()
         self._excuse_pause(now)
         for runner in list(self._runners.values()):
             if now - runner.heard_at > self._expiry_s:
-                log.warning("agent: runner {} is silent", runner.word.name)
-                await self.remove(runner.word.name)
+                log.warning("agent: runner {} is silent", runner.announcement.name)
+                await self.remove(runner.announcement.name)
 
     async def retire_if_idle(self, runner: Runner) -> None:
         """Give a gone runner's room back once nothing runs there any more."""
         if not runner.gone or runner.busy:
             return
-        name = runner.word.name
+        name = runner.announcement.name
         if self._reserved.get(name) is runner and self._ledger:
             del self._reserved[name]
             self._ledger.release(_name_reservation(runner))
@@ -188,14 +190,16 @@
         runner.usable = False
         runner.usable_at = self._clock() + runner.backoff_s
         runner.backoff_s = min(runner.backoff_s * 2, MAX_BACKOFF_S)
-        log.warning("agent: runner {} fails, out of use", runner.word.name)
+        log.warning("agent: runner {} fails, out of use", runner.announcement.name)
 
     async def close(self) -> None:
         """Close the connections to all runners."""
         for runner in self._runners.values():
             await runner.client.close()
 
-    def _replace(self, old: Runner | None, word: RunnerWord, now: float) -> Runner:
+    def _replace(
+        self, old: Runner | None, announcement: AnnouncedRunner, now: float
+    ) -> Runner:
         if self._ledger is None:
             raise RequestError(
                 "the worker's runs are not known yet",
@@ -206,27 +210,27 @@
             )
         if old is None and len(self._runners) >= MAX_RUNNERS:
             raise RequestError(code="too_many_runners", status=409, step="announce")
-        runner = Runner(word, self._connect(word), now)
-        if not self._ledger.reserve(_name_reservation(runner), word.size):
+        runner = Runner(announcement, self._connect(announcement), now)
+        if not self._ledger.reserve(_name_reservation(runner), announcement.size):
             raise RequestError(
-                f"no room for {word.size} on this worker",
+                f"no room for {announcement.size} on this worker",
                 code="no_room",
                 status=409,
                 retry_after=NO_ROOM_RETRY_S,
                 step="announce",
-                peer=word.address,
+                peer=announcement.address,
             )
-        self._reserved[word.name] = runner
+        self._reserved[announcement.name] = runner
         if old:
             self._take_out(old)
-        self._runners[word.name] = runner
-        self._services.setdefault(word.service, []).append(runner)
+        self._runners[announcement.name] = runner
+        self._services.setdefault(announcement.service, []).append(runner)
         return runner
 
     def _take_out(self, runner: Runner) -> None:
         runner.gone = True
-        del self._runners[runner.word.name]
-        service = runner.word.service
+        del self._runners[runner.announcement.name]
+        service = runner.announcement.service
         self._services[service].remove(runner)
         if not self._services[service]:
             del self._services[service]
@@ -244,7 +248,7 @@
 
     def _excuse_pause(self, now: float) -> None:
         # After a freeze of this process every runner looks silent although
-        # their words wait in its sockets; dropping them would refuse all
+        # their announcements wait in its sockets; dropping them would refuse all
         # requests for a second. Time that we slept through does not count.
         lost = now - self._swept_at - 2 * self._expiry_s / SWEEPS_PER_EXPIRY
         self._swept_at = now
@@ -254,8 +258,8 @@
 
 
 def _name_reservation(runner: Runner) -> str:
-    return f"runner:{runner.word.name}"
+    return f"runner:{runner.announcement.name}"
 
 
-def _connect_runner(word: RunnerWord) -> WebClient:
-    return create_client(word.address, connections=word.slots)
+def _connect_runner(announcement: AnnouncedRunner) -> WebClient:
+    return create_client(announcement.address, connections=announcement.slots)
--- a/pistachiodeal/agent/status.py
+++ b/pistachiodeal/agent/status.py
@@ -7,7 +7,7 @@
 
 from pistachiodeal import __version__
 from pistachiodeal.agent.links import LinkKeeper
-from pistachiodeal.agent.requests import RequestDesk
+from pistachiodeal.agent.requests import RequestHandler
 from pistachiodeal.agent.tasks import TaskKeeper
 from pistachiodeal.config.agent import AgentSettings
 from pistachiodeal.metrics import Metrics
@@ -20,7 +20,7 @@
 
     settings: AgentSettings
     tasks: TaskKeeper
-    desk: RequestDesk
+    requests: RequestHandler
     links: LinkKeeper
     policies: PolicyCache
     metrics: Metrics
@@ -39,7 +39,7 @@
         "draining": draining,
         "capacity": asdict(ledger.capacity),
         "free": asdict(ledger.free),
-        "requests_open": parts.desk.open_count,
+        "requests_open": parts.requests.open_count,
         "services": [
             {
                 "service": load.service,
@@ -48,7 +48,7 @@
                 "queued": load.queued,
                 "latency_us": load.latency_us,
             }
-            for load in parts.desk.figures()
+            for load in parts.requests.figures()
         ],
         "links": [link.peer.node for link in parts.links.links],
         "policies": parts.policies.describe(),
--- a/pistachiodeal/agent/tasks.py
+++ b/pistachiodeal/agent/tasks.py
@@ -85,8 +85,8 @@
     async def attach(self) -> None:
         """Fence earlier agents and count what runs, before anything is accepted.
 
-        Runners announce themselves anew to a new agent. Until their words had
-        time to come, tasks are refused, or a task would get a runner's room.
+        Runners announce themselves anew to a new agent. Until they had the time
+        for it, tasks are refused, or a task would get a runner's room.
 
         :raises WorkerError: try again; nothing is accepted until then.
         """
--- a/pistachiodeal/config/agent.py
+++ b/pistachiodeal/config/agent.py
@@ -19,7 +19,7 @@
 
     host: str = Field("127.0.0.1", description="address to listen on")
     port: int = Field(8090, ge=0, le=65_535, description="port; 0 takes a free one")
-    expiry_s: float = Field(3.0, gt=0, description="time a runner's word holds, s")
+    expiry_s: float = Field(3.0, gt=0, description="how long an announcement holds, s")
 
 
 class RuntimeSettings(Section):
--- a/pistachiodeal/entry/journey.py
+++ b/pistachiodeal/entry/attempts.py
@@ -23,21 +23,21 @@
 SHORTEST_RETRY_S = 0.05
 
 
-class Journey:
+class CallAttempts:
     """Keeps the attempts of one call and the worst outcome that is possible.
 
     A refusal of a later attempt says nothing about an earlier one whose answer
     was lost. Told by the last refusal alone, the caller would read ``not_run``
     for work that ran; so the outcome only ever gets worse.
 
-    :ivar attempts: how often the call was handed to an agent.
+    :ivar count: how often the call was handed to an agent.
     :ivar tried: nodes that had it.
     :ivar error: what the caller is told when nothing else is tried.
     """
 
     def __init__(self, call: Call) -> None:
         self.call = call
-        self.attempts = 0
+        self.count = 0
         self.tried: set[str] = set()
         self.outcome = Outcome.NOT_RUN
         self.error: RequestError | None = None
@@ -47,7 +47,7 @@
 
     def begin(self, session: Session, pending: Pending) -> None:
         """Note that an attempt is about to be handed to an agent."""
-        self.attempts += 1
+        self.count += 1
         self.tried.add(session.node)
         self.session = session
         self.pending = pending
--- a/pistachiodeal/entry/dispatch.py
+++ b/pistachiodeal/entry/dispatch.py
@@ -12,13 +12,13 @@
 
 from pistachiodeal.claims.keeper import Claimed, ClaimKeeper, Replayed
 from pistachiodeal.config.entry import RequestSettings
+from pistachiodeal.entry.attempts import DEADLINE, STEP_ROUTE, CallAttempts
 from pistachiodeal.entry.calls import (
     Call,
     parse_call,
     strip_request_headers,
     strip_response_headers,
 )
-from pistachiodeal.entry.journey import DEADLINE, STEP_ROUTE, Journey
 from pistachiodeal.entry.pending import Answer
 from pistachiodeal.entry.services import ServiceTable
 from pistachiodeal.entry.sessions import SessionTable
@@ -157,17 +157,17 @@
             await self._claims.mark_unknown(claim)
 
     async def _answer_in_time(self, call: Call, profile: Profile) -> WebResponse:
-        journey = Journey(call)
+        attempts = CallAttempts(call)
         left = call.deadline - self._clock()
         if left <= 0:
-            raise journey.give_up()
+            raise attempts.give_up()
         try:
             async with curio.timeout_after(left):
-                return await self._try_until_answered(journey, profile)
+                return await self._try_until_answered(attempts, profile)
         except curio.TaskTimeout:
-            response = await self._give_up(journey)
+            response = await self._give_up(attempts)
             if response is None:
-                raise journey.give_up() from None
+                raise attempts.give_up() from None
             return response
         except RequestError:
             raise
@@ -175,64 +175,66 @@
             # The web server would tell ``not_run`` of any error it does not
             # know, also of one that came up after a runner had the request.
             log.exception("entry: dispatch failed")
-            raise journey.fail(type(error).__name__) from error
+            raise attempts.fail(type(error).__name__) from error
 
-    async def _give_up(self, journey: Journey) -> WebResponse | None:
+    async def _give_up(self, attempts: CallAttempts) -> WebResponse | None:
         """Withdraw the open attempt; return its answer if it has just come."""
-        session, pending = journey.session, journey.pending
+        session, pending = attempts.session, attempts.pending
         if session is None or pending is None:
             return None
         answer = pending.answer
         if answer is None:
             await session.post(Withdraw(pending.request_id))
             return None
-        journey.end()
+        attempts.end()
         if isinstance(answer, Response):
-            return self._build_response(journey, answer)
-        journey.note_answer(session.node, answer)
+            return self._build_response(attempts, answer)
+        attempts.note_answer(session.node, answer)
         return None
 
     async def _try_until_answered(
-        self, journey: Journey, profile: Profile
+        self, attempts: CallAttempts, profile: Profile
     ) -> WebResponse:
-        budget = self._services.find_budget(journey.call.service, profile)
+        budget = self._services.find_budget(attempts.call.service, profile)
         budget.note_request()
         while True:
-            candidate = self._choose(journey)
-            answer = await self._attempt(journey, candidate)
+            candidate = self._choose(attempts)
+            answer = await self._attempt(attempts, candidate)
             if isinstance(answer, Response):
-                return self._build_response(journey, answer)
-            may_run_again = journey.call.is_repeatable(profile)
-            if journey.outcome is not Outcome.NOT_RUN and not may_run_again:
+                return self._build_response(attempts, answer)
+            may_run_again = attempts.call.is_repeatable(profile)
+            if attempts.outcome is not Outcome.NOT_RUN and not may_run_again:
                 break
-            if journey.attempts >= self._settings.attempts or not budget.take():
+            if attempts.count >= self._settings.attempts or not budget.take():
                 break
             self._metrics.count("entry.retries")
-        assert journey.error is not None
-        raise journey.error
+        assert attempts.error is not None
+        raise attempts.error
 
-    def _choose(self, journey: Journey) -> Candidate:
-        candidates = self._targets.find(journey.call.service)
-        if journey.tried:
-            candidates = [one for one in candidates if one.node not in journey.tried]
+    def _choose(self, attempts: CallAttempts) -> Candidate:
+        candidates = self._targets.find(attempts.call.service)
+        if attempts.tried:
+            candidates = [one for one in candidates if one.node not in attempts.tried]
         now = self._clock()
         chosen = self._chooser.choose(candidates, now)
         if chosen is None:
-            raise journey.error or self._services.build_no_runner(journey.call.service)
-        left = journey.call.deadline - now
+            raise attempts.error or self._services.build_no_runner(
+                attempts.call.service
+            )
+        left = attempts.call.deadline - now
         if estimate_wait(chosen) <= left:
             return chosen
-        return self._choose_shortest_wait(journey, candidates, left)
+        return self._choose_shortest_wait(attempts, candidates, left)
 
     def _choose_shortest_wait(
-        self, journey: Journey, candidates: Sequence[Candidate], left: float
+        self, attempts: CallAttempts, candidates: Sequence[Candidate], left: float
     ) -> Candidate:
         usable = [one for one in candidates if one.slots > 0]
         shortest = min(usable, key=estimate_wait)
         wait = estimate_wait(shortest)
         if wait <= left:
             return shortest
-        raise journey.error or RequestError(
+        raise attempts.error or RequestError(
             f"a slot is free in {wait:.3f} s at the earliest",
             code="overloaded",
             status=503,
@@ -240,33 +242,35 @@
             step=STEP_ROUTE,
         )
 
-    async def _attempt(self, journey: Journey, candidate: Candidate) -> Answer | None:
+    async def _attempt(
+        self, attempts: CallAttempts, candidate: Candidate
+    ) -> Answer | None:
         """Hand the call to one agent; return its answer, None when it never left."""
         session = self._sessions.get(candidate.node)
         if session is None:
-            journey.note_unsent(candidate.node, "no link to the agent")
+            attempts.note_unsent(candidate.node, "no link to the agent")
             return None
         pending = session.open_request()
         candidate.outstanding += 1
         try:
-            message = self._build_request(journey.call, pending.request_id)
-            journey.begin(session, pending)
+            message = self._build_request(attempts.call, pending.request_id)
+            attempts.begin(session, pending)
             try:
                 await session.send(message)
             except LinkClosedError as error:
-                journey.end()
-                journey.note_unsent(candidate.node, error.detail)
+                attempts.end()
+                attempts.note_unsent(candidate.node, error.detail)
                 return None
             answer = await pending.wait()
         finally:
             candidate.outstanding -= 1
             session.close_request(pending)
-        journey.end()
-        self._note_answer(journey, candidate, answer)
+        attempts.end()
+        self._note_answer(attempts, candidate, answer)
         return answer
 
     def _note_answer(
-        self, journey: Journey, candidate: Candidate, answer: Answer
+        self, attempts: CallAttempts, candidate: Candidate, answer: Answer
     ) -> None:
         now = self._clock()
         if isinstance(answer, Response):
@@ -279,7 +283,7 @@
             candidate.note_refusal(now, retry_after, random.random())
         else:
             candidate.note_failure(now)
-        journey.note_answer(candidate.node, answer)
+        attempts.note_answer(candidate.node, answer)
 
     def _build_request(self, call: Call, request_id: int) -> Request:
         left = max(SHORTEST_BUDGET_S, call.deadline - self._clock())
@@ -294,8 +298,8 @@
             budget_ms=int(left * 1000),
         )
 
-    def _build_response(self, journey: Journey, answer: Response) -> WebResponse:
-        method = journey.call.request.method
+    def _build_response(self, attempts: CallAttempts, answer: Response) -> WebResponse:
+        method = attempts.call.request.method
         headers = strip_response_headers(answer.headers, method)
         return WebResponse(answer.status, headers, answer.body)
 
--- a/tests/unit/test_agent_app.py
+++ b/tests/unit/test_agent_app.py
@@ -126,7 +126,7 @@
         log: list[Any] = []
         links = FakeLinks(log)
         dispatch = MessageDispatch(
-            desk=cast(Any, None),
+            requests=cast(Any, None),
             tasks=cast(Any, None),
             directory=AgentDirectory(),
             links=cast(Any, links),
--- a/tests/unit/test_agent_requests.py
+++ b/tests/unit/test_agent_requests.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from pistachiodeal.agent.ledger import create_ledger
-from pistachiodeal.agent.requests import RequestDesk
-from pistachiodeal.agent.runners import RunnerTable, RunnerWord
+from pistachiodeal.agent.requests import RequestHandler
+from pistachiodeal.agent.runners import AnnouncedRunner, RunnerTable
 from pistachiodeal.config.common import StatsdSettings
 from pistachiodeal.exceptions import LinkClosedError, Outcome
 from pistachiodeal.metrics import create_metrics
@@ -76,7 +76,9 @@
         self.metrics = create_metrics(StatsdSettings())
         profile = Profile(name="quotes", queue_limit=queue_limit)
         self._policy = ServicePolicy("orders", 1, profile)
-        self.desk = RequestDesk(self.table, self, self.metrics, clock=self.read_clock)
+        self.desk = RequestHandler(
+            self.table, self, self.metrics, clock=self.read_clock
+        )
         self.table.on_change = self.desk.note_change
         self.link = FakeLink()
 
@@ -86,12 +88,12 @@
     def read_clock(self) -> float:
         return self.now
 
-    def _connect(self, word: RunnerWord) -> Any:
-        return self.clients.setdefault(word.name, FakeClient())
+    def _connect(self, announcement: AnnouncedRunner) -> Any:
+        return self.clients.setdefault(announcement.name, FakeClient())
 
     async def announce(self, name: str, slots: int = 1) -> FakeClient:
-        word = RunnerWord(name, "orders", "127.0.0.1:9", slots, SIZE)
-        await self.table.announce(word)
+        announcement = AnnouncedRunner(name, "orders", "127.0.0.1:9", slots, SIZE)
+        await self.table.announce(announcement)
         return self.clients[name]
 
     async def ask(
--- a/tests/unit/test_agent_runners.py
+++ b/tests/unit/test_agent_runners.py
@@ -36,7 +36,7 @@
         self.now = 50.0
         self.ledger = create_ledger(Resources(10_000, 10_000))
         self.table = RunnerTable(
-            3.0, lambda: self.now, lambda word: cast(Any, FakeClient())
+            3.0, lambda: self.now, lambda announcement: cast(Any, FakeClient())
         )
         self.table.on_change = self._note
         self.changed: list[Runner] = []
@@ -79,7 +79,7 @@
     """Symptom: a worker holds more than it can while a runner stops.
 
     Sequence: the runner says it leaves with requests open, a task is placed.
-    Cause: its room was given back at the word, not at the last answer.
+    Cause: its room was given back at the announcement, not at the last answer.
     """
     bench = Bench()
     bench.open()
@@ -110,7 +110,7 @@
     old.busy = 0
     curio.run(bench.table.retire_if_idle, old)
     assert bench.ledger.free == Resources(4000, 9000)
-    assert bench.get_runner().word.address == "127.0.0.1:9001"
+    assert bench.get_runner().announcement.address == "127.0.0.1:9001"
 
 
 def test_a_runner_that_outgrows_the_worker_stays_as_it_was() -> None:
@@ -119,14 +119,14 @@
     bench.announce()
     assert bench.announce(cpu_milli=11_000) == 409
     assert bench.ledger.free == Resources(6000, 9000)
-    assert bench.get_runner().word.size.cpu_milli == 4000
+    assert bench.get_runner().announcement.size.cpu_milli == 4000
 
 
 def test_silent_runners_expire_but_not_by_our_own_freeze() -> None:
     """Symptom: after a pause of the agent all requests are refused for a second.
 
-    Sequence: the agent is frozen for longer than a runner's word holds.
-    Cause: words that waited in its sockets were not yet read, and looked missing.
+    Sequence: the agent is frozen for longer than an announcement holds.
+    Cause: announcements waited unread in its sockets, and looked missing.
     """
     bench = Bench()
     bench.open()
