--- a/bench/slopes/memory.py
+++ b/bench/slopes/memory.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from pistachiodeal.platform.protocols import ANY_VERSION, CommitResult, Row, Write
+from pistachiodeal.store.protocols import ANY_VERSION, CommitResult, Row, Write
 
 
 class MemoryTable:
--- a/pistachiodeal/agent/composition.py
+++ b/pistachiodeal/agent/composition.py
@@ -8,9 +8,9 @@
 from pistachiodeal.agent.tasks import TaskKeeper, create_task_keeper
 from pistachiodeal.config.agent import AgentSettings
 from pistachiodeal.metrics import Metrics
-from pistachiodeal.platform.http_objects import create_object_store
-from pistachiodeal.platform.http_worker import create_worker_runtime
 from pistachiodeal.profiles.cache import PolicyCache
+from pistachiodeal.store.http_objects import create_object_store
+from pistachiodeal.store.http_worker import create_worker_runtime
 from pistachiodeal.wire.identity import AGENT_ROLE, Identity
 
 INCARNATION_BITS = 63
--- a/pistachiodeal/agent/eviction.py
+++ b/pistachiodeal/agent/eviction.py
@@ -9,7 +9,7 @@
 from pistachiodeal.clock import Clock
 from pistachiodeal.exceptions import StoreError, WorkerError, WorkerFencedError
 from pistachiodeal.metrics import Metrics
-from pistachiodeal.platform.protocols import ObjectStore, Run, RunState, WorkerRuntime
+from pistachiodeal.store.protocols import ObjectStore, Run, RunState, WorkerRuntime
 from pistachiodeal.wire.task_messages import TaskEnded
 
 UNSAVED_BYTES = 32 * 1024 * 1024
--- a/pistachiodeal/agent/held_runs.py
+++ b/pistachiodeal/agent/held_runs.py
@@ -8,7 +8,7 @@
 from pistachiodeal.agent.ledger import Ledger
 from pistachiodeal.agent.run_tags import RunTag, read_tag
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.platform.protocols import Run, RunRequest, RunState
+from pistachiodeal.store.protocols import Run, RunRequest, RunState
 from pistachiodeal.wire.task_messages import LeaseGrant, Start
 
 
--- a/pistachiodeal/agent/leases.py
+++ b/pistachiodeal/agent/leases.py
@@ -11,7 +11,7 @@
 from pistachiodeal.agent.held_runs import HeldRun, Phase
 from pistachiodeal.clock import Clock
 from pistachiodeal.exceptions import WorkerError, WorkerFencedError
-from pistachiodeal.platform.protocols import WorkerRuntime
+from pistachiodeal.store.protocols import WorkerRuntime
 from pistachiodeal.wire.task_messages import LeaseGrant, Renew
 
 BEATS_KEPT = 512
--- a/pistachiodeal/agent/outbox.py
+++ b/pistachiodeal/agent/outbox.py
@@ -9,7 +9,7 @@
 
 from pistachiodeal.clock import Clock
 from pistachiodeal.exceptions import LinkClosedError, StoreError
-from pistachiodeal.platform.protocols import ObjectStore
+from pistachiodeal.store.protocols import ObjectStore
 from pistachiodeal.wire.task_messages import UNKNOWN_RUN, StartRefused, TaskEnded
 
 RESEND_S = 0.5
--- a/pistachiodeal/agent/starting.py
+++ b/pistachiodeal/agent/starting.py
@@ -15,7 +15,7 @@
     WorkerFencedError,
     WorkerRefusedError,
 )
-from pistachiodeal.platform.protocols import ObjectStore, RunRequest, WorkerRuntime
+from pistachiodeal.store.protocols import ObjectStore, RunRequest, WorkerRuntime
 from pistachiodeal.wire.task_messages import Start, StartRefused
 
 MAX_RUNS = 4096
--- a/pistachiodeal/agent/task_parts.py
+++ b/pistachiodeal/agent/task_parts.py
@@ -16,7 +16,7 @@
 from pistachiodeal.clock import Clock
 from pistachiodeal.config.agent import RuntimeSettings
 from pistachiodeal.metrics import Metrics
-from pistachiodeal.platform.protocols import ObjectStore, WorkerRuntime
+from pistachiodeal.store.protocols import ObjectStore, WorkerRuntime
 
 WORK_LIMIT = 4096
 
--- a/pistachiodeal/agent/tasks.py
+++ b/pistachiodeal/agent/tasks.py
@@ -22,8 +22,8 @@
 from pistachiodeal.metrics import Metrics
 from pistachiodeal.model.policies import Profile
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.platform.protocols import ObjectStore, WorkerRuntime
 from pistachiodeal.profiles.cache import PolicyCache
+from pistachiodeal.store.protocols import ObjectStore, WorkerRuntime
 from pistachiodeal.task_groups import run_until_one_ends
 from pistachiodeal.wire.task_messages import TaskRef
 
--- a/pistachiodeal/agent/watching.py
+++ b/pistachiodeal/agent/watching.py
@@ -16,7 +16,7 @@
 from pistachiodeal.clock import Clock
 from pistachiodeal.config.agent import RuntimeSettings
 from pistachiodeal.exceptions import WorkerError, WorkerFencedError
-from pistachiodeal.platform.protocols import Run, RunState, UsageSample, WorkerRuntime
+from pistachiodeal.store.protocols import Run, RunState, UsageSample, WorkerRuntime
 from pistachiodeal.wire.task_messages import UNKNOWN_RUN
 
 START_MARGIN_S = 1.0
--- a/pistachiodeal/batch/checkpoints.py
+++ b/pistachiodeal/batch/checkpoints.py
@@ -8,7 +8,7 @@
 
 from pistachiodeal.exceptions import StoreError
 from pistachiodeal.model.tasks import TaskRecord
-from pistachiodeal.platform.protocols import ObjectStore
+from pistachiodeal.store.protocols import ObjectStore
 
 log = Logger("batch")
 
--- a/pistachiodeal/batch/context.py
+++ b/pistachiodeal/batch/context.py
@@ -14,7 +14,7 @@
 from pistachiodeal.learning.sizes import SizeModel
 from pistachiodeal.metrics import Metrics
 from pistachiodeal.model.policies import Profile
-from pistachiodeal.platform.protocols import ObjectStore, Table
+from pistachiodeal.store.protocols import ObjectStore, Table
 
 DEFAULT_PROFILE = Profile(name="default", latency_critical=False)
 
--- a/pistachiodeal/batch/decisions.py
+++ b/pistachiodeal/batch/decisions.py
@@ -10,7 +10,7 @@
     Requeued,
 )
 from pistachiodeal.model.tasks import TaskRecord, TaskState
-from pistachiodeal.platform.protocols import RunState
+from pistachiodeal.store.protocols import RunState
 from pistachiodeal.wire.task_messages import UNKNOWN_RUN, StartRefused, TaskEnded
 
 CHECKPOINT_MISSING = "checkpoint_missing"
--- a/pistachiodeal/batch/endings.py
+++ b/pistachiodeal/batch/endings.py
@@ -13,7 +13,7 @@
 from pistachiodeal.exceptions import Outcome
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.model.tasks import TaskRecord
-from pistachiodeal.platform.protocols import RunState
+from pistachiodeal.store.protocols import RunState
 from pistachiodeal.wire.task_messages import StartRefused, TaskAck, TaskEnded
 
 log = Logger("batch")
--- a/pistachiodeal/batch/journal.py
+++ b/pistachiodeal/batch/journal.py
@@ -25,7 +25,7 @@
     StoreError,
     StoreUnavailableError,
 )
-from pistachiodeal.platform.protocols import ABSENT, Table, Write
+from pistachiodeal.store.protocols import ABSENT, Table, Write
 
 log = Logger("batch")
 
--- a/pistachiodeal/batch/keys.py
+++ b/pistachiodeal/batch/keys.py
@@ -7,7 +7,7 @@
 import orjson
 import xxhash
 
-from pistachiodeal.platform.protocols import Row
+from pistachiodeal.store.protocols import Row
 
 ENTRY_PREFIX = "entry/"
 PARTITION_PREFIX = "partition/"
--- a/pistachiodeal/batch/membership.py
+++ b/pistachiodeal/batch/membership.py
@@ -12,7 +12,7 @@
 from pistachiodeal.batch.rows import EntryRow, OwnerRow, parse_owner
 from pistachiodeal.clock import Clock
 from pistachiodeal.exceptions import StoreError
-from pistachiodeal.platform.protocols import Row, Table, Write
+from pistachiodeal.store.protocols import Row, Table, Write
 
 log = Logger("batch")
 
--- a/pistachiodeal/batch/ownership.py
+++ b/pistachiodeal/batch/ownership.py
@@ -19,7 +19,7 @@
 from pistachiodeal.batch.rows import OwnerRow, build_owner_value, parse_owner
 from pistachiodeal.clock import Clock
 from pistachiodeal.exceptions import StoreError, StoreUnavailableError
-from pistachiodeal.platform.protocols import ABSENT, Table, Write
+from pistachiodeal.store.protocols import ABSENT, Table, Write
 
 log = Logger("batch")
 
--- a/pistachiodeal/batch/rows.py
+++ b/pistachiodeal/batch/rows.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from pistachiodeal.platform.protocols import Row
+from pistachiodeal.store.protocols import Row
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiodeal/batch/service.py
+++ b/pistachiodeal/batch/service.py
@@ -32,7 +32,7 @@
 from pistachiodeal.learning.health import create_worker_health
 from pistachiodeal.learning.sizes import create_size_model
 from pistachiodeal.metrics import Metrics
-from pistachiodeal.platform.protocols import ObjectStore, Table
+from pistachiodeal.store.protocols import ObjectStore, Table
 from pistachiodeal.supervisor import Supervisor
 from pistachiodeal.web.messages import WebRequest, WebResponse, build_problem
 from pistachiodeal.wire.identity import Identity
--- a/pistachiodeal/batch/snapshots.py
+++ b/pistachiodeal/batch/snapshots.py
@@ -23,7 +23,7 @@
     StoreError,
     StoreUnavailableError,
 )
-from pistachiodeal.platform.protocols import ABSENT, ObjectStore, Table, Write
+from pistachiodeal.store.protocols import ABSENT, ObjectStore, Table, Write
 
 log = Logger("batch")
 
--- a/pistachiodeal/claims/answers.py
+++ b/pistachiodeal/claims/answers.py
@@ -7,7 +7,7 @@
 from pistachiodeal.claims.claimants import ClaimantWatch
 from pistachiodeal.claims.rows import ClaimRow, ClaimState, decode_row
 from pistachiodeal.exceptions import Outcome, RequestError
-from pistachiodeal.platform.protocols import Row
+from pistachiodeal.store.protocols import Row
 from pistachiodeal.web.messages import WebResponse
 
 REPLAYED_HEADER = ("pistachiodeal-replayed", "1")
--- a/pistachiodeal/claims/keeper.py
+++ b/pistachiodeal/claims/keeper.py
@@ -14,8 +14,8 @@
 from pistachiodeal.claims.outcomes import OutcomeWriter
 from pistachiodeal.claims.rows import ClaimRow, ClaimState, build_row_key, encode_row
 from pistachiodeal.exceptions import Outcome, StoreError, StoreUnavailableError
-from pistachiodeal.platform.group import GroupCommitter, create_group_committer
-from pistachiodeal.platform.protocols import ABSENT, Table, Write
+from pistachiodeal.store.group import GroupCommitter, create_group_committer
+from pistachiodeal.store.protocols import ABSENT, Table, Write
 from pistachiodeal.task_groups import run_until_one_ends
 from pistachiodeal.web.messages import WebResponse
 
--- a/pistachiodeal/claims/model.py
+++ b/pistachiodeal/claims/model.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from pistachiodeal.claims.rows import ClaimRow
-from pistachiodeal.platform.protocols import ABSENT
-from pistachiodeal.platform.tickets import Ticket
+from pistachiodeal.store.protocols import ABSENT
+from pistachiodeal.store.tickets import Ticket
 from pistachiodeal.web.messages import WebResponse
 
 
--- a/pistachiodeal/claims/outcomes.py
+++ b/pistachiodeal/claims/outcomes.py
@@ -12,8 +12,8 @@
 
 from pistachiodeal.claims.rows import ClaimRow, decode_row, encode_row
 from pistachiodeal.exceptions import StoreError, StoreUnavailableError
-from pistachiodeal.platform.group import GroupCommitter
-from pistachiodeal.platform.protocols import Row, Table, Write
+from pistachiodeal.store.group import GroupCommitter
+from pistachiodeal.store.protocols import Row, Table, Write
 
 NO_BASE = -1
 
--- /dev/null
+++ b/pistachiodeal/config/deployment.py
@@ -0,0 +1,152 @@
+"""Settings of the two programs that run jobs on the users' platform.
+
+They are checked by hand: a model library costs 60 ms of processor time at each
+start and 12 MB in each process (measured with ``-X importtime`` and by resident
+memory), and both are paid on every VM.
+"""
+
+from __future__ import annotations
+
+from dataclasses import MISSING, dataclass, field, fields, is_dataclass
+from pathlib import Path
+from typing import Any, get_type_hints
+
+import orjson
+
+from pistachiodeal.exceptions import SettingsError
+
+
+@dataclass(frozen=True, slots=True)
+class ListenSettings:
+    """Where the process listens.
+
+    :param callers: ``ip:port`` for callers, empty on an agent.
+    :param readiness: ``ip:port`` for the balancer's health check.
+    :param runners: ``ip:port`` for heartbeats of runners.
+    :param metrics_port: serves counters and histograms as text; 0 for none.
+    """
+
+    callers: str = ""
+    readiness: str = ""
+    runners: str = ""
+    metrics_port: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """The platform's store: its address, and the largest row in bytes."""
+
+    address: str
+    row_bytes: int = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class LimitSettings:
+    """Times that the deployment promises or demands.
+
+    :param longest_lease_ms: the runner cuts longer leases to this.
+    :param leave_ms: a draining worker starts nothing later than this.
+    :param grace_s: seconds between the signal to stop and the kill.
+    :param stop_ms: a stopped task ends within this.
+    :param gang_wait_ms: members of a gang wait this long for each other.
+    :param away_notice_ms: a task that lasts counts as away for this long.
+    :param remote_factor: tasks far from their data take this many times as long.
+    :param kept_s: a final state can be asked for this long.
+    :param interference_ms: a serving task may be over its aim for this long.
+    """
+
+    longest_lease_ms: int = 10_000
+    leave_ms: int = 2_000
+    grace_s: float = 6.0
+    stop_ms: int = 1_000
+    gang_wait_ms: int = 3_000
+    away_notice_ms: int = 4_500
+    remote_factor: float = 1.5
+    kept_s: float = 120.0
+    interference_ms: int = 4_000
+
+
+@dataclass(frozen=True, slots=True)
+class DeploymentSettings:
+    """Settings of an entry or agent.
+
+    :param host: the VM's IP address.
+    :param peer_ports: first and last port for links between our processes.
+    :param seed_peers: addresses on VMs that may run an entry; only their hosts count.
+    :param peer_secret: proves to each other that two processes belong together.
+    :param runner: ``ip:port`` of the runner beside an agent.
+    :param advice: ``ip:port`` of the service that chooses workers, or empty.
+    """
+
+    node: str
+    host: str
+    data_centre: str
+    peer_ports: tuple[int, ...]
+    peer_secret: str
+    listen: ListenSettings
+    store: StoreSettings
+    seed_peers: tuple[str, ...] = ()
+    runner: str = ""
+    advice: str = ""
+    memory_mib: int = 0
+    limits: LimitSettings = field(default_factory=LimitSettings)
+
+    @property
+    def peer_address(self) -> str:
+        """Return where an entry accepts links."""
+        return f"{self.host}:{self.peer_ports[0]}"
+
+
+def load_deployment(path: str) -> DeploymentSettings:
+    """Return the settings in a JSON file.
+
+    :raises SettingsError: lists all faults, one a line.
+    """
+    try:
+        document = orjson.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise SettingsError(str(error), step="settings.load", peer=path) from None
+    faults: list[str] = []
+    settings = _build(DeploymentSettings, document, "", faults)
+    if not faults and not settings.peer_ports:
+        faults.append("peer_ports: names no port")
+    if faults:
+        raise SettingsError("\n".join(faults), step="settings.load", peer=path)
+    return settings
+
+
+def _build(cls: Any, document: Any, path: str, faults: list[str]) -> Any:
+    if not isinstance(document, dict):
+        faults.append(f"{path or '(top)'}: is not an object")
+        return None
+    values: dict[str, Any] = {}
+    hints = get_type_hints(cls)
+    for item in fields(cls):
+        name = f"{path}.{item.name}" if path else item.name
+        value = document.get(item.name)
+        if value is None:
+            _demand(item, name, faults)
+            continue
+        values[item.name] = _convert(hints[item.name], value, name, faults)
+    return None if faults else cls(**values)
+
+
+def _demand(item: Any, name: str, faults: list[str]) -> None:
+    if item.default is MISSING and item.default_factory is MISSING:
+        faults.append(f"{name}: is missing")
+
+
+def _convert(hint: Any, value: Any, name: str, faults: list[str]) -> Any:
+    if is_dataclass(hint):
+        return _build(hint, value, name, faults)
+    if hint in (tuple[int, ...], tuple[str, ...]):
+        item = int if hint == tuple[int, ...] else str
+        if isinstance(value, list) and all(isinstance(one, item) for one in value):
+            return tuple(value)
+        faults.append(f"{name}: is not a list of {item.__name__}")
+        return None
+    if hint is float and isinstance(value, int):
+        return float(value)
+    if not isinstance(value, hint) or isinstance(value, bool):
+        faults.append(f"{name}: is not of type {hint.__name__}")
+    return value
--- a/pistachiodeal/entry/composition.py
+++ b/pistachiodeal/entry/composition.py
@@ -28,11 +28,11 @@
 from pistachiodeal.exceptions import PistachiodealError
 from pistachiodeal.histograms import create_histograms
 from pistachiodeal.metrics import create_metrics
-from pistachiodeal.platform.http_objects import create_object_store
-from pistachiodeal.platform.http_table import create_table
 from pistachiodeal.profiles.api import create_profile_api
 from pistachiodeal.profiles.keeper import create_profile_keeper
 from pistachiodeal.routing.choice import create_least_loaded
+from pistachiodeal.store.http_objects import create_object_store
+from pistachiodeal.store.http_table import create_table
 from pistachiodeal.supervisor import Supervisor
 from pistachiodeal.web.messages import WebLimits, WebRequest, WebResponse
 from pistachiodeal.web.server import WebServer, bind_listener, create_server
--- /dev/null
+++ b/pistachiodeal/events.py
@@ -0,0 +1,77 @@
+"""Structured logs: one JSON line on standard output for each decision.
+
+A line is written without waiting. Where the reader of the pipe is slow, lines wait in
+a bounded buffer; what does not fit is dropped and counted, and the count is written
+as soon as there is room again.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+from typing import Any
+
+import orjson
+
+# About a thousand lines: what a busy process writes in a second.
+BUFFER_BYTES = 262_144
+# Lines of one kind a second, above which they are only counted: at the worst load
+# a decision a millisecond is still explained, and a loop gone wild is not.
+LINES_PER_S = 400
+
+
+class EventLog:
+    """Writes events of one process."""
+
+    def __init__(self, descriptor: int, process: str) -> None:
+        self._descriptor = descriptor
+        self._process = process
+        self._buffer = bytearray()
+        self._dropped = 0
+        self._second = 0
+        self._lines = 0
+
+    @property
+    def dropped(self) -> int:
+        """Return how many lines were dropped and not yet reported."""
+        return self._dropped
+
+    def emit(self, event: str, **fields: Any) -> None:
+        """Write one line; never waits and never raises."""
+        now = time.time()
+        if not self._admit(int(now)):
+            return
+        document = {"t": round(now, 3), "p": self._process, "event": event, **fields}
+        self._write(orjson.dumps(document, default=str) + b"\n")
+
+    def _admit(self, second: int) -> bool:
+        if second != self._second:
+            self._second, self._lines = second, 0
+        self._lines += 1
+        if self._lines > LINES_PER_S or len(self._buffer) > BUFFER_BYTES:
+            self._dropped += 1
+            return False
+        return True
+
+    def _write(self, line: bytes) -> None:
+        if self._dropped and not self._buffer:
+            count, self._dropped = self._dropped, 0
+            self._buffer += orjson.dumps({"event": "log.dropped", "lines": count})
+            self._buffer += b"\n"
+        self._buffer += line
+        try:
+            written = os.write(self._descriptor, self._buffer)
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody reads the logs any more; the process goes on without.
+            written = len(self._buffer)
+        del self._buffer[:written]
+
+
+def create_event_log(process: str) -> EventLog:
+    """Return a log that writes to standard output, which no longer blocks."""
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    return EventLog(descriptor, process)
--- /dev/null
+++ b/pistachiodeal/jobagent/app.py
@@ -0,0 +1,83 @@
+"""Puts the agent together."""
+
+from __future__ import annotations
+
+import random
+
+import curio
+
+from pistachiodeal.config.deployment import DeploymentSettings
+from pistachiodeal.events import EventLog
+from pistachiodeal.jobagent.executor import Executor
+from pistachiodeal.jobagent.heartbeats import Heartbeats
+from pistachiodeal.jobagent.leader_link import LeaderLink
+from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.paces import PaceKeeper
+from pistachiodeal.jobagent.renewal import Renewal
+from pistachiodeal.leader.directory import Directory
+from pistachiodeal.peers import TIMINGS, build_metrics, list_seed_peers
+from pistachiodeal.platform.rows import create_rows
+from pistachiodeal.platform.runner import create_runner
+from pistachiodeal.reload import wait_for_stop
+from pistachiodeal.signals import SignalWatch
+from pistachiodeal.stats import Stats
+from pistachiodeal.supervisor import Supervisor
+from pistachiodeal.web.messages import WebLimits, WebRequest, WebResponse
+from pistachiodeal.web.server import create_server
+from pistachiodeal.wire.identity import AGENT_ROLE, Identity
+
+
+class AgentApp:
+    """The parts of one agent."""
+
+    def __init__(self, settings: DeploymentSettings, events: EventLog) -> None:
+        self._settings = settings
+        self._events = events
+        self._stats = Stats()
+        look, report = curio.Event(), curio.Event()
+        runtime = create_runner(settings.runner)
+        ledger = AgentLedger(events)
+        paces = PaceKeeper(ledger, runtime, events)
+        self._renewal = Renewal(ledger, runtime, paces, events, look, report)
+        executor = Executor(ledger, runtime, events, look, report)
+        identity = Identity(
+            AGENT_ROLE, settings.node, random.getrandbits(60), settings.data_centre
+        )
+        self._leader_link = LeaderLink(
+            create_rows(settings.store.address),
+            identity,
+            settings.peer_secret,
+            TIMINGS,
+            Directory(list_seed_peers(settings)),
+            ledger,
+            executor,
+            events,
+            report,
+            self._renewal.fenced,
+        )
+        heartbeats = Heartbeats(ledger, self._renewal, events, report)
+        host, _, port = settings.listen.runners.rpartition(":")
+        self._runners = create_server(host, int(port), heartbeats.handle, WebLimits())
+        self._metrics = create_server(
+            settings.host,
+            settings.listen.metrics_port,
+            self._answer_metrics,
+            WebLimits(),
+        )
+
+    async def run(self, signals: SignalWatch) -> None:
+        """Serve until a signal to stop; the runs go on under their lease."""
+        supervisor = Supervisor("agent")
+        supervisor.add("heartbeats", self._runners.run)
+        supervisor.add("renewal", self._renewal.run)
+        supervisor.add("looks", self._renewal.run_looks)
+        supervisor.add("leader", self._leader_link.run)
+        supervisor.add("metrics", self._metrics.run)
+        running = await curio.spawn(supervisor.run)
+        await wait_for_stop(signals, self._settings, self._events)
+        self._events.emit("process.stopped")
+        await supervisor.stop()
+        await running.join()
+
+    async def _answer_metrics(self, request: WebRequest) -> WebResponse:
+        return build_metrics(self._stats)
--- /dev/null
+++ b/pistachiodeal/jobagent/executor.py
@@ -0,0 +1,145 @@
+"""Carries out the leader's orders at the runner, and settles what got no answer."""
+
+from __future__ import annotations
+
+import curio
+from logbook import Logger
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.events import EventLog
+from pistachiodeal.jobagent.ledger import AgentLedger, Order
+from pistachiodeal.jobs.model import OrderState
+from pistachiodeal.jobs.runtime import CallResult, Runtime, StartCall
+from pistachiodeal.wire.job_messages import Directive, RunOrder
+
+log = Logger("executor")
+
+# A runner that refuses or doesn't answer is asked again this often.
+RETRY_S = 0.15
+# Answers after which the runner certainly has not started, and won't start, the run.
+NOT_STARTED = frozenset(
+    (
+        CallResult.FENCED,
+        CallResult.SUPERSEDED,
+        CallResult.LATE,
+        CallResult.NO_ROOM,
+        CallResult.NO_TICKET,
+        CallResult.REFUSED,
+        CallResult.ABSENT,
+        CallResult.OTHER_INCARNATION,
+    )
+)
+
+
+class Executor:
+    """Starts and stops runs.
+
+    :param look: asks for a listing at once.
+    :param report: asks for a report at once.
+    """
+
+    def __init__(
+        self,
+        ledger: AgentLedger,
+        runtime: Runtime,
+        events: EventLog,
+        look: curio.Event,
+        report: curio.Event,
+    ) -> None:
+        self._ledger = ledger
+        self._runtime = runtime
+        self._events = events
+        self._look = look
+        self._report = report
+
+    async def carry_out(self, directive: Directive) -> None:
+        """Begin everything that a directive orders."""
+        ledger = self._ledger
+        if directive.worker != ledger.worker:
+            return
+        for known in directive.known:
+            ledger.described[known.task, known.run] = known
+        for ref in directive.stops:
+            await curio.spawn(self._stop, ref.task, ref.run, daemon=True)
+        for order in directive.starts:
+            key = (order.task, order.run)
+            if key in ledger.orders or key in ledger.running:
+                continue
+            ledger.described[key] = order
+            ledger.orders[key] = Order(order.task, order.run)
+            await curio.spawn(self._start, order, directive.worker, daemon=True)
+
+    async def _start(self, order: RunOrder, worker: str) -> None:
+        ledger = self._ledger
+        entry = ledger.orders.get((order.task, order.run))
+        if entry is None:
+            return
+        refusal = self._find_refusal(worker)
+        if refusal:
+            await self._refuse(entry, refusal)
+            return
+        now = read_boot_clock()
+        until_ms = ledger.lease.extend(now, ledger.authority.granted_until)
+        if not until_ms:
+            await self._refuse(entry, "no lease can be given")
+            return
+        result = await self._runtime.start(
+            StartCall(
+                worker,
+                ledger.authority.token,
+                order.task,
+                order.run,
+                ledger.find_text(order.task),
+                until_ms,
+                order.checkpoint,
+                order.ticket,
+            )
+        )
+        self._events.emit(
+            "run.started",
+            task=order.task,
+            run=order.run,
+            worker=worker,
+            result=result.value,
+            took_ms=int((read_boot_clock() - now) * 1000),
+        )
+        if result in NOT_STARTED:
+            await self._refuse(entry, result.value)
+        elif result is CallResult.DONE:
+            entry.started = True
+            entry.settled_at = read_boot_clock()
+            await self._look.set()
+        else:
+            await self._stop(order.task, order.run)
+
+    async def _stop(self, task: str, run: int) -> None:
+        """Stop a run until the runner has answered; it never starts after that."""
+        ledger = self._ledger
+        worker = ledger.worker
+        entry = ledger.orders.get((task, run))
+        if entry is None:
+            entry = ledger.orders[task, run] = Order(task, run)
+        while worker and ledger.worker == worker:
+            result = await self._runtime.stop(worker, ledger.authority.token, task, run)
+            self._events.emit("run.stopped", task=task, run=run, result=result.value)
+            if result in (CallResult.DONE, CallResult.SUPERSEDED):
+                entry.started = False
+                entry.settled_at = read_boot_clock()
+                await self._look.set()
+                return
+            await curio.sleep(RETRY_S)
+
+    async def _refuse(self, entry: Order, detail: str) -> None:
+        entry.state, entry.detail = OrderState.REFUSED, detail
+        await self._report.set()
+
+    def _find_refusal(self, worker: str) -> str:
+        """Return why nothing may be started, empty if it may."""
+        ledger = self._ledger
+        if ledger.worker != worker:
+            return "the worker has changed"
+        if ledger.draining:
+            return "the worker is draining"
+        if read_boot_clock() >= ledger.authority.granted_until:
+            return "the leader's grant has run out"
+        return ""
--- /dev/null
+++ b/pistachiodeal/jobagent/heartbeats.py
@@ -0,0 +1,83 @@
+"""Takes the runner's heartbeats and its goodbye."""
+
+from __future__ import annotations
+
+import curio
+from logbook import Logger
+
+from pistachiodeal.events import EventLog
+from pistachiodeal.exceptions import ProtocolError, RequestError
+from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.renewal import Renewal
+from pistachiodeal.jobs.runtime import WorkerBeat
+from pistachiodeal.platform.runner import BEAT_PATH, LEAVE_PATH, decode_beat
+from pistachiodeal.web.messages import WebRequest, WebResponse, build_json
+
+log = Logger("heartbeats")
+
+
+class Heartbeats:
+    """Handles what the runner on this VM sends."""
+
+    def __init__(
+        self,
+        ledger: AgentLedger,
+        renewal: Renewal,
+        events: EventLog,
+        report: curio.Event,
+    ) -> None:
+        self._ledger = ledger
+        self._renewal = renewal
+        self._events = events
+        self._report = report
+        self._verifying = False
+
+    async def handle(self, request: WebRequest) -> WebResponse:
+        """Answer a heartbeat or a goodbye."""
+        if request.path.startswith(LEAVE_PATH):
+            await self._take_goodbye(request.path.removeprefix(LEAVE_PATH))
+            return build_json(200, {})
+        if not request.path.startswith(BEAT_PATH):
+            raise RequestError("no such path", code="not_found", status=404)
+        try:
+            beat = decode_beat(request.path, request.body)
+        except ProtocolError as error:
+            raise RequestError(str(error), code="malformed", status=400) from None
+        await self._take(beat)
+        return build_json(200, {})
+
+    async def _take(self, beat: WorkerBeat) -> None:
+        ledger = self._ledger
+        if ledger.is_gone(beat.worker):
+            # A heartbeat that was held up by a cut may arrive after its sender's end.
+            return
+        if beat.worker == ledger.worker:
+            if ledger.update(beat):
+                self._events.emit(
+                    "worker.draining",
+                    worker=beat.worker,
+                    draining=beat.draining,
+                    leaving_ms=beat.leaving_ms,
+                )
+                await self._report.set()
+            return
+        if not ledger.worker:
+            ledger.adopt(beat)
+            await self._report.set()
+            return
+        if not self._verifying:
+            await curio.spawn(self._verify, beat, daemon=True)
+
+    async def _verify(self, beat: WorkerBeat) -> None:
+        self._verifying = True
+        try:
+            if await self._renewal.verify(beat):
+                self._ledger.adopt(beat)
+                await self._report.set()
+        finally:
+            self._verifying = False
+
+    async def _take_goodbye(self, worker: str) -> None:
+        if worker == self._ledger.worker:
+            self._ledger.drop_worker("it has left", gone=True)
+            await self._report.set()
--- /dev/null
+++ b/pistachiodeal/jobagent/leader_link.py
@@ -0,0 +1,149 @@
+"""The agent's link to the leader: finds it, reports, takes directives."""
+
+from __future__ import annotations
+
+import curio
+import orjson
+from logbook import Logger
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.events import EventLog
+from pistachiodeal.exceptions import PistachiodealError, StoreError
+from pistachiodeal.jobagent.executor import Executor
+from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
+from pistachiodeal.leader.directory import Directory
+from pistachiodeal.store.row_store import RowStore
+from pistachiodeal.task_groups import run_until_one_ends
+from pistachiodeal.wire.identity import Identity
+from pistachiodeal.wire.job_messages import Directive, LeaderNotice
+from pistachiodeal.wire.link import Link, LinkTimings
+from pistachiodeal.wire.opening import dial_link
+
+log = Logger("leader_link")
+
+REPORT_S = 0.4
+# Ends come in groups; a report for each one would cost more than it tells.
+REPORT_PAUSE_S = 0.015
+RETRY_S = 0.1
+# The store is asked who leads at most this often: it is shared by all processes.
+LOOK_S = 0.5
+
+
+class LeaderLink:
+    """Keeps the agent attached to the leader.
+
+    :param fenced: set when the agent needs a higher fencing token, which comes with
+        a new link.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        identity: Identity,
+        secret: str,
+        timings: LinkTimings,
+        directory: Directory,
+        ledger: AgentLedger,
+        executor: Executor,
+        events: EventLog,
+        report: curio.Event,
+        fenced: curio.Event,
+    ) -> None:
+        self._store = store
+        self._identity = identity
+        self._secret = secret
+        self._timings = timings
+        self._directory = directory
+        self._ledger = ledger
+        self._executor = executor
+        self._events = events
+        self._report = report
+        self._fenced = fenced
+        self._beat = 0
+        self._sent: dict[int, float] = {}
+        self._looked_at = 0.0
+
+    async def run(self) -> None:
+        """Stay attached for ever."""
+        while True:
+            for address in await self._list_candidates():
+                if await self._attach(address):
+                    break
+            await curio.sleep(RETRY_S)
+
+    async def _list_candidates(self) -> list[str]:
+        """Return where the leader may be, the likeliest address first."""
+        now = read_boot_clock()
+        if now - self._looked_at >= LOOK_S:
+            self._looked_at = now
+            await self._look_up()
+        leader = self._directory.leader
+        others = self._directory.list_others(leader)
+        return [leader, *others] if leader else others
+
+    async def _look_up(self) -> None:
+        try:
+            page = await self._store.read(
+                CONTROL_TABLE, LEADER_KEY, LEADER_KEY + "\0", 1
+            )
+        except StoreError as error:
+            log.debug("leader_link: cannot look the leader up: {}", error)
+            return
+        for row in page.rows:
+            document = orjson.loads(row.value)
+            self._directory.note_leader(document["epoch"], document["address"])
+
+    async def _attach(self, address: str) -> bool:
+        """Try one address; tell whether a leader was there, or is known by now."""
+        try:
+            async with dial_link(
+                address, self._identity, self._secret, self._timings
+            ) as link:
+                notice = await link.receive()
+                if isinstance(notice, LeaderNotice):
+                    self._directory.take_notice(notice)
+                    if notice.address != address:
+                        return bool(notice.address)
+                await self._serve(link)
+                return True
+        except (PistachiodealError, OSError) as error:
+            log.debug("leader_link: {}", error)
+            return False
+
+    async def _serve(self, link: Link) -> None:
+        self._beat = 0
+        self._sent.clear()
+        self._fenced.clear()
+        self._ledger.forget_reports()
+        self._events.emit("leader.attached", peer=link.address)
+        try:
+            await run_until_one_ends(
+                lambda: self._send_reports(link),
+                lambda: self._receive(link),
+                self._fenced.wait,
+            )
+        finally:
+            self._events.emit("leader.detached", peer=link.address)
+
+    async def _send_reports(self, link: Link) -> None:
+        while True:
+            self._report.clear()
+            self._beat += 1
+            self._sent[self._beat] = read_boot_clock()
+            await link.send(self._ledger.build_report(self._beat))
+            await curio.sleep(REPORT_PAUSE_S)
+            await curio.ignore_after(REPORT_S, self._report.wait)
+
+    async def _receive(self, link: Link) -> None:
+        while True:
+            message = await link.receive()
+            if not isinstance(message, Directive):
+                continue
+            sent_at = self._sent.get(message.beat)
+            if not self._ledger.take_directive(message, sent_at):
+                self._events.emit("leader.outdated", epoch=message.epoch)
+                return
+            for beat in [beat for beat in self._sent if beat < message.beat]:
+                del self._sent[beat]
+            await self._executor.carry_out(message)
--- /dev/null
+++ b/pistachiodeal/jobagent/ledger.py
@@ -0,0 +1,256 @@
+"""What an agent knows of its worker: incarnation, lease, runs, ends and orders."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pistachiodeal.events import EventLog
+from pistachiodeal.jobs.model import OrderState
+from pistachiodeal.jobs.runtime import Listing, WorkerBeat
+from pistachiodeal.wire.job_messages import (
+    Directive,
+    EndedTask,
+    Label,
+    OrderOutcome,
+    RunningTask,
+    RunOrder,
+    WorkerReport,
+)
+
+RunKey = tuple[str, int]
+
+# How long runs outlive their agent. A killed agent is back, attached and heard its
+# runner's heartbeat after 6 s; a runner that vanished without a trace holds its tasks
+# back for as long.
+LEASE_S = 8.0
+# The runner's clock may be this much slower than ours.
+SLOWEST_CLOCK = 0.98
+TEXTS_KEPT = 400
+
+
+@dataclass(slots=True)
+class Order:
+    """A run that was ordered, or has to be settled, and is not listed.
+
+    :param settled_at: when the runner answered the last call about it, boot clock; a
+        listing asked for later than that tells what became of it.
+    :param reported_in: the report that carried its outcome, 0 before.
+    """
+
+    task: str
+    run: int
+    state: OrderState = OrderState.PENDING
+    detail: str = ""
+    settled_at: float = 0.0
+    started: bool = False
+    reported_in: int = 0
+
+
+@dataclass(slots=True)
+class Lease:
+    """The lease of all runs on the worker, and both clocks.
+
+    :param until: no lease that was ever asked for runs longer, boot clock.
+    :param clock_ms: the runner's clock at ``sampled_at`` of ours.
+    """
+
+    until: float = 0.0
+    clock_ms: int = 0
+    sampled_at: float = 0.0
+
+    def sample(self, clock_ms: int, now: float) -> None:
+        """Note the runner's clock."""
+        if clock_ms > self.clock_ms:
+            self.clock_ms, self.sampled_at = clock_ms, now
+
+    def extend(self, now: float, granted_until: float) -> int:
+        """Return the end of a new lease on the runner's clock, 0 for no extension."""
+        until = min(now + LEASE_S, granted_until)
+        if not self.clock_ms or until <= now:
+            return 0
+        self.until = max(self.until, until)
+        # A slow clock reaches a given reading later; so the lease is asked for as if
+        # the runner's clock were the slowest allowed, and surely ends by ``until``.
+        span_ms = (until - self.sampled_at) * 1000 * SLOWEST_CLOCK
+        return self.clock_ms + int(span_ms)
+
+
+@dataclass(slots=True)
+class Authority:
+    """What the leader has given this agent.
+
+    :param granted_until: leases may run until then, boot clock.
+    """
+
+    epoch: int = 0
+    token: int = 0
+    granted_until: float = 0.0
+
+
+class AgentLedger:
+    """The agent's memory; a restarted agent learns everything again."""
+
+    def __init__(self, events: EventLog) -> None:
+        self._events = events
+        self.authority = Authority()
+        self.lease = Lease()
+        self.beat: WorkerBeat | None = None
+        self.listed = False
+        self.lost_worker = ""
+        self.running: dict[RunKey, RunningTask] = {}
+        self.ends: tuple[EndedTask, ...] = ()
+        self.orders: dict[RunKey, Order] = {}
+        self.described: dict[RunKey, RunOrder] = {}
+        self.noted = 0
+        self._listing_ms = 0
+        self._texts: dict[str, str] = {}
+        self._gone: set[str] = set()
+
+    @property
+    def worker(self) -> str:
+        """Return the worker's incarnation, empty while none is known."""
+        return self.beat.worker if self.beat is not None else ""
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether the worker is leaving."""
+        return self.beat is not None and self.beat.draining
+
+    def is_gone(self, worker: str) -> bool:
+        """Tell whether an incarnation has certainly ended."""
+        return worker in self._gone
+
+    def adopt(self, beat: WorkerBeat) -> None:
+        """Take in a runner that has answered under this incarnation."""
+        if self.worker and self.worker != beat.worker:
+            self.drop_worker("another incarnation answers at its address", gone=True)
+        self.beat = beat
+        self._events.emit("worker.adopted", worker=beat.worker, draining=beat.draining)
+
+    def update(self, beat: WorkerBeat) -> bool:
+        """Take in a heartbeat of the same incarnation; tell whether it says news."""
+        known = self.beat
+        if known is None or beat.sequence <= known.sequence:
+            return False
+        self.beat = beat
+        return beat.draining != known.draining
+
+    def drop_worker(self, why: str, *, gone: bool) -> None:
+        """Forget the worker: none of its runs is at work any more.
+
+        :param gone: whether this incarnation can't come back.
+        """
+        worker = self.worker
+        if gone:
+            self._gone.add(worker)
+        self._events.emit("worker.dropped", worker=worker, why=why, gone=gone)
+        self.lost_worker = worker
+        self.beat = None
+        self.listed = False
+        self.lease = Lease()
+        self.running, self.ends = {}, ()
+        self.orders, self.described = {}, {}
+        self.noted = self._listing_ms = 0
+
+    def take_listing(self, listing: Listing, sent_at: float, now: float) -> bool:
+        """Take in what the runner lists; tell whether an end or order is news.
+
+        Listings on different connections may overtake each other; the runner's clock
+        tells which is newer.
+        """
+        self.lease.sample(listing.clock_ms, now)
+        if listing.clock_ms < self._listing_ms:
+            return False
+        news = not self.listed
+        self.listed = True
+        self._listing_ms = listing.clock_ms
+        self.running = {(one.task, one.run): one for one in listing.running}
+        known = {end.number for end in self.ends}
+        self.ends = tuple(end for end in listing.ends if end.number > self.noted)
+        news |= any(end.number not in known for end in self.ends)
+        return self._settle(sent_at) or news
+
+    def take_directive(self, directive: Directive, sent_at: float | None) -> bool:
+        """Take in the leader's word; False for a leader that was replaced.
+
+        :param sent_at: when the report that it answers was sent, None if unknown.
+        """
+        authority = self.authority
+        if directive.epoch < authority.epoch:
+            return False
+        authority.epoch = directive.epoch
+        authority.token = max(authority.token, directive.token)
+        if sent_at is not None:
+            until = sent_at + directive.grant_ms / 1000
+            authority.granted_until = max(authority.granted_until, until)
+        self._drop_reported(directive.beat)
+        if directive.worker == self.worker:
+            self.noted = max(self.noted, directive.ends_noted)
+            self.ends = tuple(end for end in self.ends if end.number > self.noted)
+        for text in directive.texts:
+            self._texts[text.job] = text.text
+        while len(self._texts) > TEXTS_KEPT:
+            del self._texts[next(iter(self._texts))]
+        return True
+
+    def forget_reports(self) -> None:
+        """Note that reports are numbered from one again, on a new link."""
+        for order in self.orders.values():
+            order.reported_in = 0
+
+    def find_text(self, task: str) -> str:
+        """Return the text of a task's job."""
+        return self._texts.get(task.partition(".")[0], "")
+
+    def build_report(self, beat: int) -> WorkerReport:
+        """Return the worker as it is now."""
+        known = self.beat
+        for order in self.orders.values():
+            if order.state is not OrderState.PENDING and not order.reported_in:
+                order.reported_in = beat
+        capacity = known.capacity if known else None
+        return WorkerReport(
+            beat,
+            self.authority.epoch,
+            self.worker,
+            self.lost_worker,
+            known.service if known else "",
+            self.listed,
+            self.draining,
+            known.leaving_ms if known else 0,
+            capacity.cpu_milli if capacity else 0,
+            capacity.memory_mib if capacity else 0,
+            capacity.accelerators if capacity else 0,
+            tuple(Label(label) for label in known.labels) if known else (),
+            tuple(self.running.values()),
+            self.ends,
+            tuple(_list_outcomes(self.orders.values())),
+        )
+
+    def _settle(self, sent_at: float) -> bool:
+        """Set orders against a listing that was asked for at ``sent_at``."""
+        ended = {(end.task, end.run) for end in self.ends}
+        news = False
+        for key, order in list(self.orders.items()):
+            if key in self.running or key in ended:
+                del self.orders[key]
+                continue
+            if order.state is not OrderState.PENDING or order.started:
+                continue
+            if order.settled_at and order.settled_at < sent_at:
+                order.state = OrderState.VOID
+                news = True
+        return news
+
+    def _drop_reported(self, beat: int) -> None:
+        for key, order in list(self.orders.items()):
+            if order.reported_in and order.reported_in <= beat:
+                del self.orders[key]
+
+
+def _list_outcomes(orders: Iterable[Order]) -> list[OrderOutcome]:
+    return [
+        OrderOutcome(order.task, order.run, order.state.value, order.detail)
+        for order in orders
+    ]
--- /dev/null
+++ b/pistachiodeal/jobagent/renewal.py
@@ -0,0 +1,145 @@
+"""Renews the lease at the runner and reads what runs and has ended."""
+
+from __future__ import annotations
+
+import curio
+from logbook import Logger
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.events import EventLog
+from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.paces import PaceKeeper
+from pistachiodeal.jobs.runtime import CallResult, Listing, Runtime, WorkerBeat
+
+log = Logger("renewal")
+
+# The runner answers at once when a run ends, and after this when none does. Figures
+# of serving tasks cover half a second.
+WAIT_MS = 400
+RETRY_S = 0.1
+IDLE_S = 0.05
+# A runner that crashed refuses connections; one that is only busy doesn't. Three
+# refusals over this time leave no doubt.
+ABSENT_S = 0.25
+ABSENT_CALLS = 3
+# A runner that doesn't answer gets no longer lease: every call may still be carried
+# out, and the end of the last lease is what its tasks' next runs wait for.
+SILENT_S = 1.5
+LAPSE_MARGIN_S = 0.3
+
+
+class Renewal:
+    """Keeps the lease and the listing of the worker.
+
+    :param look: set when a listing is wanted at once.
+    :param report: set when there is news for the leader.
+    """
+
+    def __init__(
+        self,
+        ledger: AgentLedger,
+        runtime: Runtime,
+        paces: PaceKeeper,
+        events: EventLog,
+        look: curio.Event,
+        report: curio.Event,
+    ) -> None:
+        self._ledger = ledger
+        self._runtime = runtime
+        self._paces = paces
+        self._events = events
+        self._look = look
+        self._report = report
+        self._answered_at = 0.0
+        self._absent = 0
+        self._absent_since = 0.0
+        self._fenced = curio.Event()
+
+    @property
+    def fenced(self) -> curio.Event:
+        """Return what is set when the runner has seen a higher fencing token."""
+        return self._fenced
+
+    async def run(self) -> None:
+        """Renew for ever."""
+        while True:
+            if not self._ledger.worker or not self._ledger.authority.token:
+                await curio.sleep(IDLE_S)
+                continue
+            wait_ms = WAIT_MS if self._ledger.listed else 0
+            if not await self._renew(wait_ms):
+                await curio.sleep(RETRY_S)
+
+    async def run_looks(self) -> None:
+        """Read the listing whenever something was settled."""
+        while True:
+            await self._look.wait()
+            self._look.clear()
+            if self._ledger.worker and self._ledger.authority.token:
+                if not await self._renew(0):
+                    await curio.sleep(RETRY_S)
+                    await self._look.set()
+
+    async def verify(self, beat: WorkerBeat) -> bool:
+        """Tell whether an incarnation is the one that answers now."""
+        token = self._ledger.authority.token
+        listing = await self._runtime.renew(beat.worker, token, 0, 0, 0)
+        return listing.result is CallResult.DONE
+
+    async def _renew(self, wait_ms: int) -> bool:
+        """Make one call; tell whether it was answered."""
+        ledger = self._ledger
+        worker = ledger.worker
+        now = read_boot_clock()
+        until_ms = 0
+        if now - self._answered_at < SILENT_S:
+            until_ms = ledger.lease.extend(now, ledger.authority.granted_until)
+        listing = await self._runtime.renew(
+            worker, ledger.authority.token, ledger.noted, until_ms, wait_ms
+        )
+        if ledger.worker != worker:
+            return True
+        if listing.result is CallResult.DONE:
+            await self._take(listing, now)
+            return True
+        await self._take_failure(listing.result)
+        return False
+
+    async def _take(self, listing: Listing, sent_at: float) -> None:
+        now = read_boot_clock()
+        self._answered_at = now
+        self._absent = 0
+        if self._ledger.take_listing(listing, sent_at, now):
+            await self._report.set()
+        await self._paces.apply()
+
+    async def _take_failure(self, result: CallResult) -> None:
+        ledger = self._ledger
+        now = read_boot_clock()
+        if result is CallResult.OTHER_INCARNATION:
+            ledger.drop_worker("another incarnation answers", gone=True)
+            await self._report.set()
+        elif result is CallResult.FENCED:
+            await self._fenced.set()
+        elif result is CallResult.ABSENT:
+            await self._note_absent(now)
+        else:
+            self._absent = 0
+        if ledger.worker and ledger.listed and self._has_lapsed(now):
+            ledger.drop_worker("it is silent and its lease has run out", gone=False)
+            await self._report.set()
+
+    async def _note_absent(self, now: float) -> None:
+        if not self._absent:
+            self._absent_since = now
+        self._absent += 1
+        long_enough = now - self._absent_since >= ABSENT_S
+        if self._absent >= ABSENT_CALLS and long_enough:
+            self._absent = 0
+            self._ledger.drop_worker("nothing listens at its address", gone=True)
+            await self._report.set()
+
+    def _has_lapsed(self, now: float) -> bool:
+        silent = now - self._answered_at > SILENT_S
+        until = self._ledger.lease.until
+        return silent and now > until + LAPSE_MARGIN_S
--- /dev/null
+++ b/pistachiodeal/jobentry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry of the users' platform: callers' jobs, and the leader's seat."""
--- /dev/null
+++ b/pistachiodeal/jobentry/api.py
@@ -0,0 +1,145 @@
+"""Callers' requests: submit, ask, cancel, count."""
+
+from __future__ import annotations
+
+import time
+
+from pistachiodeal.events import EventLog
+from pistachiodeal.exceptions import Outcome, RequestError, StoreError
+from pistachiodeal.jobentry.acceptance import Acceptance
+from pistachiodeal.jobentry.configuration import ConfigurationKeeper
+from pistachiodeal.jobentry.states import JobStates
+from pistachiodeal.jobs.model import Queue
+from pistachiodeal.jobs.rows import CANCEL_VALUE, build_cancel_key, encode_job
+from pistachiodeal.platform.callers import (
+    build_pending,
+    build_state,
+    parse_job,
+    read_budget_s,
+    read_host,
+)
+from pistachiodeal.stats import Stats
+from pistachiodeal.web.messages import WebRequest, WebResponse, build_json
+
+RETRY_AFTER_S = 1.0
+
+
+class CallerApi:
+    """Handles callers' requests.
+
+    :param row_bytes: largest row that the store takes.
+    """
+
+    def __init__(
+        self,
+        configuration: ConfigurationKeeper,
+        acceptance: Acceptance,
+        states: JobStates,
+        row_bytes: int,
+        events: EventLog,
+        stats: Stats,
+    ) -> None:
+        self._configuration = configuration
+        self._acceptance = acceptance
+        self._states = states
+        self._row_bytes = row_bytes
+        self._events = events
+        self._stats = stats
+
+    async def handle(self, request: WebRequest) -> WebResponse:
+        """Answer one request."""
+        began = time.monotonic()
+        try:
+            response = await self._route(request)
+        except RequestError as error:
+            self._events.emit(
+                "request.failed",
+                method=request.method,
+                path=request.path,
+                status=error.status,
+                code=error.code,
+                outcome=str(error.outcome),
+                detail=error.detail,
+                took_ms=int((time.monotonic() - began) * 1000),
+            )
+            self._stats.count(f"request_{error.status}")
+            raise
+        self._stats.count(f"request_{response.status}")
+        self._stats.time(f"request_{request.method.lower()}", time.monotonic() - began)
+        return response
+
+    async def _route(self, request: WebRequest) -> WebResponse:
+        configuration = self._configuration.current
+        if configuration is None:
+            raise RequestError(
+                "no configuration yet",
+                code="starting",
+                status=503,
+                retry_after=RETRY_AFTER_S,
+                step="jobs.route",
+            )
+        queue = self._configuration.find(read_host(request), request.path)
+        if queue is None:
+            raise RequestError(
+                f"version {configuration.version} has no such queue",
+                code="unknown_queue",
+                status=404,
+                step="jobs.route",
+            )
+        job_id = request.path.removeprefix(queue.prefix)
+        if request.method == "POST":
+            return await self._submit(queue, job_id, request)
+        if request.method == "DELETE":
+            return await self._cancel(job_id, request)
+        if request.method != "GET":
+            raise RequestError(
+                "use POST, GET or DELETE", code="bad_method", status=405, step="jobs"
+            )
+        if not job_id:
+            return build_pending(await self._states.count_pending(queue))
+        state = await self._states.find_state(job_id)
+        if state is None:
+            return self._build_unknown(job_id, "state")
+        return build_state(state)
+
+    async def _submit(
+        self, queue: Queue, job_id: str, request: WebRequest
+    ) -> WebResponse:
+        job = parse_job(queue, job_id, request.body)
+        value = encode_job(job)
+        if len(value) > self._row_bytes:
+            raise RequestError(
+                "the job is too large", code="job_too_large", status=413, step="jobs"
+            )
+        began = time.monotonic()
+        await self._acceptance.insert(job_id, value, read_budget_s(request))
+        self._events.emit(
+            "job.accepted",
+            job=job_id,
+            queue=queue.name,
+            tasks=sum(step.count for step in job.steps),
+            took_ms=int((time.monotonic() - began) * 1000),
+        )
+        return build_json(200, {})
+
+    async def _cancel(self, job_id: str, request: WebRequest) -> WebResponse:
+        try:
+            if not await self._states.exists(job_id):
+                return self._build_unknown(job_id, "cancel")
+        except StoreError as error:
+            raise RequestError(
+                str(error),
+                code="store_unavailable",
+                status=503,
+                outcome=Outcome.NOT_RUN,
+                retry_after=RETRY_AFTER_S,
+                step="jobs.cancel",
+            ) from None
+        key = build_cancel_key(job_id)
+        await self._acceptance.insert(key, CANCEL_VALUE, read_budget_s(request))
+        self._events.emit("job.cancel_accepted", job=job_id)
+        return build_json(200, {})
+
+    def _build_unknown(self, job_id: str, asked: str) -> WebResponse:
+        self._events.emit("job.unknown", job=job_id, asked=asked)
+        return build_json(410, {})
--- /dev/null
+++ b/pistachiodeal/jobentry/app.py
@@ -0,0 +1,138 @@
+"""Puts the entry together, and stops it without cutting a request off."""
+
+from __future__ import annotations
+
+import random
+
+import curio
+
+from pistachiodeal.config.deployment import DeploymentSettings
+from pistachiodeal.events import EventLog
+from pistachiodeal.jobentry.acceptance import Acceptance
+from pistachiodeal.jobentry.api import CallerApi
+from pistachiodeal.jobentry.configuration import ConfigurationKeeper
+from pistachiodeal.jobentry.seat import Seat
+from pistachiodeal.jobentry.states import JobStates
+from pistachiodeal.leader.directory import Directory
+from pistachiodeal.leader.election import Election
+from pistachiodeal.peers import TIMINGS, build_metrics, list_seed_peers
+from pistachiodeal.platform.rows import create_rows
+from pistachiodeal.reload import wait_for_stop
+from pistachiodeal.signals import SignalWatch
+from pistachiodeal.stats import Stats
+from pistachiodeal.supervisor import Supervisor
+from pistachiodeal.web.messages import WebLimits, WebRequest, WebResponse
+from pistachiodeal.web.server import Handler, WebServer, create_server
+from pistachiodeal.wire.identity import ENTRY_ROLE, Identity
+
+# The balancer asks for readiness once a second and takes two misses; until then it
+# goes on sending new connections, which a closed listener would turn away.
+LEAVE_ROTATION_S = 2.4
+# What is left of the grace period for requests in flight.
+DRAIN_S = 2.0
+# Requests of callers arrive within milliseconds of each other; the configuration's own
+# limit is applied when a body is parsed.
+BODY_BYTES = 262_144
+IDLE_S = 60.0
+
+
+class EntryApp:
+    """The parts of one entry."""
+
+    def __init__(self, settings: DeploymentSettings, events: EventLog) -> None:
+        self._settings = settings
+        self._events = events
+        self._stats = Stats()
+        store = create_rows(settings.store.address)
+        identity = Identity(
+            ENTRY_ROLE, settings.node, random.getrandbits(60), settings.data_centre
+        )
+        directory = Directory(list_seed_peers(settings))
+        directory.note_entry(settings.peer_address)
+        self._configuration = ConfigurationKeeper(store, events)
+        self._seat = Seat(
+            store,
+            identity,
+            settings.peer_address,
+            settings.peer_secret,
+            TIMINGS,
+            directory,
+            self._configuration.refresh,
+            settings.limits.kept_s + 30.0,
+            events,
+        )
+        self._election = Election(
+            store,
+            identity,
+            settings.peer_address,
+            settings.peer_secret,
+            TIMINGS,
+            directory,
+            events,
+            self._seat.lead,
+        )
+        self._acceptance = Acceptance(store, events)
+        states = JobStates(store, self._seat, self._election)
+        self._election.set_answer_handler(states.take_answer)
+        api = CallerApi(
+            self._configuration,
+            self._acceptance,
+            states,
+            settings.store.row_bytes,
+            events,
+            self._stats,
+        )
+        limits = WebLimits(body_bytes=BODY_BYTES, idle_s=IDLE_S)
+        self._callers = _create_server(settings.listen.callers, api.handle, limits)
+        self._readiness = _create_server(
+            settings.listen.readiness, self._answer_ready, WebLimits()
+        )
+        self._metrics = create_server(
+            settings.host,
+            settings.listen.metrics_port,
+            self._answer_metrics,
+            WebLimits(),
+        )
+        self._leaving = False
+
+    async def run(self, signals: SignalWatch) -> None:
+        """Serve until a signal to stop."""
+        supervisor = Supervisor("entry")
+        supervisor.add("configuration", self._configuration.run)
+        supervisor.add("configuration look", self._configuration.look)
+        supervisor.add("acceptance", self._acceptance.run)
+        supervisor.add("peers", self._seat.listen)
+        supervisor.add("readiness", self._readiness.run)
+        supervisor.add("metrics", self._metrics.run)
+        supervisor.add("callers", self._callers.run)
+        election = Supervisor("election")
+        election.add("election", self._election.run)
+        running = await curio.spawn(supervisor.run)
+        electing = await curio.spawn(election.run)
+        await wait_for_stop(signals, self._settings, self._events)
+        await self._leave(electing)
+        await supervisor.stop()
+        await running.join()
+
+    async def _leave(self, electing: curio.Task) -> None:
+        self._leaving = True
+        self._events.emit("process.stopping")
+        leads = self._seat.leadership is not None
+        await electing.cancel()
+        if leads:
+            await self._election.resign()
+        await curio.sleep(LEAVE_ROTATION_S)
+        drained = await self._callers.drain(DRAIN_S)
+        self._events.emit("process.stopped", drained=drained)
+
+    async def _answer_ready(self, request: WebRequest) -> WebResponse:
+        ready = not self._leaving and self._configuration.current is not None
+        return WebResponse(200 if ready else 503)
+
+    async def _answer_metrics(self, request: WebRequest) -> WebResponse:
+        return build_metrics(self._stats)
+
+
+def _create_server(address: str, handler: Handler, limits: WebLimits) -> WebServer:
+    host, _, port = address.rpartition(":")
+    return create_server(host, int(port), handler, limits)
--- /dev/null
+++ b/pistachiodeal/jobentry/configuration.py
@@ -0,0 +1,105 @@
+"""The operator's configuration as this process has it."""
+
+from __future__ import annotations
+
+import curio
+from logbook import Logger
+
+from pistachiodeal.events import EventLog
+from pistachiodeal.exceptions import ProtocolError, StoreError
+from pistachiodeal.jobs.model import Queue, find_queue
+from pistachiodeal.platform.manifest import (
+    CONFIG_KEY,
+    CONFIG_TABLE,
+    Configuration,
+    decode_configuration,
+)
+from pistachiodeal.store.row_store import HistoryLostError, RowStore, StoredRow
+
+log = Logger("configuration")
+
+FEED_WAIT_S = 20.0
+RETRY_S = 0.15
+# A feed can be cut off without a word while its history is dropped; a look at the row
+# this often keeps a change within the second or two in which it has to be in force.
+LOOK_S = 0.7
+
+
+class ConfigurationKeeper:
+    """Follows the configuration; never goes back to an older one."""
+
+    def __init__(self, store: RowStore, events: EventLog) -> None:
+        self._store = store
+        self._events = events
+        self._current: Configuration | None = None
+        self._by_name: dict[str, Queue] = {}
+        self._version = 0
+
+    @property
+    def current(self) -> Configuration | None:
+        """Return the configuration in force, None before the first."""
+        return self._current
+
+    def find(self, host: str, path: str) -> Queue | None:
+        """Return the queue of a request."""
+        if self._current is None:
+            return None
+        return find_queue(self._current.queues, host, path)
+
+    def refresh(self, queue: Queue) -> Queue:
+        """Return a queue as the newest configuration has it."""
+        return self._by_name.get(queue.name, queue)
+
+    async def run(self) -> None:
+        """Follow the configuration for ever."""
+        while True:
+            try:
+                await self._follow()
+            except HistoryLostError:
+                self._version = 0
+            except StoreError as error:
+                log.debug("configuration: cannot follow it: {}", error)
+                await curio.sleep(RETRY_S)
+
+    async def look(self) -> None:
+        """Read the row itself, now and then."""
+        while True:
+            await curio.sleep(LOOK_S)
+            try:
+                await self._read()
+            except StoreError as error:
+                log.debug("configuration: cannot look at it: {}", error)
+
+    async def _follow(self) -> None:
+        if not self._version:
+            self._version = await self._read()
+        page = await self._store.follow(CONFIG_TABLE, self._version, FEED_WAIT_S)
+        self._take(page.rows)
+        self._version = max(self._version, page.version)
+
+    async def _read(self) -> int:
+        page = await self._store.read(CONFIG_TABLE, CONFIG_KEY, CONFIG_KEY + "\0", 1)
+        self._take(page.rows)
+        return page.version
+
+    def _take(self, rows: tuple[StoredRow, ...]) -> None:
+        for row in rows:
+            if row.key != CONFIG_KEY or row.removed:
+                continue
+            try:
+                self._apply(decode_configuration(row.value))
+            except ProtocolError as error:
+                self._events.emit("configuration.unreadable", cause=str(error))
+
+    def _apply(self, found: Configuration) -> None:
+        current = self._current
+        if current is not None and found.version <= current.version:
+            return
+        self._current = found
+        self._by_name = {queue.name: queue for queue in found.queues}
+        self._events.emit(
+            "configuration.applied",
+            version=found.version,
+            was=current.version if current else 0,
+            queues=len(found.queues),
+        )
--- /dev/null
+++ b/pistachiodeal/jobentry/seat.py
@@ -0,0 +1,156 @@
+"""Whether this entry leads, and its links to agents and other entries."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import curio
+from curio.io import Socket
+from logbook import Logger
+
+from pistachiodeal.events import EventLog
+from pistachiodeal.exceptions import FencedError, PistachiodealError
+from pistachiodeal.jobs.model import Queue
+from pistachiodeal.leader.commits import Authority
+from pistachiodeal.leader.directory import Directory
+from pistachiodeal.leader.leadership import Leadership
+from pistachiodeal.store.row_store import RowStore
+from pistachiodeal.web.server import bind_listener
+from pistachiodeal.wire.identity import AGENT_ROLE, Identity
+from pistachiodeal.wire.job_messages import JobAnswer, JobQuery, LeaderNotice
+from pistachiodeal.wire.link import Link, LinkTimings
+from pistachiodeal.wire.opening import accept_link
+
+log = Logger("seat")
+
+NOTICE_S = 0.25
+LOAD_POLL_S = 0.03
+LOAD_WAIT_S = 3.0
+
+
+class Seat:
+    """Leads while this process holds the leader's row, and accepts links."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        identity: Identity,
+        address: str,
+        secret: str,
+        timings: LinkTimings,
+        directory: Directory,
+        refresh_queue: Callable[[Queue], Queue],
+        kept_s: float,
+        events: EventLog,
+    ) -> None:
+        self._store = store
+        self._identity = identity
+        self._address = address
+        self._secret = secret
+        self._timings = timings
+        self._directory = directory
+        self._refresh_queue = refresh_queue
+        self._kept_s = kept_s
+        self._events = events
+        self._leadership: Leadership | None = None
+        self._links: set[Link] = set()
+
+    @property
+    def leadership(self) -> Leadership | None:
+        """Return what this process leads, None while it doesn't."""
+        return self._leadership
+
+    async def lead(self, authority: Authority) -> None:
+        """Lead under an authority until another process takes over."""
+        self._leadership = Leadership(
+            self._store, authority, self._refresh_queue, self._kept_s, self._events
+        )
+        try:
+            await self._leadership.run()
+        except FencedError as error:
+            log.warning("seat: another process leads now: {}", error)
+        finally:
+            self._leadership = None
+            for link in list(self._links):
+                await link.close()
+
+    async def listen(self) -> None:
+        """Accept links for ever."""
+        host, _, port = self._address.rpartition(":")
+        listener = Socket(bind_listener(host, int(port)))
+        async with listener:
+            while True:
+                sock, _ = await listener.accept()
+                await curio.spawn(self._serve, sock, daemon=True)
+
+    async def _serve(self, sock: Socket) -> None:
+        try:
+            async with accept_link(
+                sock, self._identity, self._secret, self._timings
+            ) as link:
+                if link.peer.role == AGENT_ROLE:
+                    await self._serve_agent(link)
+                else:
+                    await self._serve_entry(link)
+        except (PistachiodealError, OSError) as error:
+            log.debug("seat: a link ended: {}", error)
+
+    async def _serve_agent(self, link: Link) -> None:
+        await link.send(self._build_notice())
+        leadership = self._leadership
+        if leadership is None:
+            return
+        waited_s = 0.0
+        while not leadership.loaded:
+            # Set against an empty book, all runs of a worker would look like strays.
+            if waited_s > LOAD_WAIT_S or self._leadership is not leadership:
+                return
+            await curio.sleep(LOAD_POLL_S)
+            waited_s += LOAD_POLL_S
+        self._links.add(link)
+        try:
+            await leadership.sessions.serve(link)
+        finally:
+            self._links.discard(link)
+
+    async def _serve_entry(self, link: Link) -> None:
+        await link.send(self._build_notice())
+        if self._leadership is None:
+            return
+        self._links.add(link)
+        # The dialler's port is of its own choosing; its host is that of its entry.
+        peer_host = link.address.rpartition(":")[0]
+        own_port = self._address.rpartition(":")[2]
+        self._directory.note_entry(f"{peer_host}:{own_port}")
+        notifier = await curio.spawn(self._notify, link, daemon=True)
+        try:
+            while True:
+                message = await link.receive()
+                if isinstance(message, JobQuery):
+                    await self._answer(link, message)
+        finally:
+            self._links.discard(link)
+            await notifier.cancel()
+
+    async def _notify(self, link: Link) -> None:
+        try:
+            while not link.closed:
+                await link.send(self._build_notice())
+                await curio.sleep(NOTICE_S)
+        except PistachiodealError as error:
+            log.debug("seat: a link ended: {}", error)
+
+    def _build_notice(self) -> LeaderNotice:
+        leadership = self._leadership
+        if leadership is None:
+            return self._directory.build_notice()
+        return self._directory.build_notice(int(leadership.store_age_s * 1000))
+
+    async def _answer(self, link: Link, query: JobQuery) -> None:
+        leadership = self._leadership
+        if leadership is None or not leadership.loaded:
+            return
+        state = leadership.find_state(query.job) if query.job else None
+        pending = leadership.book.count_pending(query.queue) if query.queue else 0
+        text = state.value if state is not None else ""
+        await link.send(JobAnswer(query.request_id, text, pending))
--- /dev/null
+++ b/pistachiodeal/jobentry/states.py
@@ -0,0 +1,133 @@
+"""Answers what callers ask of jobs: from the leader, or else from the store."""
+
+from __future__ import annotations
+
+import curio
+from logbook import Logger
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.exceptions import LinkClosedError, RequestError, StoreError
+from pistachiodeal.jobentry.seat import Seat
+from pistachiodeal.jobs.model import JobState, Queue
+from pistachiodeal.jobs.record import read_state
+from pistachiodeal.jobs.rows import (
+    JOBS_TABLE,
+    PROGRESS_TABLE,
+    RANGE_END,
+    build_cancel_key,
+)
+from pistachiodeal.leader.election import Election
+from pistachiodeal.store.row_store import RowStore
+from pistachiodeal.wire.job_messages import JobAnswer, JobQuery
+
+log = Logger("states")
+
+# The leader answers from memory within a few ms; after this the store is asked.
+QUERY_TIMEOUT_S = 0.4
+# A count may be two seconds old.
+COUNT_KEPT_S = 1.5
+RETRY_AFTER_S = 1.0
+
+
+class JobStates:
+    """Finds states of jobs and counts of queues."""
+
+    def __init__(self, store: RowStore, seat: Seat, election: Election) -> None:
+        self._store = store
+        self._seat = seat
+        self._election = election
+        self._waiting: dict[int, curio.Queue] = {}
+        self._request_id = 0
+        self._counts: dict[str, tuple[float, int]] = {}
+
+    async def take_answer(self, answer: JobAnswer) -> None:
+        """Take in the leader's answer to a query."""
+        waiting = self._waiting.get(answer.request_id)
+        if waiting is not None:
+            await waiting.put(answer)
+
+    async def find_state(self, job_id: str) -> JobState | None:
+        """Return a job's state, None when there is certainly no such job.
+
+        :raises RequestError: neither the leader nor the store answers.
+        """
+        leadership = self._seat.leadership
+        state = leadership.find_state(job_id) if leadership else None
+        if state is not None:
+            return state
+        if leadership is None:
+            answer = await self._ask(job_id, "")
+            if answer is not None and answer.state:
+                return JobState(answer.state)
+        return await self._read_state(job_id)
+
+    async def exists(self, job_id: str) -> bool:
+        """Tell whether a job was accepted, as the store has it.
+
+        :raises StoreError: the store gives no answer.
+        """
+        page = await self._store.read(JOBS_TABLE, job_id, job_id + "\0", 1)
+        return bool(page.rows)
+
+    async def count_pending(self, queue: Queue) -> int:
+        """Return how many jobs of a queue have not begun.
+
+        :raises RequestError: the leader gives no answer and gave none lately.
+        """
+        leadership = self._seat.leadership
+        if leadership is not None and leadership.loaded:
+            return leadership.book.count_pending(queue.name)
+        now = read_boot_clock()
+        answer = await self._ask("", queue.name)
+        if answer is not None:
+            self._counts[queue.name] = (now, answer.pending)
+            return answer.pending
+        counted_at, count = self._counts.get(queue.name, (0.0, 0))
+        if now - counted_at < COUNT_KEPT_S:
+            return count
+        raise _build_refusal("nobody leads")
+
+    async def _ask(self, job_id: str, queue: str) -> JobAnswer | None:
+        link = self._election.link
+        if link is None:
+            return None
+        self._request_id += 1
+        request_id = self._request_id
+        waiting: curio.Queue = curio.Queue()
+        self._waiting[request_id] = waiting
+        try:
+            await link.send(JobQuery(request_id, job_id, queue))
+            answer: JobAnswer | None = await curio.ignore_after(
+                QUERY_TIMEOUT_S, waiting.get
+            )
+            return answer
+        except LinkClosedError:
+            return None
+        finally:
+            del self._waiting[request_id]
+
+    async def _read_state(self, job_id: str) -> JobState | None:
+        try:
+            page = await self._store.read(JOBS_TABLE, job_id, job_id + RANGE_END, 2)
+            keys = {row.key for row in page.rows}
+            if job_id not in keys:
+                return None
+            progress = await self._store.read(PROGRESS_TABLE, job_id, job_id + "\0", 1)
+        except StoreError as error:
+            raise _build_refusal(str(error)) from None
+        state = JobState.QUEUED
+        if progress.rows:
+            state = read_state(progress.rows[0].value)
+        if build_cancel_key(job_id) in keys and not state.final:
+            return JobState.CANCELLED
+        return state
+
+
+def _build_refusal(detail: str) -> RequestError:
+    return RequestError(
+        detail,
+        code="state_unknown",
+        status=503,
+        retry_after=RETRY_AFTER_S,
+        step="jobs.state",
+    )
--- /dev/null
+++ b/pistachiodeal/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps and tasks: what they are, their states and their rows."""
--- /dev/null
+++ b/pistachiodeal/jobs/names.py
@@ -0,0 +1,26 @@
+"""Names of tasks: ``job.occurrence.step.index``."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class TaskName:
+    """The parts of a task's name."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
+
+
+def parse_task_name(text: str) -> TaskName | None:
+    """Return the parts of a task's name, or None when it is none."""
+    parts = text.split(".")
+    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        return None
+    return TaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
--- /dev/null
+++ b/pistachiodeal/jobs/record.py
@@ -0,0 +1,248 @@
+"""The leader's memory of one job: its steps, tasks and runs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.exceptions import ProtocolError
+from pistachiodeal.jobs.model import Job, JobState, Step, compute_chain_s
+from pistachiodeal.jobs.names import TaskName
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task.
+
+    Durable are ``run``, ``place``, ``done``, ``failures`` and ``checkpoint``; the
+    rest is what the leader has seen in its own time.
+
+    :param run: number of its newest run, 0 before the first.
+    :param place: where that run is, or may still be; empty while the task waits.
+    :param checkpoint: state from which its next run resumes.
+    :param running: whether a worker has listed the run.
+    :param percent: of its work, as last listed.
+    :param moved_at: when ``percent`` last changed, seconds of the boot clock.
+    :param placed_at: when the run was decided, seconds of the boot clock.
+    :param stopping: why the run is being stopped, empty when it isn't.
+    :param avoid: nodes on which it failed or stood still.
+    """
+
+    name: TaskName
+    step: Step
+    run: int = 0
+    place: str = ""
+    done: bool = False
+    failures: int = 0
+    checkpoint: str = ""
+    running: bool = False
+    percent: int = 0
+    figure: int = 0
+    first_percent: int = 0
+    moved_at: float = 0.0
+    placed_at: float = 0.0
+    began_at: float = 0.0
+    ready_at: float = 0.0
+    stopping: str = ""
+    avoid: frozenset[str] = frozenset()
+
+    @property
+    def waits(self) -> bool:
+        """Tell whether the task needs a place."""
+        return not self.done and not self.place
+
+
+@dataclass(slots=True, eq=False)
+class StepRecord:
+    """The tasks of one step of one occurrence."""
+
+    number: int
+    occurrence: int
+    step: Step
+    tasks: list[Task]
+
+    @property
+    def done(self) -> bool:
+        """Tell whether all tasks have ended as done."""
+        return all(task.done for task in self.tasks)
+
+
+@dataclass(slots=True, eq=False)
+class JobRecord:
+    """One job as the leader knows it.
+
+    :param state: as decided; ``shown`` is the durable one that callers are told.
+    :param begun: whether any task has ever been placed.
+    :param completed: occurrences of which nothing is left to do.
+    :param row_version: of its progress row, 0 when there is none.
+    """
+
+    job: Job
+    state: JobState = JobState.QUEUED
+    shown: JobState = JobState.QUEUED
+    begun: bool = False
+    row_version: int = 0
+    finished_at: float = 0.0
+    completed: set[int] = field(default_factory=set)
+    occurrences: dict[int, list[StepRecord]] = field(default_factory=dict)
+    chain_s: float = 0.0
+
+    @property
+    def job_id(self) -> str:
+        """Return the job's id."""
+        return self.job.job_id
+
+    def iterate_tasks(self) -> Iterator[Task]:
+        """Return the tasks of all open occurrences."""
+        for steps in self.occurrences.values():
+            for step in steps:
+                yield from step.tasks
+
+    def find(self, name: TaskName) -> Task | None:
+        """Return a task of an open occurrence."""
+        steps = self.occurrences.get(name.occurrence)
+        if steps is None or name.step >= len(steps):
+            return None
+        tasks = steps[name.step].tasks
+        return tasks[name.index] if name.index < len(tasks) else None
+
+    def find_step(self, name: TaskName) -> StepRecord:
+        """Return the step of a task of an open occurrence."""
+        return self.occurrences[name.occurrence][name.step]
+
+    def open_due(self, time_of_day_s: float) -> bool:
+        """Open the occurrences that are due; tell whether any was opened."""
+        opened = False
+        for number in range(self._count_due(time_of_day_s)):
+            if number in self.occurrences or number in self.completed:
+                continue
+            self.occurrences[number] = _build_steps(self.job, number)
+            opened = True
+        return opened
+
+    def list_ready(self) -> list[StepRecord]:
+        """Return the steps with waiting tasks whose turn has come."""
+        ready = []
+        for steps in self.occurrences.values():
+            for record in steps:
+                if not any(task.waits for task in record.tasks):
+                    continue
+                if all(steps[earlier].done for earlier in record.step.after):
+                    ready.append(record)
+        return ready
+
+    def compute_left_s(self, steps: list[StepRecord]) -> float:
+        """Return the longest chain of estimated time that is left, seconds."""
+        ends: list[float] = []
+        for record in steps:
+            begin = max((ends[number] for number in record.step.after), default=0.0)
+            left = 0.0 if record.done else record.step.estimate_s
+            ends.append(begin + left)
+        return max(ends, default=0.0)
+
+    def close_done(self) -> None:
+        """Close the occurrences that are done; complete the job after the last."""
+        for number, steps in list(self.occurrences.items()):
+            if all(step.done for step in steps):
+                del self.occurrences[number]
+                self.completed.add(number)
+        if len(self.completed) >= max(self.job.repeats, 1):
+            self.state = JobState.COMPLETED
+
+    def _count_due(self, time_of_day_s: float) -> int:
+        job = self.job
+        if not job.repeats:
+            return 1
+        late_s = time_of_day_s - job.first_run_s
+        if late_s < 0:
+            return 0
+        if job.interval_s <= 0:
+            return job.repeats
+        return min(job.repeats, int(late_s / job.interval_s) + 1)
+
+
+def build_record(job: Job) -> JobRecord:
+    """Return the record of a job of which nothing has run yet."""
+    return JobRecord(job, chain_s=compute_chain_s(job.steps))
+
+
+def encode_progress(record: JobRecord) -> bytes:
+    """Return the value of a job's progress row."""
+    tasks: dict[str, list[Any]] = {}
+    if not record.state.final:
+        for task in record.iterate_tasks():
+            if task.run:
+                key = f"{task.name.occurrence}.{task.name.step}.{task.name.index}"
+                tasks[key] = [
+                    task.run,
+                    task.place,
+                    int(task.done),
+                    task.failures,
+                    task.checkpoint,
+                ]
+    else:
+        # A final job's runs may still have to be stopped by a successor.
+        for task in record.iterate_tasks():
+            if task.place:
+                key = f"{task.name.occurrence}.{task.name.step}.{task.name.index}"
+                tasks[key] = [task.run, task.place, int(task.done), 0, ""]
+    document = {
+        "state": record.state.value,
+        "begun": record.begun,
+        "completed": sorted(record.completed),
+        "tasks": tasks,
+    }
+    return orjson.dumps(document)
+
+
+def apply_progress(record: JobRecord, value: bytes, version: int) -> None:
+    """Set a new record to what its progress row says.
+
+    :raises ProtocolError: the value was not written by this project.
+    """
+    try:
+        document = orjson.loads(value)
+        record.state = record.shown = JobState(document["state"])
+        record.begun = bool(document["begun"])
+        record.completed = set(document["completed"])
+        record.row_version = version
+        for key, fields in document["tasks"].items():
+            _apply_task(record, key, fields)
+    except (ValueError, KeyError, TypeError, IndexError) as error:
+        raise ProtocolError(repr(error), step="jobs.decode_progress") from error
+
+
+def read_state(value: bytes) -> JobState:
+    """Return the state in a progress row.
+
+    :raises ProtocolError: the value was not written by this project.
+    """
+    try:
+        return JobState(orjson.loads(value)["state"])
+    except (ValueError, KeyError, TypeError) as error:
+        raise ProtocolError(repr(error), step="jobs.decode_progress") from error
+
+
+def _apply_task(record: JobRecord, key: str, fields: list[Any]) -> None:
+    occurrence, step, index = (int(part) for part in key.split("."))
+    if occurrence not in record.occurrences:
+        record.occurrences[occurrence] = _build_steps(record.job, occurrence)
+    task = record.occurrences[occurrence][step].tasks[index]
+    task.run, task.place, done, task.failures, task.checkpoint = fields
+    task.done = bool(done)
+    task.moved_at = task.placed_at = read_boot_clock()
+
+
+def _build_steps(job: Job, occurrence: int) -> list[StepRecord]:
+    records = []
+    for number, step in enumerate(job.steps):
+        tasks = [
+            Task(TaskName(job.job_id, occurrence, number, index), step)
+            for index in range(step.count)
+        ]
+        records.append(StepRecord(number, occurrence, step, tasks))
+    return records
--- /dev/null
+++ b/pistachiodeal/leader/directory.py
@@ -0,0 +1,75 @@
+"""Where entries are, and which of them leads, as far as a process has heard."""
+
+from __future__ import annotations
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.wire.job_messages import Label, LeaderNotice
+
+# Addresses kept: far more entries than a deployment has, bounded all the same, as
+# VMs are replaced for years.
+MOST_ENTRIES = 64
+
+
+class Directory:
+    """Addresses of entries.
+
+    :param seeds: addresses from the settings, which may be stale.
+    """
+
+    def __init__(self, seeds: tuple[str, ...]) -> None:
+        self._entries: dict[str, float] = dict.fromkeys(seeds, 0.0)
+        self._epoch = 0
+        self._leader = ""
+        self._store_age_ms = 0
+        self._heard_at = 0.0
+
+    @property
+    def epoch(self) -> int:
+        """Return the highest epoch heard of."""
+        return self._epoch
+
+    @property
+    def leader(self) -> str:
+        """Return the leader's address, empty while none is known."""
+        return self._leader
+
+    def note_leader(self, epoch: int, address: str) -> None:
+        """Take in who leads; an older epoch changes nothing."""
+        if epoch >= self._epoch:
+            self._epoch, self._leader = epoch, address
+        self.note_entry(address)
+
+    def note_entry(self, address: str) -> None:
+        """Take in that an entry was heard of."""
+        if not address:
+            return
+        self._entries.pop(address, None)
+        self._entries[address] = read_boot_clock()
+        while len(self._entries) > MOST_ENTRIES:
+            del self._entries[next(iter(self._entries))]
+
+    def take_notice(self, notice: LeaderNotice) -> None:
+        """Take in what an entry says."""
+        for entry in notice.entries:
+            if entry.text not in self._entries:
+                self.note_entry(entry.text)
+        if notice.address:
+            self.note_leader(notice.epoch, notice.address)
+        self._store_age_ms = notice.store_age_ms
+        self._heard_at = read_boot_clock()
+
+    def list_others(self, *without: str) -> list[str]:
+        """Return the other entries, the one heard of last first."""
+        return [one for one in reversed(self._entries) if one not in without]
+
+    def build_notice(self, store_age_ms: int | None = None) -> LeaderNotice:
+        """Return what to tell a process that asks.
+
+        :param store_age_ms: the leader's, if this process leads; else what was heard
+            from the leader last, aged since.
+        """
+        if store_age_ms is None:
+            since_ms = int((read_boot_clock() - self._heard_at) * 1000)
+            store_age_ms = self._store_age_ms + since_ms
+        entries = tuple(Label(address) for address in self._entries)
+        return LeaderNotice(self._epoch, self._leader, store_age_ms, entries)
--- /dev/null
+++ b/pistachiodeal/leader/election.py
@@ -0,0 +1,307 @@
+"""Who leads: one row of the store, taken over under a higher epoch.
+
+A follower keeps a link to the leader. It takes the row when the link is gone and no
+other entry hears the leader, or when the leader lives but can't reach the store.
+Taking it too early is harmless: the old leader's transactions fail from then on.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass
+
+import curio
+import orjson
+from logbook import Logger
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.events import EventLog
+from pistachiodeal.exceptions import (
+    LinkClosedError,
+    PistachiodealError,
+    StoreError,
+    StoreUncertainError,
+)
+from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY, Authority
+from pistachiodeal.leader.directory import Directory
+from pistachiodeal.store.row_store import (
+    ABSENT,
+    RowCondition,
+    RowStore,
+    RowWrite,
+    StoredRow,
+    Transaction,
+)
+from pistachiodeal.wire.identity import Identity
+from pistachiodeal.wire.job_messages import JobAnswer, LeaderNotice
+from pistachiodeal.wire.link import Link, LinkTimings
+from pistachiodeal.wire.opening import dial_link
+
+log = Logger("election")
+
+# A leader writes or looks at its row every 0.65 s at most, and an answer of a slow
+# store takes 0.3 s: an age above this means that the store refuses the leader.
+STORE_AGE_LIMIT_S = 1.4
+# After an outage of the store for everybody, the leader has this long to come back
+# before a follower whose store works again takes over.
+SECOND_LOOK_S = 0.6
+# An entry that hears no other entry is likely cut off itself; it waits for this long
+# before it takes the row from a leader whom the others may still hear.
+ALONE_S = 3.0
+STAGGER_S = 0.2
+RETRY_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderRow:
+    """The row that names the leader.
+
+    :param nonce: of the process that wrote it, so that it recognises its own row.
+    """
+
+    epoch: int
+    node: str
+    address: str
+    nonce: int
+    version: int
+
+
+NOBODY = LeaderRow(0, "", "", 0, ABSENT)
+
+Lead = Callable[[Authority], Awaitable[None]]
+
+
+class Election:
+    """Follows the leader, or becomes it.
+
+    :param lead: leads under an authority until fenced.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        identity: Identity,
+        address: str,
+        secret: str,
+        timings: LinkTimings,
+        directory: Directory,
+        events: EventLog,
+        lead: Lead,
+    ) -> None:
+        self._store = store
+        self._identity = identity
+        self._address = address
+        self._secret = secret
+        self._timings = timings
+        self._directory = directory
+        self._events = events
+        self._lead = lead
+        self._row = NOBODY
+        self._link: Link | None = None
+        self._on_answer: Callable[[JobAnswer], Awaitable[None]] | None = None
+
+    @property
+    def link(self) -> Link | None:
+        """Return the link to the leader, None while there is none."""
+        return self._link
+
+    def set_answer_handler(
+        self, handler: Callable[[JobAnswer], Awaitable[None]]
+    ) -> None:
+        """Set what takes the leader's answers to queries."""
+        self._on_answer = handler
+
+    async def run(self) -> None:
+        """Follow and lead by turns, for ever."""
+        while True:
+            row = await self._read_row()
+            if row is not None:
+                self._row = row
+            if row is not None and self._is_vacant(row):
+                await self._campaign("nobody leads")
+                continue
+            if not self._row.address or self._row.address == self._address:
+                await curio.sleep(RETRY_S)
+                continue
+            await self._follow(self._row)
+            await self._consider()
+
+    async def resign(self) -> None:
+        """Leave the leader's row vacant, so that nobody has to wait for silence."""
+        row = self._row
+        value = orjson.dumps(
+            {"epoch": row.epoch, "node": "", "address": "", "nonce": 0}
+        )
+        transaction = Transaction(
+            (RowCondition(CONTROL_TABLE, LEADER_KEY, row.version),),
+            (RowWrite(CONTROL_TABLE, LEADER_KEY, value),),
+        )
+        try:
+            await self._store.commit(transaction)
+        except StoreError as error:
+            log.info("election: cannot resign: {}", error)
+        self._events.emit("leader.resigned", epoch=row.epoch)
+
+    def _is_vacant(self, row: LeaderRow) -> bool:
+        # A row of our address that this loop sees is of an earlier life of this
+        # process, or of a campaign that was carried out after it had been given up.
+        return not row.address or row.address == self._address
+
+    async def _read_row(self) -> LeaderRow | None:
+        try:
+            page = await self._store.read(
+                CONTROL_TABLE, LEADER_KEY, LEADER_KEY + "\0", 1
+            )
+        except StoreError as error:
+            log.debug("election: cannot read the leader's row: {}", error)
+            return None
+        row = _decode_row(page.rows[0]) if page.rows else NOBODY
+        if row.address:
+            self._directory.note_leader(row.epoch, row.address)
+        return row
+
+    async def _follow(self, row: LeaderRow) -> None:
+        """Keep a link to the leader until it ends or the leader lost the store."""
+        try:
+            async with dial_link(
+                row.address, self._identity, self._secret, self._timings
+            ) as link:
+                self._link = link
+                self._events.emit("leader.followed", epoch=row.epoch, peer=row.address)
+                await self._listen(link)
+        except (PistachiodealError, OSError) as error:
+            self._events.emit("leader.unheard", epoch=row.epoch, cause=str(error))
+        finally:
+            self._link = None
+
+    async def _listen(self, link: Link) -> None:
+        while True:
+            message = await link.receive()
+            if isinstance(message, JobAnswer) and self._on_answer is not None:
+                await self._on_answer(message)
+            if not isinstance(message, LeaderNotice):
+                continue
+            self._directory.take_notice(message)
+            if message.address != link.address:
+                raise LinkClosedError("it no longer leads", peer=link.address)
+            if message.store_age_ms < STORE_AGE_LIMIT_S * 1000:
+                continue
+            if await self._outlasts_leader(link):
+                return
+
+    async def _outlasts_leader(self, link: Link) -> bool:
+        """Tell whether our store works while the leader's goes on being refused."""
+        if await self._read_row() is None:
+            return False
+        deadline = read_boot_clock() + SECOND_LOOK_S
+        while read_boot_clock() < deadline:
+            message = await link.receive()
+            if not isinstance(message, LeaderNotice):
+                continue
+            if message.store_age_ms < STORE_AGE_LIMIT_S * 1000:
+                return False
+        row = await self._read_row()
+        return row is not None and row.version == self._row.version
+
+    async def _consider(self) -> None:
+        """Take the row over if the leader is gone for the other entries too."""
+        row = await self._read_row()
+        if row is None or row.version != self._row.version:
+            return
+        suspected_at = read_boot_clock()
+        while read_boot_clock() - suspected_at < ALONE_S:
+            heard = await self._ask_entries(row)
+            if heard is None and self._directory.list_others(self._address):
+                await curio.sleep(RETRY_S)
+                continue
+            if heard:
+                await curio.sleep(RETRY_S)
+                return
+            break
+        await curio.sleep(random.uniform(0, STAGGER_S))
+        await self._campaign("the leader is gone")
+
+    async def _ask_entries(self, row: LeaderRow) -> bool | None:
+        """Tell whether another entry hears the leader; None if none answers."""
+        answered = None
+        for address in self._directory.list_others(self._address, row.address):
+            with suppress(PistachiodealError, OSError):
+                async with dial_link(
+                    address, self._identity, self._secret, self._timings
+                ) as link:
+                    message = await link.receive()
+                    if not isinstance(message, LeaderNotice):
+                        continue
+                    answered = False
+                    fresh = message.store_age_ms < STORE_AGE_LIMIT_S * 1000
+                    if message.epoch >= row.epoch and message.address and fresh:
+                        return True
+        return answered
+
+    async def _campaign(self, why: str) -> None:
+        row = self._row
+        epoch = row.epoch + 1
+        value = orjson.dumps(
+            {
+                "epoch": epoch,
+                "node": self._identity.node,
+                "address": self._address,
+                "nonce": self._identity.incarnation,
+            }
+        )
+        transaction = Transaction(
+            (RowCondition(CONTROL_TABLE, LEADER_KEY, row.version),),
+            (RowWrite(CONTROL_TABLE, LEADER_KEY, value),),
+        )
+        asked_at = read_boot_clock()
+        try:
+            result = await self._store.commit(transaction)
+        except StoreUncertainError:
+            await self._settle(epoch)
+            return
+        except StoreError as error:
+            log.debug("election: cannot campaign: {}", error)
+            await curio.sleep(RETRY_S)
+            return
+        if not result.committed:
+            return
+        self._row = LeaderRow(
+            epoch,
+            self._identity.node,
+            self._address,
+            self._identity.incarnation,
+            result.version,
+        )
+        await self._take_office(asked_at, why)
+
+    async def _settle(self, epoch: int) -> None:
+        """Find out whether a campaign without an answer has won."""
+        asked_at = read_boot_clock()
+        row = await self._read_row()
+        if row is None or row.nonce != self._identity.incarnation or row.epoch != epoch:
+            return
+        self._row = row
+        await self._take_office(asked_at, "the row was written without an answer")
+
+    async def _take_office(self, asked_at: float, why: str) -> None:
+        row = self._row
+        authority = Authority(row.epoch, row.version, asked_at, read_boot_clock())
+        self._events.emit("leader.taken", epoch=row.epoch, why=why)
+        self._directory.note_leader(row.epoch, self._address)
+        try:
+            await self._lead(authority)
+        finally:
+            self._events.emit("leader.ended", epoch=row.epoch)
+
+
+def _decode_row(row: StoredRow) -> LeaderRow:
+    document = orjson.loads(row.value)
+    return LeaderRow(
+        document["epoch"],
+        document["node"],
+        document["address"],
+        document["nonce"],
+        row.version,
+    )
--- /dev/null
+++ b/pistachiodeal/leader/leadership.py
@@ -0,0 +1,275 @@
+"""Leads under one epoch: loads all jobs, then decides until another takes over."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import curio
+from logbook import Logger
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.events import EventLog
+from pistachiodeal.exceptions import FencedError, ProtocolError, StoreError
+from pistachiodeal.jobs.model import JobState, Queue
+from pistachiodeal.jobs.record import apply_progress, build_record
+from pistachiodeal.jobs.rows import (
+    JOBS_TABLE,
+    PROGRESS_TABLE,
+    decode_job,
+    split_key,
+)
+from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.commits import REMOVALS, Authority, CommitLog
+from pistachiodeal.leader.planner import Planner
+from pistachiodeal.leader.reconcile import Reconciler
+from pistachiodeal.leader.sessions import AgentSessions
+from pistachiodeal.leader.workers import Fleet
+from pistachiodeal.store.row_store import (
+    HistoryLostError,
+    RowStore,
+    StoredRow,
+    read_whole,
+)
+from pistachiodeal.task_groups import run_until_one_ends
+
+log = Logger("leader")
+
+# A round takes what has gathered since the last one; this bounds its share of the
+# processor while reports come from many agents.
+PLAN_PAUSE_S = 0.01
+TICK_S = 0.25
+FEED_WAIT_S = 20.0
+RETRY_S = 0.2
+# Agents attach within a beat of a change of leader; decisions made before most of
+# them are there would crowd the first ones.
+SETTLE_S = 0.6
+
+
+class Leadership:
+    """What a leader knows and does."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        authority: Authority,
+        find_queue: Callable[[Queue], Queue],
+        kept_s: float,
+        events: EventLog,
+    ) -> None:
+        self._store = store
+        self._authority = authority
+        self._took_at = authority.taken_by
+        self._kept_s = kept_s
+        self._events = events
+        self._changed = curio.Event()
+        self._unsaved = curio.Event()
+        self._book = JobBook(events)
+        self._fleet = Fleet()
+        self._commits = CommitLog(store, authority, events)
+        self._reconciler = Reconciler(self._book, self._fleet, events)
+        self._planner = Planner(
+            self._book, self._fleet, self._reconciler, find_queue, events
+        )
+        self._sessions = AgentSessions(
+            authority,
+            self._commits,
+            self._fleet,
+            self._reconciler,
+            events,
+            self._changed,
+        )
+        self._loaded = False
+        self._loaded_at = 0.0
+        self._feed_version = 0
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch."""
+        return self._authority.epoch
+
+    @property
+    def loaded(self) -> bool:
+        """Tell whether all jobs are known."""
+        return self._loaded
+
+    @property
+    def store_age_s(self) -> float:
+        """Return how long ago the store last confirmed this leader."""
+        return read_boot_clock() - self._commits.confirmed_at
+
+    @property
+    def sessions(self) -> AgentSessions:
+        """Return the agents' sessions."""
+        return self._sessions
+
+    @property
+    def book(self) -> JobBook:
+        """Return the jobs."""
+        return self._book
+
+    @property
+    def fleet(self) -> Fleet:
+        """Return the workers."""
+        return self._fleet
+
+    def find_state(self, job_id: str) -> JobState | None:
+        """Return the durable state of a job, None when it isn't known (yet)."""
+        record = self._book.records.get(job_id) if self._loaded else None
+        return record.shown if record is not None else None
+
+    async def run(self) -> None:
+        """Lead.
+
+        :raises FencedError: another process leads now.
+        """
+        await self._load()
+        await run_until_one_ends(
+            self._follow_jobs, self._keep_writing, self._keep_planning, self._keep_right
+        )
+
+    async def _load(self) -> None:
+        while not self._loaded:
+            try:
+                await self._read_everything()
+            except StoreError as error:
+                log.info("leader: cannot read the jobs yet: {}", error)
+                await curio.sleep(RETRY_S)
+        self._loaded_at = read_boot_clock()
+        self._events.emit(
+            "leader.loaded",
+            epoch=self.epoch,
+            jobs=len(self._book.records),
+            open=len(self._book.open_records),
+            took_ms=int((self._loaded_at - self._took_at) * 1000),
+        )
+
+    async def _read_everything(self) -> None:
+        jobs = await read_whole(self._store, JOBS_TABLE)
+        progress = await read_whole(self._store, PROGRESS_TABLE)
+        values = {row.key: row for row in progress.rows}
+        cancelled = []
+        for row in jobs.rows:
+            job_id, cancels = split_key(row.key)
+            if cancels:
+                cancelled.append(job_id)
+            else:
+                self._restore(row, values.get(job_id))
+        for job_id in cancelled:
+            self._cancel(job_id)
+        self._feed_version = jobs.version
+        self._loaded = True
+        await self._touch()
+
+    def _restore(self, row: StoredRow, progress: StoredRow | None) -> None:
+        if row.key in self._book.records:
+            return
+        try:
+            record = build_record(decode_job(row.value))
+            if progress is not None:
+                apply_progress(record, progress.value, progress.version)
+        except ProtocolError as error:
+            log.error("leader: job {} can't be read: {}", row.key, error)
+            return
+        if record.state.final:
+            record.finished_at = read_boot_clock()
+        self._book.restore(record)
+        if not record.state.final:
+            self._book.open_due(record, time.time())
+
+    def _cancel(self, job_id: str) -> None:
+        for task in self._book.cancel(job_id):
+            self._reconciler.stop(task, "its job is cancelled")
+
+    async def _follow_jobs(self) -> None:
+        while True:
+            try:
+                page = await self._store.follow(
+                    JOBS_TABLE, self._feed_version, FEED_WAIT_S
+                )
+            except HistoryLostError:
+                await self._reread()
+                continue
+            except StoreError as error:
+                log.debug("leader: cannot follow the jobs: {}", error)
+                await curio.sleep(RETRY_S)
+                continue
+            self._apply_rows(page.rows)
+            self._feed_version = max(self._feed_version, page.version)
+            if page.rows:
+                await self._touch()
+
+    async def _reread(self) -> None:
+        try:
+            page = await read_whole(self._store, JOBS_TABLE)
+        except StoreError as error:
+            log.info("leader: cannot read the jobs again: {}", error)
+            await curio.sleep(RETRY_S)
+            return
+        self._apply_rows(page.rows)
+        self._feed_version = page.version
+        await self._touch()
+
+    def _apply_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        for row in rows:
+            if row.removed:
+                continue
+            job_id, cancels = split_key(row.key)
+            if cancels:
+                self._cancel(job_id)
+                continue
+            try:
+                self._book.add(decode_job(row.value), time.time())
+            except ProtocolError as error:
+                log.error("leader: job {} can't be read: {}", row.key, error)
+
+    async def _keep_writing(self) -> None:
+        while True:
+            await self._unsaved.wait()
+            self._unsaved.clear()
+            while self._book.has_unsaved:
+                await self._commits.write(self._book)
+                await self._sessions.send_orders()
+                await self._changed.set()
+
+    async def _keep_planning(self) -> None:
+        while True:
+            await curio.ignore_after(TICK_S, self._changed.wait)
+            self._changed.clear()
+            if read_boot_clock() - self._loaded_at > SETTLE_S:
+                self._planner.plan()
+            await self._sessions.send_orders()
+            if self._book.has_unsaved:
+                await self._unsaved.set()
+            await curio.sleep(PLAN_PAUSE_S)
+
+    async def _keep_right(self) -> None:
+        while True:
+            await curio.sleep(TICK_S)
+            await self._commits.confirm()
+            for place in self._book.list_places():
+                if self._sessions.is_lost(self._took_at, place):
+                    self._reconciler.lose(place, "its leases have run out")
+                    await self._touch()
+            await self._remove_old()
+
+    async def _remove_old(self) -> None:
+        old = self._book.list_expired(read_boot_clock(), self._kept_s)[:REMOVALS]
+        if not old:
+            return
+        if await self._commits.remove(old):
+            for record in old:
+                self._book.remove(record)
+
+    async def _touch(self) -> None:
+        await self._changed.set()
+        if self._book.has_unsaved:
+            await self._unsaved.set()
+
+
+async def lead(leadership: Leadership) -> None:
+    """Lead until fenced; the end is no error of the process."""
+    try:
+        await leadership.run()
+    except FencedError as error:
+        log.warning("leader: another process leads now: {}", error)
--- /dev/null
+++ b/pistachiodeal/leader/reconcile.py
@@ -0,0 +1,254 @@
+"""Sets what an agent reports against what the leader has decided."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.events import EventLog
+from pistachiodeal.jobs.model import EndKind, OrderState
+from pistachiodeal.jobs.record import Task
+from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.workers import (
+    PLACE_SEPARATOR,
+    Attachment,
+    Fleet,
+    WorkerState,
+    build_order,
+)
+from pistachiodeal.wire.job_messages import (
+    EndedTask,
+    OrderOutcome,
+    RunningTask,
+    WorkerReport,
+)
+
+RunKey = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class _Listed:
+    """A report's runs by task and run."""
+
+    running: dict[RunKey, RunningTask]
+    ends: dict[RunKey, EndedTask]
+    outcomes: dict[RunKey, OrderOutcome]
+
+
+class Reconciler:
+    """Applies reports to the book."""
+
+    def __init__(self, book: JobBook, fleet: Fleet, events: EventLog) -> None:
+        self._book = book
+        self._fleet = fleet
+        self._events = events
+
+    def apply(self, attachment: Attachment, report: WorkerReport) -> None:
+        """Take in one report."""
+        now = read_boot_clock()
+        worker = self._fleet.get(attachment.node)
+        attachment.beat, attachment.heard_at = report.beat, now
+        if not report.worker:
+            worker.listed = False
+            self._forget_lost(worker, report)
+            return
+        was = worker.place if worker.worker else ""
+        worker.become(report)
+        if was != worker.place:
+            self._events.emit("worker.known", place=worker.place, was=was)
+        worker.leaving_at = now + report.leaving_ms / 1000 if report.draining else 0.0
+        if not report.listed:
+            return
+        self._forget_others(worker)
+        listed = _index(report)
+        self._apply_runs(worker, attachment, listed, now)
+        self._apply_ends(worker, attachment, report)
+        self._stop_strays(worker, attachment, listed)
+        worker.strain = self._measure_strain(worker)
+
+    def stop(self, task: Task, why: str) -> None:
+        """Ask for the stop of a task's newest run."""
+        if task.stopping or not task.place:
+            return
+        task.stopping = why
+        self._events.emit(
+            "run.stop", task=str(task.name), run=task.run, place=task.place, why=why
+        )
+        worker = self._fleet.find_place(task.place)
+        attachment = worker.attachment if worker else None
+        # A run whose order has not left yet is given up where the order is made.
+        if attachment is not None and (
+            task.running or (str(task.name), task.run) in attachment.ordered
+        ):
+            attachment.order_stop(str(task.name), task.run)
+
+    def send_order(self, task: Task, run: int, place: str) -> None:
+        """Order a run, now that its decision is durable."""
+        if task.run != run or task.place != place:
+            return
+        worker = self._fleet.find_place(place)
+        attachment = worker.attachment if worker else None
+        record = self._book.records[task.name.job_id]
+        if task.stopping or worker is None or attachment is None or worker.draining:
+            # Nobody was ever told of this run, so it cannot come to life later.
+            self._events.emit("run.unsent", task=str(task.name), run=run, place=place)
+            self._book.requeue(task)
+            return
+        self._events.emit(
+            "run.order",
+            task=str(task.name),
+            run=run,
+            place=place,
+            waited_ms=int((read_boot_clock() - task.placed_at) * 1000),
+        )
+        attachment.order_start(build_order(task), record.job_id, record.job.text)
+
+    def lose(self, place: str, why: str) -> None:
+        """Give up the runs of a worker that is certainly gone."""
+        tasks = self._book.forget_place(place)
+        if tasks:
+            self._events.emit("worker.lost", place=place, why=why, runs=len(tasks))
+
+    def _forget_lost(self, worker: WorkerState, report: WorkerReport) -> None:
+        if not report.lost_worker:
+            return
+        place = worker.node + PLACE_SEPARATOR + report.lost_worker
+        self.lose(place, "its agent saw it end")
+        if worker.worker == report.lost_worker:
+            worker.worker = ""
+
+    def _forget_others(self, worker: WorkerState) -> None:
+        # A node has one worker at a time; the agent has spoken with the new one.
+        prefix = worker.node + PLACE_SEPARATOR
+        for place in self._book.list_places():
+            if place.startswith(prefix) and place != worker.place:
+                self.lose(place, "a new incarnation is at its address")
+
+    def _apply_runs(
+        self,
+        worker: WorkerState,
+        attachment: Attachment,
+        listed: _Listed,
+        now: float,
+    ) -> None:
+        for name, task in list(self._book.get_runs(worker.place).items()):
+            key = (name, task.run)
+            if key in listed.running:
+                self._note_running(task, listed.running[key], now)
+                attachment.describe(build_order(task))
+                if task.stopping or self._is_over(task):
+                    attachment.order_stop(name, task.run)
+            elif key in listed.ends:
+                continue
+            elif key in listed.outcomes:
+                self._apply_outcome(worker, task, listed.outcomes[key], now)
+            elif key not in attachment.ordered and self._is_durable(task):
+                # An earlier leader, or this one on an earlier link, ordered it. What
+                # became of that order is unknown: it may even arrive now. A stop that
+                # the runner answers settles it.
+                attachment.order_stop(name, task.run)
+
+    def _is_durable(self, task: Task) -> bool:
+        record = self._book.records[task.name.job_id]
+        return not self._book.is_unsaved(record.job_id)
+
+    def _is_over(self, task: Task) -> bool:
+        return self._book.records[task.name.job_id].state.final
+
+    def _note_running(self, task: Task, seen: RunningTask, now: float) -> None:
+        if not task.running:
+            task.running, task.began_at, task.moved_at = True, now, now
+            task.first_percent = seen.percent
+        if seen.percent != task.percent:
+            task.percent, task.moved_at = seen.percent, now
+        task.figure = seen.figure
+        if seen.checkpoint:
+            task.checkpoint = seen.checkpoint
+
+    def _apply_outcome(
+        self, worker: WorkerState, task: Task, outcome: OrderOutcome, now: float
+    ) -> None:
+        if outcome.outcome == OrderState.PENDING:
+            return
+        self._events.emit(
+            "run.refused",
+            task=str(task.name),
+            run=task.run,
+            place=task.place,
+            outcome=outcome.outcome,
+            detail=outcome.detail,
+        )
+        self._book.requeue(task)
+
+    def _apply_ends(
+        self, worker: WorkerState, attachment: Attachment, report: WorkerReport
+    ) -> None:
+        for end in report.ends:
+            if end.number in worker.ends_taken:
+                continue
+            worker.ends_taken.add(end.number)
+            task = self._book.find_task(end.task)
+            if task is None or task.run != end.run or task.place != worker.place:
+                worker.note_end(end.number)
+                continue
+            self._apply_end(worker, task, end)
+        worker.advance_noted(report.ends)
+
+    def _apply_end(self, worker: WorkerState, task: Task, end: EndedTask) -> None:
+        kind = EndKind(end.how)
+        now = read_boot_clock()
+        self._events.emit(
+            "run.end",
+            task=end.task,
+            run=end.run,
+            place=worker.place,
+            how=end.how,
+            why=task.stopping,
+            took_ms=int((now - task.placed_at) * 1000),
+        )
+        if kind is EndKind.DONE:
+            worker.health.note_success()
+        elif kind is EndKind.FAILED and not task.step.lasts:
+            worker.health.note_failure(now)
+            task.avoid |= {worker.node}
+        incarnation = worker.worker
+
+        def note() -> None:
+            if worker.worker == incarnation:
+                worker.note_end(end.number)
+
+        for other in self._book.end_run(task, kind, end.checkpoint, note):
+            self.stop(other, "the job has failed")
+
+    def _stop_strays(
+        self, worker: WorkerState, attachment: Attachment, listed: _Listed
+    ) -> None:
+        worker.strays = {}
+        runs = self._book.get_runs(worker.place)
+        for name, run in listed.running:
+            task = runs.get(name)
+            if task is not None and task.run == run:
+                continue
+            # The run was given up while it was out of sight; its room is taken until
+            # its end is listed.
+            worker.strays[name] = run
+            attachment.order_stop(name, run)
+
+    def _measure_strain(self, worker: WorkerState) -> float:
+        runs = self._book.get_runs(worker.place).values()
+        return max(
+            (
+                task.figure / task.step.serves_ms
+                for task in runs
+                if task.running and task.step.serves_ms
+            ),
+            default=0.0,
+        )
+
+
+def _index(report: WorkerReport) -> _Listed:
+    return _Listed(
+        {(one.task, one.run): one for one in report.running},
+        {(one.task, one.run): one for one in report.ends},
+        {(one.task, one.run): one for one in report.outcomes},
+    )
--- /dev/null
+++ b/pistachiodeal/peers.py
@@ -0,0 +1,25 @@
+"""What entries and agents share: seeds, timings of links, the metrics page."""
+
+from __future__ import annotations
+
+from pistachiodeal.config.deployment import DeploymentSettings
+from pistachiodeal.stats import Stats
+from pistachiodeal.web.messages import WebResponse
+from pistachiodeal.wire.link import LinkTimings
+
+# A peer that is silent for this long is slow by a factor of several hundred, frozen,
+# or gone; a leader that is replaced too early costs a second of placements.
+TIMINGS = LinkTimings(ping_s=0.3, silent_s=1.2, handshake_s=0.8)
+
+
+def list_seed_peers(settings: DeploymentSettings) -> tuple[str, ...]:
+    """Return where the seeds' entries accept links; ports are the same everywhere."""
+    port = settings.peer_ports[0]
+    hosts = [seed.rpartition(":")[0] for seed in settings.seed_peers]
+    return tuple(f"{host}:{port}" for host in hosts if host)
+
+
+def build_metrics(stats: Stats) -> WebResponse:
+    """Return a process's measurements as text."""
+    headers = (("content-type", "text/plain; charset=utf-8"),)
+    return WebResponse(200, headers, stats.format().encode())
--- a/pistachiodeal/platform/__init__.py
+++ b/pistachiodeal/platform/__init__.py
@@ -1,1 +1,4 @@
-"""All that depends on the platform: its table, object store and workers."""
+"""The users' platform: its names, formats and calls, decoded into our own types.
+
+Nothing here decides, and nothing outside knows how the platform spells anything.
+"""
--- /dev/null
+++ b/pistachiodeal/platform/callers.py
@@ -0,0 +1,122 @@
+"""Callers' requests about jobs: paths, bodies and answers."""
+
+from __future__ import annotations
+
+import re
+import time
+from typing import Any
+
+import orjson
+
+from pistachiodeal.exceptions import RequestError
+from pistachiodeal.jobs.model import Job, JobState, Queue, Step
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.web.messages import WebRequest, WebResponse, build_json
+
+READY_PATH = "/api/ready"
+DEADLINE_HEADER = "deadline-ms"
+DEFAULT_DEADLINE_S = 3.0
+JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
+MAX_TEXT_BYTES = 4_000
+MAX_STEPS = 100
+MAX_TASKS = 10_000
+
+
+def read_budget_s(request: WebRequest) -> float:
+    """Return how long the caller waits for the answer, seconds."""
+    text = request.header(DEADLINE_HEADER)
+    return int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_S
+
+
+def read_host(request: WebRequest) -> str:
+    """Return the host that the caller asked for, without a port."""
+    return request.header("host").partition(":")[0]
+
+
+def parse_job(queue: Queue, job_id: str, body: bytes) -> Job:
+    """Return the job of a submission.
+
+    :raises RequestError: the body is malformed; nothing was accepted.
+    """
+    if not JOB_ID.match(job_id):
+        raise _refuse("the job id is not 16 hexadecimal digits")
+    try:
+        document = orjson.loads(body)
+        steps = tuple(_parse_step(step) for step in document["steps"])
+        job = Job(
+            job_id,
+            queue,
+            _parse_text(document.get("spec", "")),
+            steps,
+            time.time(),
+            int(document.get("repeat_count", 0)),
+            float(document.get("first_run_ms", 0)) / 1000,
+            float(document.get("interval_ms", 0)) / 1000,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise _refuse(repr(error)) from None
+    _check(job)
+    return job
+
+
+def build_state(state: JobState) -> WebResponse:
+    """Return the answer that tells a job's state."""
+    return build_json(200, {"state": state.value})
+
+
+def build_pending(count: int) -> WebResponse:
+    """Return the answer that tells how many jobs of a queue have not begun."""
+    return build_json(200, {"pending_jobs": count})
+
+
+def _parse_text(text: Any) -> str:
+    if not isinstance(text, str) or len(text.encode()) > MAX_TEXT_BYTES:
+        raise ValueError(f"the text is none of at most {MAX_TEXT_BYTES} bytes")
+    return text
+
+
+def _parse_step(step: dict[str, Any]) -> Step:
+    size = Resources(
+        int(step.get("cpu", 0)), int(step.get("mem_mb", 0)), int(step.get("gpu", 0))
+    )
+    return Step(
+        int(step["count"]),
+        size,
+        float(step.get("estimated_ms", 0)) / 1000,
+        tuple(int(number) for number in step.get("start_after", ())),
+        bool(step.get("checkpointing")),
+        bool(step.get("gang")),
+        bool(step.get("same_rack")),
+        _parse_label(step.get("requirements", "")),
+        str(step.get("data_rack", "")),
+        int(step.get("anti_affinity", 0)),
+        bool(step.get("allow_duplicates")),
+        bool(step.get("long_running")),
+        str(step.get("image", "")),
+        int(step.get("target_ms", 0)),
+        bool(step.get("fills")),
+        int(step.get("may_miss", 0)),
+    )
+
+
+def _parse_label(value: Any) -> str:
+    # The field's name is a plural, and it holds one label.
+    if isinstance(value, list):
+        return str(value[0]) if value else ""
+    return str(value)
+
+
+def _check(job: Job) -> None:
+    if not 0 < len(job.steps) <= MAX_STEPS:
+        raise _refuse("a job has 1 to 100 steps")
+    if sum(step.count for step in job.steps) > MAX_TASKS:
+        raise _refuse("the job has too many tasks")
+    for number, step in enumerate(job.steps):
+        if step.count < 1:
+            raise _refuse(f"step {number} has no task")
+        if any(not 0 <= earlier < number for earlier in step.after):
+            raise _refuse(f"step {number} comes after a step that is not earlier")
+
+
+def _refuse(detail: str) -> RequestError:
+    return RequestError(detail, code="malformed_job", status=400, step="jobs.parse")
--- /dev/null
+++ b/pistachiodeal/platform/rows.py
@@ -0,0 +1,163 @@
+"""The platform's transactional rows over HTTP."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from typing import Any
+from urllib.parse import urlencode
+
+import orjson
+
+from pistachiodeal.exceptions import (
+    Outcome,
+    StoreError,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+from pistachiodeal.store.row_store import (
+    HistoryLostError,
+    RowPage,
+    StoredRow,
+    Transaction,
+    TransactionResult,
+)
+from pistachiodeal.web.client import CallError, WebClient, create_client
+from pistachiodeal.web.messages import WebResponse
+
+OK = 200
+CONDITION_FAILED = 412
+HISTORY_GONE = 410
+# 429: over the rate, 503: refused; both say that nothing was done.
+REFUSALS = (429, 503)
+# An answer takes 4 ms, and 0.3 s on a store that is sixty times slower. Longer
+# silence means a connection that lost its other end.
+CALL_TIMEOUT_S = 1.5
+READ_TIMEOUT_S = 1.5
+# A long poll is answered when its wait is over; what it may take beyond that.
+FOLLOW_SLACK_S = 2.0
+CONNECTIONS = 12
+JSON_TYPE = (("content-type", "application/json"),)
+
+
+class PlatformRows:
+    """The store's rows; every row has the empty partition."""
+
+    def __init__(self, client: WebClient) -> None:
+        self._client = client
+
+    async def commit(self, transaction: Transaction) -> TransactionResult:
+        """Apply a transaction; see ``RowStore``."""
+        response = await self._call(
+            "POST",
+            "/api/rows-tx",
+            _encode_transaction(transaction),
+            CALL_TIMEOUT_S,
+            "store.commit",
+        )
+        document = self._parse(response, "store.commit")
+        if response.status == CONDITION_FAILED:
+            rows = document.get("rows", [])
+            found = {(row["table"], row["key"]): _decode_row(row) for row in rows}
+            return TransactionResult(False, 0, found)
+        return TransactionResult(True, document["schema_version"])
+
+    async def read(
+        self, table: str, start: str = "", end: str = "", limit: int = 0
+    ) -> RowPage:
+        """Return a range of rows; see ``RowStore``."""
+        query: dict[str, Any] = {"table": table, "part": ""}
+        if start:
+            query["from"] = start
+        if end:
+            query["to"] = end
+        if limit:
+            query["limit"] = limit
+        target = "/api/rows-get?" + urlencode(query)
+        response = await self._call("GET", target, b"", READ_TIMEOUT_S, "store.read")
+        return _decode_page(self._parse(response, "store.read"))
+
+    async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
+        """Return what has changed; see ``RowStore``."""
+        query = {"table": table, "start_after": after, "wait_ms": int(wait_s * 1000)}
+        target = "/api/rows-feed?" + urlencode(query)
+        timeout = wait_s + FOLLOW_SLACK_S
+        response = await self._call("GET", target, b"", timeout, "store.follow")
+        if response.status == HISTORY_GONE:
+            raise HistoryLostError(step="store.follow", peer=self._client.address)
+        return _decode_page(self._parse(response, "store.follow"))
+
+    async def _call(
+        self, method: str, target: str, body: bytes, timeout: float, step: str
+    ) -> WebResponse:
+        peer = self._client.address
+        try:
+            response = await self._client.call(
+                method, target, headers=JSON_TYPE, body=body, timeout=timeout
+            )
+        except CallError as error:
+            # After one silent connection the idle ones have likely lost their other
+            # end too; each would cost a time-out of its own.
+            await self._client.close()
+            if error.outcome is Outcome.NOT_RUN:
+                raise StoreUnavailableError(
+                    error.detail, step=step, peer=peer
+                ) from None
+            raise StoreUncertainError(error.detail, step=step, peer=peer) from None
+        if response.status in REFUSALS:
+            detail = f"refused with status {response.status}"
+            raise StoreUnavailableError(detail, step=step, peer=peer)
+        if response.status not in (OK, CONDITION_FAILED, HISTORY_GONE):
+            raise StoreError(f"status {response.status}", step=step, peer=peer)
+        return response
+
+    def _parse(self, response: WebResponse, step: str) -> dict[str, Any]:
+        try:
+            document: dict[str, Any] = orjson.loads(response.body)
+            return document
+        except ValueError as error:
+            raise StoreUncertainError(
+                repr(error), step=step, peer=self._client.address
+            ) from None
+
+
+def create_rows(address: str) -> PlatformRows:
+    """Return a client of the store at ``ip:port``."""
+    return PlatformRows(create_client(address, connections=CONNECTIONS))
+
+
+def _encode_transaction(transaction: Transaction) -> bytes:
+    conditions = [
+        {"table": c.table, "part": "", "key": c.key, "schema_version": c.version}
+        for c in transaction.conditions
+    ]
+    writes = [
+        {
+            "table": w.table,
+            "part": "",
+            "key": w.key,
+            "value": b64encode(w.value).decode(),
+        }
+        for w in transaction.writes
+        if w.value is not None
+    ]
+    removals = [
+        {"table": w.table, "part": "", "key": w.key}
+        for w in transaction.writes
+        if w.value is None
+    ]
+    document = {"expected_rev": conditions, "writes": writes, "remove": removals}
+    return orjson.dumps(document)
+
+
+def _decode_page(document: dict[str, Any]) -> RowPage:
+    rows = tuple(_decode_row(row) for row in document["rows"])
+    return RowPage(rows, document["schema_version"], bool(document.get("truncated")))
+
+
+def _decode_row(row: dict[str, Any]) -> StoredRow:
+    return StoredRow(
+        row["key"],
+        b64decode(row.get("value", "")),
+        row["schema_version"],
+        bool(row.get("removed")),
+    )
--- /dev/null
+++ b/pistachiodeal/platform/runner.py
@@ -0,0 +1,180 @@
+"""The runner beside an agent: its calls and its heartbeats."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from pistachiodeal.exceptions import Outcome, ProtocolError
+from pistachiodeal.jobs.runtime import (
+    CallResult,
+    Listing,
+    StartCall,
+    WorkerBeat,
+)
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.web.client import CallError, WebClient, create_client
+from pistachiodeal.wire.job_messages import EndedTask, RunningTask
+
+BEAT_PATH = "/api/Instances.Heartbeat/"
+LEAVE_PATH = "/api/Instances.Deregister/"
+DRAINING = "draining"
+OK = 200
+CONFLICT = 409
+OTHER_INCARNATION = 421
+REASONS = {
+    "fence": CallResult.FENCED,
+    "old": CallResult.SUPERSEDED,
+    "late": CallResult.LATE,
+    "room": CallResult.NO_ROOM,
+    "ticket": CallResult.NO_TICKET,
+}
+# The runner is on the same VM and answers in a millisecond; a call that takes
+# longer has lost its answer, or its connection has gone silent.
+CALL_TIMEOUT_S = 0.6
+CONNECTIONS = 16
+
+
+class PlatformRunner:
+    """Calls to one runner; see ``Runtime``."""
+
+    def __init__(self, client: WebClient) -> None:
+        self._client = client
+
+    async def start(self, call: StartCall) -> CallResult:
+        """Start a run."""
+        document: dict[str, Any] = {
+            "task": call.task,
+            "run_id": call.run,
+            "spec": call.text,
+            "until_ms": call.lease_until_ms,
+            "fencing_token": call.token,
+        }
+        if call.checkpoint:
+            document["last_checkpoint"] = call.checkpoint
+        if call.ticket:
+            document["ticket"] = call.ticket
+        result, _ = await self._call("/api/run-start", call.worker, document)
+        return result
+
+    async def stop(self, worker: str, token: int, task: str, run: int) -> CallResult:
+        """Stop a run."""
+        document = {"task": task, "run_id": run, "fencing_token": token}
+        result, _ = await self._call("/api/run-stop", worker, document)
+        return result
+
+    async def pace(
+        self, worker: str, token: int, task: str, run: int, percent: int
+    ) -> CallResult:
+        """Let a run work at a share of its speed."""
+        document = {
+            "task": task,
+            "run_id": run,
+            "percent": percent,
+            "fencing_token": token,
+        }
+        result, _ = await self._call("/api/pace", worker, document)
+        return result
+
+    async def renew(
+        self, worker: str, token: int, noted: int, until_ms: int, wait_ms: int
+    ) -> Listing:
+        """Renew the lease and list what runs and has ended."""
+        # The field for acknowledged ends speaks of what was seen; it is final, so it
+        # holds what is durable.
+        document = {"fencing_token": token, "last_seen": noted}
+        if until_ms:
+            document["until_ms"] = until_ms
+        if wait_ms:
+            document["wait_ms"] = wait_ms
+        timeout = CALL_TIMEOUT_S + wait_ms / 1000
+        result, answer = await self._call("/api/hold", worker, document, timeout)
+        if result is not CallResult.DONE:
+            return Listing(result)
+        return Listing(
+            result,
+            answer["clock_ms"],
+            tuple(_decode_running(row) for row in answer.get("running", ())),
+            tuple(EndedTask(*row[:5]) for row in answer.get("ended_at", ())),
+        )
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._client.close()
+
+    async def _call(
+        self,
+        path: str,
+        worker: str,
+        document: dict[str, Any],
+        timeout: float = CALL_TIMEOUT_S,
+    ) -> tuple[CallResult, dict[str, Any]]:
+        headers = (("content-type", "application/json"), ("expect-instance", worker))
+        body = orjson.dumps(document)
+        try:
+            response = await self._client.call(
+                "POST", path, headers=headers, body=body, timeout=timeout
+            )
+        except CallError as error:
+            return _map_failure(error), {}
+        if response.status == OK:
+            return CallResult.DONE, _parse(response.body)
+        if response.status == OTHER_INCARNATION:
+            return CallResult.OTHER_INCARNATION, {}
+        if response.status == CONFLICT:
+            reason = str(_parse(response.body).get("reason"))
+            return REASONS.get(reason, CallResult.REFUSED), {}
+        return CallResult.REFUSED, {}
+
+
+def create_runner(address: str) -> PlatformRunner:
+    """Return a client of the runner at ``ip:port``."""
+    return PlatformRunner(create_client(address, connections=CONNECTIONS))
+
+
+def decode_beat(path: str, body: bytes) -> WorkerBeat:
+    """Return a runner's heartbeat.
+
+    :raises ProtocolError: it can't be read.
+    """
+    try:
+        document = orjson.loads(body)
+        room = document.get("capacity", {})
+        return WorkerBeat(
+            path.removeprefix(BEAT_PATH),
+            document["service"],
+            document["address"],
+            document.get("state") == DRAINING,
+            int(document.get("remaining_ms", 0)),
+            int(document.get("seq", 0)),
+            Resources(
+                int(room.get("cpu", 0)),
+                int(room.get("mem_mb", 0)),
+                int(room.get("gpu", 0)),
+            ),
+            tuple(str(label) for label in document.get("labels", ())),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise ProtocolError(repr(error), step="heartbeat.decode") from None
+
+
+def _decode_running(row: list[Any]) -> RunningTask:
+    figure = int(row[4]) if len(row) > 4 and row[4] is not None else 0
+    return RunningTask(row[0], row[1], row[2], int(row[3]), figure)
+
+
+def _map_failure(error: CallError) -> CallResult:
+    if error.outcome is not Outcome.NOT_RUN:
+        return CallResult.UNKNOWN
+    if "ConnectionRefused" in error.detail:
+        return CallResult.ABSENT
+    return CallResult.REFUSED
+
+
+def _parse(body: bytes) -> dict[str, Any]:
+    try:
+        document = orjson.loads(body)
+    except ValueError:
+        return {}
+    return document if isinstance(document, dict) else {}
--- a/pistachiodeal/profiles/api.py
+++ b/pistachiodeal/profiles/api.py
@@ -15,7 +15,6 @@
     StoreError,
 )
 from pistachiodeal.model.policies import NAME_PATTERN
-from pistachiodeal.platform.protocols import Table
 from pistachiodeal.profiles.changes import (
     AssignService,
     Change,
@@ -34,6 +33,7 @@
     parse_profile_body,
 )
 from pistachiodeal.profiles.store import Accepted, ProfileStore, create_profile_store
+from pistachiodeal.store.protocols import Table
 from pistachiodeal.web.messages import (
     WebRequest,
     WebResponse,
--- a/pistachiodeal/profiles/keeper.py
+++ b/pistachiodeal/profiles/keeper.py
@@ -14,10 +14,10 @@
 
 from pistachiodeal.exceptions import PistachiodealError, ProtocolError
 from pistachiodeal.model.policies import Profile, ServicePolicy
-from pistachiodeal.platform.protocols import Table
 from pistachiodeal.profiles.cache import PolicyCache, create_policy_cache
 from pistachiodeal.profiles.document import ProfileDocument, parse_profile
 from pistachiodeal.profiles.store import ProfileStore, create_profile_store
+from pistachiodeal.store.protocols import Table
 from pistachiodeal.wire.messages import PolicyPart
 
 JITTER = 0.25
--- a/pistachiodeal/profiles/store.py
+++ b/pistachiodeal/profiles/store.py
@@ -17,13 +17,13 @@
     StoreError,
     StoreUnavailableError,
 )
-from pistachiodeal.platform.protocols import ABSENT, ANY_VERSION, Table, Write
 from pistachiodeal.profiles.changes import STEP, Change
 from pistachiodeal.profiles.document import (
     ProfileDocument,
     decode_document,
     encode_document,
 )
+from pistachiodeal.store.protocols import ABSENT, ANY_VERSION, Table, Write
 
 DOCUMENT_KEY = "profiles"
 VERSION_KEY = "profiles/version"
--- /dev/null
+++ b/pistachiodeal/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about waiting, placement and pacing, without input or output."""
--- /dev/null
+++ b/pistachiodeal/scheduling/ordering.py
@@ -0,0 +1,69 @@
+"""The order in which steps that are ready get their places.
+
+The load that this answers: a burst of large jobs fills all workers, and more work waits
+than can be done in time. First come, first served then makes every job late. Here a job
+that can still be in time goes before one that is late anyway, and among those that can
+the one whose time runs out first.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+# A job earns a smaller part up to this many times its objective, then nothing.
+LATE_FACTOR = 3.0
+
+
+class Hope(IntEnum):
+    """What a job can still reach; lower goes first."""
+
+    IN_TIME = 0
+    LATE = 1
+    GONE = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """What the order of a step depends on.
+
+    :param priority: of its queue, 0 first.
+    :param lasts: whether its tasks run until they are cancelled: they earn by the
+        time at work, so each moment of waiting is lost.
+    :param age_s: since the job was accepted, or its occurrence was due.
+    :param left_s: longest chain of work that is left.
+    :param objective_s: the job is in time when it is done at this age.
+    """
+
+    priority: int
+    lasts: bool
+    age_s: float
+    left_s: float
+    objective_s: float
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Rank:
+    """Sorts steps: the lowest goes first."""
+
+    priority: int
+    lasts_not: bool
+    hope: Hope
+    slack_s: float
+
+
+def compute_objective_s(chain_s: float, stretch: float, aim_s: float) -> float:
+    """Return the age at which a job has to be done to be in time, seconds."""
+    return stretch * chain_s + aim_s
+
+
+def rank_step(waiting: Waiting) -> Rank:
+    """Return the place of a step in the order."""
+    done_at = waiting.age_s + waiting.left_s
+    if done_at <= waiting.objective_s:
+        hope, limit = Hope.IN_TIME, waiting.objective_s
+    elif done_at <= LATE_FACTOR * waiting.objective_s:
+        hope, limit = Hope.LATE, LATE_FACTOR * waiting.objective_s
+    else:
+        hope, limit = Hope.GONE, waiting.age_s + waiting.left_s + waiting.age_s
+    return Rank(waiting.priority, not waiting.lasts, hope, limit - done_at)
--- /dev/null
+++ b/pistachiodeal/scheduling/preemption.py
@@ -0,0 +1,52 @@
+"""Which work gives way to more urgent work that finds no room.
+
+The load that this answers: large tasks of a lower priority hold every worker when
+urgent ones arrive. The cheapest victim is the one that loses least work: one that saves
+its progress, or the one that began last.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pistachiodeal.model.resources import Resources
+
+# Work that saves its progress loses at most the time since its last save.
+SAVED_LOSS_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Victim:
+    """A run that could be stopped.
+
+    :param worked_s: how long it has been at work.
+    :param room: what its stop sets free.
+    """
+
+    task: str
+    place: str
+    priority: int
+    checkpoints: bool
+    worked_s: float
+    room: Resources
+
+    @property
+    def loss(self) -> float:
+        """Return what is thrown away, core-seconds."""
+        lost_s = min(self.worked_s, SAVED_LOSS_S) if self.checkpoints else self.worked_s
+        return lost_s * max(self.room.cpu_milli, 1) / 1000
+
+
+def choose_victims(
+    need: Resources, free: Resources, candidates: Iterable[Victim], priority: int
+) -> list[Victim]:
+    """Return the runs of one worker to stop so that a task fits; empty if none do."""
+    lower = [victim for victim in candidates if victim.priority > priority]
+    chosen: list[Victim] = []
+    for victim in sorted(lower, key=lambda one: (-one.priority, one.loss)):
+        if need.fits(free):
+            break
+        chosen.append(victim)
+        free = free + victim.room
+    return chosen if need.fits(free) else []
--- /dev/null
+++ b/pistachiodeal/scheduling/views.py
@@ -0,0 +1,70 @@
+"""A worker as the decisions see it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from pistachiodeal.jobs.model import Step
+from pistachiodeal.model.resources import Resources
+
+StepKey = tuple[str, int, int]
+"""Job, occurrence and number of a step."""
+
+
+@dataclass(slots=True)
+class WorkerView:
+    """Room and company on one worker.
+
+    :param place: node and incarnation.
+    :param capacity: what the worker has.
+    :param used: what is reserved; tasks that fill reserve no processor.
+    :param fill_cpu_milli: what the tasks that fill would like to use.
+    :param steps: number of tasks of each step on it.
+    :param serving: tasks on it that keep a tail latency.
+    :param strain: how near its serving tasks are to their aim, 1.0 is at the aim.
+    :param pace_percent: speed at which its filling tasks work now.
+    :param suspect: 0 for a sound worker; higher for one that fails or stands still.
+    :param slowness: how many times as long tasks take here, 1.0 on a sound worker.
+    """
+
+    place: str
+    node: str
+    rack: str
+    labels: frozenset[str]
+    capacity: Resources
+    used: Resources = field(default_factory=Resources)
+    fill_cpu_milli: int = 0
+    steps: dict[StepKey, int] = field(default_factory=dict)
+    serving: int = 0
+    strain: float = 0.0
+    pace_percent: int = 100
+    suspect: int = 0
+    slowness: float = 1.0
+
+    @property
+    def free(self) -> Resources:
+        """Return what is not reserved."""
+        return self.capacity - self.used
+
+    @property
+    def load(self) -> float:
+        """Return the reserved share of the scarcer of processor and memory."""
+        cpu = self.used.cpu_milli / max(self.capacity.cpu_milli, 1)
+        memory = self.used.memory_mib / max(self.capacity.memory_mib, 1)
+        return max(cpu, memory)
+
+    def take(self, key: StepKey, step: Step) -> None:
+        """Reserve the room of one task."""
+        self.used = self.used + reserve_size(step)
+        self.steps[key] = self.steps.get(key, 0) + 1
+        if step.fills:
+            self.fill_cpu_milli += step.size.cpu_milli
+        if step.serves_ms:
+            self.serving += 1
+
+
+def reserve_size(step: Step) -> Resources:
+    """Return what a task of a step reserves on its worker."""
+    if not step.fills:
+        return step.size
+    return Resources(0, step.size.memory_mib, step.size.accelerators)
--- a/pistachiodeal/signals.py
+++ b/pistachiodeal/signals.py
@@ -17,29 +17,31 @@
 class SignalWatch:
     """Hands out the watched signals in the order in which they came."""
 
-    def __init__(self, receiver: socket.socket) -> None:
+    def __init__(self, receiver: socket.socket, watched: tuple[int, ...]) -> None:
         self._socket = Socket(receiver)
+        self._watched = watched
 
     async def wait(self) -> int:
-        """Return the number of the next SIGTERM or SIGINT."""
+        """Return the number of the next watched signal."""
         while True:
             data = await self._socket.recv(1)
-            if data and data[0] in WATCHED:
+            if data and data[0] in self._watched:
                 return int(data[0])
 
 
 @contextmanager
-def watch_signals() -> Iterator[SignalWatch]:
-    """Catch SIGTERM and SIGINT until the end of the block (main thread only)."""
+def watch_signals(*more: int) -> Iterator[SignalWatch]:
+    """Catch SIGTERM, SIGINT and ``more`` until the end of the block (main thread)."""
+    watched = (*WATCHED, *more)
     receiver, sender = socket.socketpair()
     receiver.setblocking(False)
     sender.setblocking(False)
-    watch = SignalWatch(receiver)
+    watch = SignalWatch(receiver, watched)
     # curio 1.6 has no SignalEvent. The interpreter writes each signal's number
     # to this descriptor from the C handler, which wakes curio's selector.
     earlier_fd = signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
     earlier: dict[int, Any] = {
-        number: signal.signal(number, _ignore_signal) for number in WATCHED
+        number: signal.signal(number, _ignore_signal) for number in watched
     }
     try:
         yield watch
--- /dev/null
+++ b/pistachiodeal/store/__init__.py
@@ -0,0 +1,1 @@
+"""All that depends on the platform: its table, object store and workers."""
--- a/pistachiodeal/platform/breaker.py
+++ b/pistachiodeal/store/breaker.py
@@ -23,7 +23,7 @@
     StoreUncertainError,
 )
 
-log = logbook.Logger("pistachiodeal.platform")
+log = logbook.Logger("pistachiodeal.store")
 
 STRIKES = 3
 FIRST_PAUSE_S = 0.2
--- a/pistachiodeal/platform/group.py
+++ b/pistachiodeal/store/group.py
@@ -14,8 +14,8 @@
     StoreUnavailableError,
     StoreUncertainError,
 )
-from pistachiodeal.platform.protocols import ANY_VERSION, CommitResult, Table, Write
-from pistachiodeal.platform.tickets import (
+from pistachiodeal.store.protocols import ANY_VERSION, CommitResult, Table, Write
+from pistachiodeal.store.tickets import (
     Ticket,
     build_result,
     is_in_force,
--- a/pistachiodeal/platform/http_objects.py
+++ b/pistachiodeal/store/http_objects.py
@@ -4,12 +4,12 @@
 
 from urllib.parse import quote
 
-from pistachiodeal.platform.http_store import (
+from pistachiodeal.store.http_store import (
     NOT_FOUND,
     StoreCaller,
     create_store_caller,
 )
-from pistachiodeal.platform.protocols import ObjectStore
+from pistachiodeal.store.protocols import ObjectStore
 
 
 class HttpObjectStore:
--- a/pistachiodeal/platform/http_store.py
+++ b/pistachiodeal/store/http_store.py
@@ -8,8 +8,8 @@
 import orjson
 
 from pistachiodeal.exceptions import StoreUncertainError
-from pistachiodeal.platform.breaker import Breaker, create_breaker
-from pistachiodeal.platform.http_errors import map_call_error, map_status
+from pistachiodeal.store.breaker import Breaker, create_breaker
+from pistachiodeal.store.http_errors import map_call_error, map_status
 from pistachiodeal.web.client import CallError, WebClient, create_client
 from pistachiodeal.web.messages import WebResponse
 
--- a/pistachiodeal/platform/http_table.py
+++ b/pistachiodeal/store/http_table.py
@@ -9,8 +9,8 @@
 
 import orjson
 
-from pistachiodeal.platform.http_store import StoreCaller, create_store_caller
-from pistachiodeal.platform.protocols import CommitResult, Row, Table, Write
+from pistachiodeal.store.http_store import StoreCaller, create_store_caller
+from pistachiodeal.store.protocols import CommitResult, Row, Table, Write
 
 
 class HttpTable:
--- a/pistachiodeal/platform/http_worker.py
+++ b/pistachiodeal/store/http_worker.py
@@ -11,8 +11,8 @@
 
 from pistachiodeal.exceptions import WorkerError
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.platform.http_errors import map_worker_status
-from pistachiodeal.platform.protocols import (
+from pistachiodeal.store.http_errors import map_worker_status
+from pistachiodeal.store.protocols import (
     Run,
     RunRequest,
     RunState,
--- a/pistachiodeal/platform/tickets.py
+++ b/pistachiodeal/store/tickets.py
@@ -8,9 +8,9 @@
 import logbook
 
 from pistachiodeal.exceptions import StoreError, StoreUncertainError
-from pistachiodeal.platform.protocols import CommitResult, Row, Write
+from pistachiodeal.store.protocols import CommitResult, Row, Write
 
-log = logbook.Logger("pistachiodeal.platform")
+log = logbook.Logger("pistachiodeal.store")
 
 
 class Ticket:
--- a/pistachiodeal/wire/messages.py
+++ b/pistachiodeal/wire/messages.py
@@ -13,6 +13,13 @@
 
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.handshake_messages import Challenge, Hello, Welcome
+from pistachiodeal.wire.job_messages import (
+    Directive,
+    JobAnswer,
+    JobQuery,
+    LeaderNotice,
+    WorkerReport,
+)
 from pistachiodeal.wire.task_messages import (
     Renew,
     Start,
@@ -216,4 +223,9 @@
     | TaskEnded
     | TaskAck
     | Evidence
+    | WorkerReport
+    | Directive
+    | LeaderNotice
+    | JobQuery
+    | JobAnswer
 )
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -199,6 +199,102 @@
   pairs @0 :List(PairEvidence);
 }
 
+struct Label {
+  text @0 :Text;
+}
+
+struct RunningTask {
+  task @0 :Text;
+  run @1 :UInt32;
+  checkpoint @2 :Text;
+  percent @3 :Int32;
+  figure @4 :Int64;
+}
+
+struct EndedTask {
+  number @0 :UInt64;
+  task @1 :Text;
+  run @2 :UInt32;
+  how @3 :Text;
+  checkpoint @4 :Text;
+}
+
+struct OrderOutcome {
+  task @0 :Text;
+  run @1 :UInt32;
+  outcome @2 :Text;
+  detail @3 :Text;
+}
+
+struct WorkerReport {
+  beat @0 :UInt64;
+  epoch @1 :UInt64;
+  worker @2 :Text;
+  lostWorker @3 :Text;
+  service @4 :Text;
+  listed @5 :Bool;
+  draining @6 :Bool;
+  leavingMs @7 :Int64;
+  cpuMilli @8 :Int64;
+  memoryMib @9 :Int64;
+  accelerators @10 :Int32;
+  labels @11 :List(Label);
+  running @12 :List(RunningTask);
+  ends @13 :List(EndedTask);
+  outcomes @14 :List(OrderOutcome);
+}
+
+struct RunOrder {
+  task @0 :Text;
+  run @1 :UInt32;
+  checkpoint @2 :Text;
+  ticket @3 :Text;
+  fills @4 :Bool;
+  servesMs @5 :Int64;
+}
+
+struct RunRef {
+  task @0 :Text;
+  run @1 :UInt32;
+}
+
+struct JobText {
+  job @0 :Text;
+  text @1 :Text;
+}
+
+struct Directive {
+  epoch @0 :UInt64;
+  beat @1 :UInt64;
+  grantMs @2 :Int64;
+  token @3 :UInt64;
+  worker @4 :Text;
+  endsNoted @5 :UInt64;
+  texts @6 :List(JobText);
+  starts @7 :List(RunOrder);
+  stops @8 :List(RunRef);
+  known @9 :List(RunOrder);
+}
+
+struct LeaderNotice {
+  epoch @0 :UInt64;
+  address @1 :Text;
+  storeAgeMs @2 :Int64;
+  entries @3 :List(Label);
+}
+
+struct JobQuery {
+  requestId @0 :UInt64;
+  job @1 :Text;
+  queue @2 :Text;
+}
+
+struct JobAnswer {
+  requestId @0 :UInt64;
+  state @1 :Text;
+  pending @2 :Int64;
+}
+
 struct Frame {
   union {
     challenge @0 :Challenge;
@@ -221,5 +317,10 @@
     taskEnded @17 :TaskEnded;
     taskAck @18 :TaskAck;
     evidence @19 :Evidence;
+    workerReport @20 :WorkerReport;
+    directive @21 :Directive;
+    leaderNotice @22 :LeaderNotice;
+    jobQuery @23 :JobQuery;
+    jobAnswer @24 :JobAnswer;
   }
 }
--- a/pistachiodeal/wire/task_messages.py
+++ b/pistachiodeal/wire/task_messages.py
@@ -88,7 +88,7 @@
 class TaskEnded:
     """Agent to owner, repeated until acknowledged: the run is over for certain.
 
-    :param state: a :class:`pistachiodeal.platform.protocols.RunState` that is
+    :param state: a :class:`pistachiodeal.store.protocols.RunState` that is
         not running, or :data:`UNKNOWN_RUN` when the worker never had it.
     :param checkpoint: object key to resume from, empty for none.
     :param used: largest use seen, by which sizes are learnt.
--- a/tests/unit/fake_agent_tasks.py
+++ b/tests/unit/fake_agent_tasks.py
@@ -18,8 +18,8 @@
 )
 from pistachiodeal.metrics import create_metrics
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.platform.protocols import Run, RunRequest, RunState
 from pistachiodeal.profiles.cache import create_policy_cache
+from pistachiodeal.store.protocols import Run, RunRequest, RunState
 from pistachiodeal.wire.task_messages import Start, Stop, TaskAck
 from tests.unit.fakes import FakeObjects
 
--- a/tests/unit/fake_batch.py
+++ b/tests/unit/fake_batch.py
@@ -15,7 +15,7 @@
 from pistachiodeal.metrics import MemoryMetrics
 from pistachiodeal.model.policies import Profile
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.platform.protocols import CommitResult, Row, Write
+from pistachiodeal.store.protocols import CommitResult, Row, Write
 from pistachiodeal.wire.identity import Identity
 from pistachiodeal.wire.messages import Message, Report
 from pistachiodeal.wire.task_messages import (
--- a/tests/unit/fake_table.py
+++ b/tests/unit/fake_table.py
@@ -9,7 +9,7 @@
 import curio
 
 from pistachiodeal.exceptions import StoreUnavailableError, StoreUncertainError
-from pistachiodeal.platform.protocols import (
+from pistachiodeal.store.protocols import (
     ABSENT,
     ANY_VERSION,
     CommitResult,
--- a/tests/unit/test_agent_eviction.py
+++ b/tests/unit/test_agent_eviction.py
@@ -9,7 +9,7 @@
 
 from pistachiodeal.agent.held_runs import Phase
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.platform.protocols import RunState
+from pistachiodeal.store.protocols import RunState
 from pistachiodeal.wire.task_messages import LeaseGrant, Renew, Stop, TaskAck
 from tests.unit.fake_agent_tasks import (
     SETTINGS,
--- a/tests/unit/test_agent_guarding.py
+++ b/tests/unit/test_agent_guarding.py
@@ -12,8 +12,8 @@
 from pistachiodeal.metrics import create_metrics
 from pistachiodeal.model.policies import Profile, ServicePolicy
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.platform.protocols import RunState, UsageSample
 from pistachiodeal.profiles.cache import create_policy_cache
+from pistachiodeal.store.protocols import RunState, UsageSample
 from pistachiodeal.wire.messages import ServiceLoad
 from tests.unit.fake_agent_tasks import (
     CAPACITY,
--- a/tests/unit/test_agent_tasks.py
+++ b/tests/unit/test_agent_tasks.py
@@ -9,7 +9,7 @@
 
 from pistachiodeal.exceptions import WorkerFencedError
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.platform.protocols import RunState
+from pistachiodeal.store.protocols import RunState
 from pistachiodeal.wire.task_messages import StartRefused, TaskAck, TaskEnded
 from tests.unit.fake_agent_tasks import (
     CANCEL,
--- a/tests/unit/test_fuzz_ledger.py
+++ b/tests/unit/test_fuzz_ledger.py
@@ -13,7 +13,7 @@
 from pistachiodeal.agent.ledger import create_ledger
 from pistachiodeal.exceptions import WorkerRefusedError
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.platform.protocols import RunState
+from pistachiodeal.store.protocols import RunState
 from pistachiodeal.wire.task_messages import StartRefused, Stop, TaskAck, TaskEnded
 from tests.unit.fake_agent_tasks import CAPACITY, Bench, build_start
 
--- a/tests/unit/test_group.py
+++ b/tests/unit/test_group.py
@@ -4,8 +4,8 @@
 import pytest
 
 from pistachiodeal.exceptions import StoreUnavailableError, StoreUncertainError
-from pistachiodeal.platform.group import GroupCommitter, create_group_committer
-from pistachiodeal.platform.protocols import ABSENT, CommitResult, Write
+from pistachiodeal.store.group import GroupCommitter, create_group_committer
+from pistachiodeal.store.protocols import ABSENT, CommitResult, Write
 from tests.unit.fake_table import FakeTable, Fault
 
 
--- a/tests/unit/test_platform_breaker.py
+++ b/tests/unit/test_platform_breaker.py
@@ -9,7 +9,7 @@
     StoreUnavailableError,
     StoreUncertainError,
 )
-from pistachiodeal.platform.breaker import (
+from pistachiodeal.store.breaker import (
     FULL_ALLOWANCE,
     LONGEST_PAUSE_S,
     STRIKES,
--- a/tests/unit/test_platform_http.py
+++ b/tests/unit/test_platform_http.py
@@ -17,10 +17,10 @@
     WorkerRefusedError,
 )
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.platform.http_objects import create_object_store
-from pistachiodeal.platform.http_table import create_table
-from pistachiodeal.platform.http_worker import create_worker_runtime
-from pistachiodeal.platform.protocols import ABSENT, RunRequest, RunState, Write
+from pistachiodeal.store.http_objects import create_object_store
+from pistachiodeal.store.http_table import create_table
+from pistachiodeal.store.http_worker import create_worker_runtime
+from pistachiodeal.store.protocols import ABSENT, RunRequest, RunState, Write
 from tests.harness import Cluster, Process, run_cluster, wait_until
 
 TIMEOUT_S = 5.0
