--- a/pistachiodeal/jobagent/app.py
+++ b/pistachiodeal/jobagent/app.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import random
-
 import curio
 
 from pistachiodeal.config.deployment import DeploymentSettings
@@ -14,8 +12,8 @@
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.paces import PaceKeeper
 from pistachiodeal.jobagent.renewal import Renewal
-from pistachiodeal.leader.directory import Directory
-from pistachiodeal.peers import TIMINGS, build_metrics, list_seed_peers
+from pistachiodeal.jobagent.signals import AgentSignals
+from pistachiodeal.peers import build_metrics, create_peer_context
 from pistachiodeal.platform.rows import create_rows
 from pistachiodeal.platform.runner import create_runner
 from pistachiodeal.reload import wait_for_stop
@@ -24,7 +22,7 @@
 from pistachiodeal.supervisor import Supervisor
 from pistachiodeal.web.messages import WebLimits, WebRequest, WebResponse
 from pistachiodeal.web.server import create_server
-from pistachiodeal.wire.identity import AGENT_ROLE, Identity
+from pistachiodeal.wire.identity import AGENT_ROLE
 
 
 class AgentApp:
@@ -34,28 +32,20 @@
         self._settings = settings
         self._events = events
         self._stats = Stats()
-        look, report = curio.Event(), curio.Event()
+        agent_signals = AgentSignals()
         runtime = create_runner(settings.runner)
         ledger = AgentLedger(events)
         paces = PaceKeeper(ledger, runtime, events)
-        self._renewal = Renewal(ledger, runtime, paces, events, look, report)
-        executor = Executor(ledger, runtime, events, look, report)
-        identity = Identity(
-            AGENT_ROLE, settings.node, random.getrandbits(60), settings.data_centre
-        )
+        self._renewal = Renewal(ledger, runtime, paces, agent_signals)
+        executor = Executor(ledger, runtime, events, agent_signals)
         self._leader_link = LeaderLink(
             create_rows(settings.store.address),
-            identity,
-            settings.peer_secret,
-            TIMINGS,
-            Directory(list_seed_peers(settings)),
+            create_peer_context(settings, AGENT_ROLE, events),
             ledger,
             executor,
-            events,
-            report,
-            self._renewal.fenced,
+            agent_signals,
         )
-        heartbeats = Heartbeats(ledger, self._renewal, events, report)
+        heartbeats = Heartbeats(ledger, self._renewal, events, agent_signals.report)
         host, _, port = settings.listen.runners.rpartition(":")
         self._runners = create_server(host, int(port), heartbeats.handle, WebLimits())
         self._metrics = create_server(
--- a/pistachiodeal/jobagent/executor.py
+++ b/pistachiodeal/jobagent/executor.py
@@ -8,6 +8,7 @@
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.ledger import AgentLedger, Order
+from pistachiodeal.jobagent.signals import AgentSignals
 from pistachiodeal.jobs.model import OrderState
 from pistachiodeal.jobs.runtime import CallResult, Runtime, StartCall
 from pistachiodeal.wire.job_messages import Directive, RunOrder
@@ -32,25 +33,20 @@
 
 
 class Executor:
-    """Starts and stops runs.
-
-    :param look: asks for a listing at once.
-    :param report: asks for a report at once.
-    """
+    """Starts and stops runs."""
 
     def __init__(
         self,
         ledger: AgentLedger,
         runtime: Runtime,
         events: EventLog,
-        look: curio.Event,
-        report: curio.Event,
+        signals: AgentSignals,
     ) -> None:
         self._ledger = ledger
         self._runtime = runtime
         self._events = events
-        self._look = look
-        self._report = report
+        self._look = signals.look
+        self._report = signals.report
 
     async def carry_out(self, directive: Directive) -> None:
         """Begin everything that a directive orders."""
--- a/pistachiodeal/jobagent/leader_link.py
+++ b/pistachiodeal/jobagent/leader_link.py
@@ -7,17 +7,16 @@
 from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import PistachiodealError, StoreError
 from pistachiodeal.jobagent.executor import Executor
 from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.signals import AgentSignals
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
-from pistachiodeal.leader.directory import Directory
+from pistachiodeal.peers import PeerContext
 from pistachiodeal.store.row_store import RowStore
 from pistachiodeal.task_groups import run_until_one_ends
-from pistachiodeal.wire.identity import Identity
 from pistachiodeal.wire.job_messages import Directive, LeaderNotice
-from pistachiodeal.wire.link import Link, LinkTimings
+from pistachiodeal.wire.link import Link
 from pistachiodeal.wire.opening import dial_link
 
 log = Logger("leader_link")
@@ -31,35 +30,24 @@
 
 
 class LeaderLink:
-    """Keeps the agent attached to the leader.
-
-    :param fenced: set when the agent needs a higher fencing token, which comes with
-        a new link.
-    """
+    """Keeps the agent attached to the leader."""
 
     def __init__(
         self,
         store: RowStore,
-        identity: Identity,
-        secret: str,
-        timings: LinkTimings,
-        directory: Directory,
+        peers: PeerContext,
         ledger: AgentLedger,
         executor: Executor,
-        events: EventLog,
-        report: curio.Event,
-        fenced: curio.Event,
+        signals: AgentSignals,
     ) -> None:
         self._store = store
-        self._identity = identity
-        self._secret = secret
-        self._timings = timings
-        self._directory = directory
+        self._peers = peers
+        self._directory = peers.directory
         self._ledger = ledger
         self._executor = executor
-        self._events = events
-        self._report = report
-        self._fenced = fenced
+        self._events = peers.events
+        self._report = signals.report
+        self._fenced = signals.fenced
         self._beat = 0
         self._sent: dict[int, float] = {}
         self._looked_at = 0.0
@@ -98,7 +86,7 @@
         """Try one address; tell whether a leader was there, or is known by now."""
         try:
             async with dial_link(
-                address, self._identity, self._secret, self._timings
+                address, self._peers.identity, self._peers.secret, self._peers.timings
             ) as link:
                 notice = await link.receive()
                 if isinstance(notice, LeaderNotice):
--- a/pistachiodeal/jobagent/renewal.py
+++ b/pistachiodeal/jobagent/renewal.py
@@ -6,9 +6,9 @@
 from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.paces import PaceKeeper
+from pistachiodeal.jobagent.signals import AgentSignals
 from pistachiodeal.jobs.runtime import CallResult, Listing, Runtime, WorkerBeat
 
 log = Logger("renewal")
@@ -29,36 +29,24 @@
 
 
 class Renewal:
-    """Keeps the lease and the listing of the worker.
-
-    :param look: set when a listing is wanted at once.
-    :param report: set when there is news for the leader.
-    """
+    """Keeps the lease and the listing of the worker."""
 
     def __init__(
         self,
         ledger: AgentLedger,
         runtime: Runtime,
         paces: PaceKeeper,
-        events: EventLog,
-        look: curio.Event,
-        report: curio.Event,
+        signals: AgentSignals,
     ) -> None:
         self._ledger = ledger
         self._runtime = runtime
         self._paces = paces
-        self._events = events
-        self._look = look
-        self._report = report
+        self._look = signals.look
+        self._report = signals.report
+        self._fenced = signals.fenced
         self._answered_at = 0.0
         self._absent = 0
         self._absent_since = 0.0
-        self._fenced = curio.Event()
-
-    @property
-    def fenced(self) -> curio.Event:
-        """Return what is set when the runner has seen a higher fencing token."""
-        return self._fenced
 
     async def run(self) -> None:
         """Renew for ever."""
@@ -75,10 +63,11 @@
         while True:
             await self._look.wait()
             self._look.clear()
-            if self._ledger.worker and self._ledger.authority.token:
-                if not await self._renew(0):
-                    await curio.sleep(RETRY_S)
-                    await self._look.set()
+            if not self._ledger.worker or not self._ledger.authority.token:
+                continue
+            if not await self._renew(0):
+                await curio.sleep(RETRY_S)
+                await self._look.set()
 
     async def verify(self, beat: WorkerBeat) -> bool:
         """Tell whether an incarnation is the one that answers now."""
--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -35,9 +35,10 @@
         configuration: ConfigurationKeeper,
         acceptance: Acceptance,
         states: JobStates,
-        row_bytes: int,
         events: EventLog,
         stats: Stats,
+        *,
+        row_bytes: int,
     ) -> None:
         self._configuration = configuration
         self._acceptance = acceptance
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import random
-
 import curio
 
 from pistachiodeal.config.deployment import DeploymentSettings
@@ -13,9 +11,8 @@
 from pistachiodeal.jobentry.configuration import ConfigurationKeeper
 from pistachiodeal.jobentry.seat import Seat
 from pistachiodeal.jobentry.states import JobStates
-from pistachiodeal.leader.directory import Directory
 from pistachiodeal.leader.election import Election
-from pistachiodeal.peers import TIMINGS, build_metrics, list_seed_peers
+from pistachiodeal.peers import build_metrics, create_peer_context
 from pistachiodeal.platform.rows import create_rows
 from pistachiodeal.reload import wait_for_stop
 from pistachiodeal.signals import SignalWatch
@@ -23,7 +20,7 @@
 from pistachiodeal.supervisor import Supervisor
 from pistachiodeal.web.messages import WebLimits, WebRequest, WebResponse
 from pistachiodeal.web.server import Handler, WebServer, create_server
-from pistachiodeal.wire.identity import ENTRY_ROLE, Identity
+from pistachiodeal.wire.identity import ENTRY_ROLE
 
 # The balancer asks for readiness once a second and takes two misses; until then it
 # goes on sending new connections, which a closed listener would turn away.
@@ -34,6 +31,8 @@
 # limit is applied when a body is parsed.
 BODY_BYTES = 262_144
 IDLE_S = 60.0
+# A final state is kept a little longer than promised.
+KEPT_MARGIN_S = 30.0
 
 
 class EntryApp:
@@ -44,33 +43,16 @@
         self._events = events
         self._stats = Stats()
         store = create_rows(settings.store.address)
-        identity = Identity(
-            ENTRY_ROLE, settings.node, random.getrandbits(60), settings.data_centre
-        )
-        directory = Directory(list_seed_peers(settings))
-        directory.note_entry(settings.peer_address)
+        peers = create_peer_context(settings, ENTRY_ROLE, events)
+        peers.directory.note_entry(settings.peer_address)
         self._configuration = ConfigurationKeeper(store, events)
         self._seat = Seat(
             store,
-            identity,
-            settings.peer_address,
-            settings.peer_secret,
-            TIMINGS,
-            directory,
+            peers,
             self._configuration.refresh,
-            settings.limits.kept_s + 30.0,
-            events,
-        )
-        self._election = Election(
-            store,
-            identity,
-            settings.peer_address,
-            settings.peer_secret,
-            TIMINGS,
-            directory,
-            events,
-            self._seat.lead,
+            settings.limits.kept_s + KEPT_MARGIN_S,
         )
+        self._election = Election(store, peers, self._seat.lead)
         self._acceptance = Acceptance(store, events)
         states = JobStates(store, self._seat, self._election)
         self._election.set_answer_handler(states.take_answer)
@@ -78,9 +60,9 @@
             self._configuration,
             self._acceptance,
             states,
-            settings.store.row_bytes,
             events,
             self._stats,
+            row_bytes=settings.store.row_bytes,
         )
         limits = WebLimits(body_bytes=BODY_BYTES, idle_s=IDLE_S)
         self._callers = _create_server(settings.listen.callers, api.handle, limits)
--- a/pistachiodeal/jobentry/seat.py
+++ b/pistachiodeal/jobentry/seat.py
@@ -8,17 +8,16 @@
 from curio.io import Socket
 from logbook import Logger
 
-from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import FencedError, PistachiodealError
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.leader.commits import Authority
-from pistachiodeal.leader.directory import Directory
 from pistachiodeal.leader.leadership import Leadership
+from pistachiodeal.peers import PeerContext
 from pistachiodeal.store.row_store import RowStore
 from pistachiodeal.web.server import bind_listener
-from pistachiodeal.wire.identity import AGENT_ROLE, Identity
+from pistachiodeal.wire.identity import AGENT_ROLE
 from pistachiodeal.wire.job_messages import JobAnswer, JobQuery, LeaderNotice
-from pistachiodeal.wire.link import Link, LinkTimings
+from pistachiodeal.wire.link import Link
 from pistachiodeal.wire.opening import accept_link
 
 log = Logger("seat")
@@ -34,24 +33,17 @@
     def __init__(
         self,
         store: RowStore,
-        identity: Identity,
-        address: str,
-        secret: str,
-        timings: LinkTimings,
-        directory: Directory,
+        peers: PeerContext,
         refresh_queue: Callable[[Queue], Queue],
         kept_s: float,
-        events: EventLog,
     ) -> None:
         self._store = store
-        self._identity = identity
-        self._address = address
-        self._secret = secret
-        self._timings = timings
-        self._directory = directory
+        self._peers = peers
+        self._directory = peers.directory
+        self._address = peers.address
         self._refresh_queue = refresh_queue
         self._kept_s = kept_s
-        self._events = events
+        self._events = peers.events
         self._leadership: Leadership | None = None
         self._links: set[Link] = set()
 
@@ -86,7 +78,7 @@
     async def _serve(self, sock: Socket) -> None:
         try:
             async with accept_link(
-                sock, self._identity, self._secret, self._timings
+                sock, self._peers.identity, self._peers.secret, self._peers.timings
             ) as link:
                 if link.peer.role == AGENT_ROLE:
                     await self._serve_agent(link)
--- a/pistachiodeal/leader/commits.py
+++ b/pistachiodeal/leader/commits.py
@@ -1,9 +1,9 @@
 """Writes the leader's decisions, many jobs a transaction, fenced by the epoch.
 
 Each transaction demands that the leader's row and every job's row are at the version
-that the leader knows. Without the first, a leader that was replaced could go on; without
-the second, a transaction whose answer was lost could be carried out seconds later and
-put an older state over a newer one: a task would run again after its end.
+that the leader knows. Without the first, a leader that was replaced could go on.
+Without the second, a transaction whose answer was lost could be carried out seconds
+later and put an older state over a newer one: a task would run again after its end.
 """
 
 from __future__ import annotations
@@ -69,6 +69,11 @@
         self._events = events
         self._confirmed_at = authority.asked_at
 
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of this leader."""
+        return self._authority.epoch
+
     @property
     def confirmed_at(self) -> float:
         """Return the last moment at which this process was certainly the leader."""
--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -9,7 +9,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import AbstractAsyncContextManager, suppress
 from dataclasses import dataclass
 
 import curio
@@ -17,7 +17,6 @@
 from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import (
     LinkClosedError,
     PistachiodealError,
@@ -25,7 +24,7 @@
     StoreUncertainError,
 )
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY, Authority
-from pistachiodeal.leader.directory import Directory
+from pistachiodeal.peers import PeerContext
 from pistachiodeal.store.row_store import (
     ABSENT,
     RowCondition,
@@ -34,9 +33,8 @@
     StoredRow,
     Transaction,
 )
-from pistachiodeal.wire.identity import Identity
 from pistachiodeal.wire.job_messages import JobAnswer, LeaderNotice
-from pistachiodeal.wire.link import Link, LinkTimings
+from pistachiodeal.wire.link import Link
 from pistachiodeal.wire.opening import dial_link
 
 log = Logger("election")
@@ -82,21 +80,15 @@
     def __init__(
         self,
         store: RowStore,
-        identity: Identity,
-        address: str,
-        secret: str,
-        timings: LinkTimings,
-        directory: Directory,
-        events: EventLog,
+        peers: PeerContext,
         lead: Lead,
     ) -> None:
         self._store = store
-        self._identity = identity
-        self._address = address
-        self._secret = secret
-        self._timings = timings
-        self._directory = directory
-        self._events = events
+        self._peers = peers
+        self._identity = peers.identity
+        self._address = peers.address
+        self._directory = peers.directory
+        self._events = peers.events
         self._lead = lead
         self._row = NOBODY
         self._link: Link | None = None
@@ -165,9 +157,7 @@
     async def _follow(self, row: LeaderRow) -> None:
         """Keep a link to the leader until it ends or the leader lost the store."""
         try:
-            async with dial_link(
-                row.address, self._identity, self._secret, self._timings
-            ) as link:
+            async with self._dial(row.address) as link:
                 self._link = link
                 self._events.emit("leader.followed", epoch=row.epoch, peer=row.address)
                 await self._listen(link)
@@ -228,9 +218,7 @@
         answered = None
         for address in self._directory.list_others(self._address, row.address):
             with suppress(PistachiodealError, OSError):
-                async with dial_link(
-                    address, self._identity, self._secret, self._timings
-                ) as link:
+                async with self._dial(address) as link:
                     message = await link.receive()
                     if not isinstance(message, LeaderNotice):
                         continue
@@ -240,6 +228,10 @@
                         return True
         return answered
 
+    def _dial(self, address: str) -> AbstractAsyncContextManager[Link]:
+        peers = self._peers
+        return dial_link(address, peers.identity, peers.secret, peers.timings)
+
     async def _campaign(self, why: str) -> None:
         row = self._row
         epoch = row.epoch + 1
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -72,7 +72,6 @@
             self._book, self._fleet, self._reconciler, find_queue, events
         )
         self._sessions = AgentSessions(
-            authority,
             self._commits,
             self._fleet,
             self._reconciler,
--- a/pistachiodeal/leader/sessions.py
+++ b/pistachiodeal/leader/sessions.py
@@ -7,7 +7,7 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
-from pistachiodeal.leader.commits import Authority, CommitLog
+from pistachiodeal.leader.commits import CommitLog
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.workers import Attachment, Fleet, WorkerState
 from pistachiodeal.wire.job_messages import WorkerReport
@@ -29,14 +29,12 @@
 
     def __init__(
         self,
-        authority: Authority,
         commits: CommitLog,
         fleet: Fleet,
         reconciler: Reconciler,
         events: EventLog,
         changed: curio.Event,
     ) -> None:
-        self._authority = authority
         self._commits = commits
         self._fleet = fleet
         self._reconciler = reconciler
@@ -49,7 +47,7 @@
         """Serve one agent until its link ends."""
         node = link.peer.node
         self._tokens += 1
-        token = (self._authority.epoch << TOKEN_SHIFT) + self._tokens
+        token = (self._commits.epoch << TOKEN_SHIFT) + self._tokens
         attachment = Attachment(node, token)
         worker = self._fleet.get(node)
         worker.attachment = attachment
@@ -103,6 +101,6 @@
         grant_ms = max(0, int((until - attachment.heard_at) * 1000))
         worker.granted_until = max(worker.granted_until, until)
         directive = attachment.build_directive(
-            self._authority.epoch, worker.worker, worker.ends_noted, grant_ms
+            self._commits.epoch, worker.worker, worker.ends_noted, grant_ms
         )
         await link.send(directive)
--- a/pistachiodeal/peers.py
+++ b/pistachiodeal/peers.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import random
+from dataclasses import dataclass
+
 from pistachiodeal.config.deployment import DeploymentSettings
+from pistachiodeal.events import EventLog
+from pistachiodeal.leader.directory import Directory
 from pistachiodeal.stats import Stats
 from pistachiodeal.web.messages import WebResponse
+from pistachiodeal.wire.identity import Identity
 from pistachiodeal.wire.link import LinkTimings
 
 # A peer that is silent for this long is slow by a factor of several hundred, frozen,
@@ -12,6 +18,37 @@
 TIMINGS = LinkTimings(ping_s=0.3, silent_s=1.2, handshake_s=0.8)
 
 
+@dataclass(frozen=True, slots=True)
+class PeerContext:
+    """What a process needs to open links to its peers.
+
+    :param address: where it accepts links itself, ``ip:port``.
+    """
+
+    identity: Identity
+    address: str
+    secret: str
+    directory: Directory
+    events: EventLog
+    timings: LinkTimings = TIMINGS
+
+
+def create_peer_context(
+    settings: DeploymentSettings, role: str, events: EventLog
+) -> PeerContext:
+    """Return the context of a new process."""
+    identity = Identity(
+        role, settings.node, random.getrandbits(60), settings.data_centre
+    )
+    return PeerContext(
+        identity,
+        settings.peer_address,
+        settings.peer_secret,
+        Directory(list_seed_peers(settings)),
+        events,
+    )
+
+
 def list_seed_peers(settings: DeploymentSettings) -> tuple[str, ...]:
     """Return where the seeds' entries accept links; ports are the same everywhere."""
     port = settings.peer_ports[0]
--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -2,7 +2,8 @@
 
 The load that this answers: a filling task makes its neighbour's answers slow, by an
 amount that depends on both and changes within seconds. The figures are half a second
-old, so the pace falls fast and rises slowly: additive increase, multiplicative decrease.
+old, so the pace falls fast and rises slowly: additive increase, multiplicative
+decrease.
 """
 
 from __future__ import annotations
