Start each incarnation's ends from one

Ruled out: the agent dropping ends by the runner's clock, which starts afresh too. Test: test_jobagent_ledger, failed without the guard.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -185,7 +185,7 @@
             until = sent_at + directive.grant_ms / 1000
             authority.granted_until = max(authority.granted_until, until)
         self._drop_reported(directive.beat)
-        if directive.worker == self.worker:
+        if self.worker and directive.worker == self.worker:
             self.noted = max(self.noted, directive.ends_noted)
             self.ends = tuple(end for end in self.ends if end.number > self.noted)
         for text in directive.texts:
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -115,7 +115,7 @@
         place = worker.node + PLACE_SEPARATOR + report.lost_worker
         self.lose(place, "its agent saw it end")
         if worker.worker == report.lost_worker:
-            worker.worker = ""
+            worker.renew("")
 
     def _forget_others(self, worker: WorkerState) -> None:
         # A node has one worker at a time; the agent has spoken with the new one.
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -152,11 +152,7 @@
     def become(self, report: WorkerReport) -> None:
         """Take in what a report says of the worker itself."""
         if report.worker != self.worker:
-            self.worker = report.worker
-            self.ends_noted = 0
-            self.ends_durable.clear()
-            self.ends_taken.clear()
-            self.health = WorkerHealth()
+            self.renew(report.worker)
         self.service = report.service
         self.capacity = Resources(
             report.cpu_milli, report.memory_mib, report.accelerators
@@ -165,6 +161,14 @@
         self.listed = report.listed
         self.draining = report.draining
 
+    def renew(self, worker: str) -> None:
+        """Take in a new incarnation, or that there is none; it starts afresh."""
+        self.worker = worker
+        self.ends_noted = 0
+        self.ends_durable.clear()
+        self.ends_taken.clear()
+        self.health = WorkerHealth()
+
     def note_end(self, number: int) -> None:
         """Note that an end is durable, or of no run that counts."""
         self.ends_durable.add(number)
--- /dev/null
+++ b/tests/unit/test_jobagent_ledger.py
@@ -0,0 +1,90 @@
+"""The agent's ledger: which worker it speaks of, and what it may acknowledge."""
+
+from __future__ import annotations
+
+import os
+
+from pistachiodeal.events import EventLog
+from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobs.runtime import CallResult, Listing, WorkerBeat
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.wire.job_messages import Directive, EndedTask
+
+ROOM = Resources(16_000, 64_000, 0)
+
+
+def create_ledger() -> AgentLedger:
+    return AgentLedger(EventLog(os.open(os.devnull, os.O_WRONLY), "test"))
+
+
+def build_beat(worker: str, *, draining: bool = False, sequence: int = 1) -> WorkerBeat:
+    return WorkerBeat(
+        worker, "service", "127.0.0.1:1", draining, 0, sequence, ROOM, ("a", "r1")
+    )
+
+
+def build_directive(worker: str, *, epoch: int = 1, noted: int = 0) -> Directive:
+    return Directive(epoch, 1, 10_000, 7, worker, noted, (), (), (), ())
+
+
+def test_an_end_is_not_acknowledged_by_the_number_of_an_earlier_incarnation():
+    """A task that had ended as done was started again.
+
+    Symptom: the first ends of a reborn worker never reached the leader; their tasks
+    were taken for stalled and started elsewhere.
+    Sequence: the worker is lost; a directive that was on its way names no worker and
+    the ends noted of the old one; a new incarnation is adopted and its run ends.
+    Cause: "no worker" was equal to "no worker", so the old number was taken over and
+    acknowledged the new incarnation's ends unseen.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("old"))
+    ledger.drop_worker("it left", gone=True)
+    ledger.take_directive(build_directive("", noted=40), 0.0)
+    ledger.adopt(build_beat("new"))
+    end = EndedTask(1, "0123456789abcdef.0.0.0", 1, "done", "")
+    ledger.take_listing(Listing(CallResult.DONE, 100, (), (end,)), 1.0, 1.0)
+    assert ledger.noted == 0
+    assert ledger.build_report(1).ends == (end,)
+
+
+def test_a_directive_of_a_replaced_leader_changes_nothing():
+    """A replaced leader's orders were obeyed.
+
+    Symptom: two leaders order one worker. Sequence: the agent follows epoch 2, then a
+    directive of epoch 1 arrives late. Cause: the epoch was not compared.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    assert ledger.take_directive(build_directive("w", epoch=2), 5.0)
+    granted = ledger.authority.granted_until
+    assert not ledger.take_directive(build_directive("w", epoch=1, noted=9), 50.0)
+    assert ledger.noted == 0
+    assert ledger.authority.granted_until == granted
+
+
+def test_a_heartbeat_that_was_overtaken_changes_nothing():
+    """A draining worker was taken for one that stays.
+
+    Symptom: tasks start on a worker that leaves. Sequence: the heartbeat that says
+    draining overtakes an earlier one. Cause: the sequence was not compared.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w", sequence=1))
+    assert ledger.update(build_beat("w", draining=True, sequence=3))
+    assert not ledger.update(build_beat("w", sequence=2))
+    assert ledger.draining
+
+
+def test_an_older_listing_that_comes_late_is_left():
+    """An end vanished from the reports until the next listing.
+
+    Sequence: a long poll and a look are on two connections; the older answer comes
+    last. Cause: listings were taken in the order of their arrival.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    end = EndedTask(1, "0123456789abcdef.0.0.0", 1, "done", "")
+    ledger.take_listing(Listing(CallResult.DONE, 200, (), (end,)), 1.0, 1.0)
+    ledger.take_listing(Listing(CallResult.DONE, 150, (), ()), 1.1, 1.2)
+    assert ledger.build_report(1).ends == (end,)
