Learn which filling images disturb; pack serving tasks; don't poll a runner with unnoted ends

Serving tasks are packed by best fit, an LMS model learns each image's press from the strain, and work beyond the limit waits or is parted.

--- a/pistachiodeal/jobagent/leader_link.py
+++ b/pistachiodeal/jobagent/leader_link.py
@@ -48,6 +48,7 @@
         self._events = peers.events
         self._report = signals.report
         self._fenced = signals.fenced
+        self._noted = signals.noted
         self._beat = 0
         self._sent: dict[int, float] = {}
         self._looked_at = 0.0
@@ -134,4 +135,5 @@
                 return
             for beat in [beat for beat in self._sent if beat < message.beat]:
                 del self._sent[beat]
+            await self._noted.set()
             await self._executor.carry_out(message)
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -103,6 +103,7 @@
         self.orders: dict[RunKey, Order] = {}
         self.described: dict[RunKey, RunOrder] = {}
         self.noted = 0
+        self.pace_percent = 100
         self._listing_ms = 0
         self._texts: dict[str, str] = {}
         self._gone: set[str] = set()
@@ -126,6 +127,9 @@
         if self.worker and self.worker != beat.worker:
             self.drop_worker("another incarnation answers at its address", gone=True)
         self.beat = beat
+        # Ends are counted from one by each incarnation: a number of the last one would
+        # acknowledge ends that nobody has seen, and their tasks would run again.
+        self.noted = 0
         self._events.emit("worker.adopted", worker=beat.worker, draining=beat.draining)
 
     def update(self, beat: WorkerBeat) -> bool:
@@ -219,6 +223,7 @@
             self.listed,
             self.draining,
             known.leaving_ms if known else 0,
+            self.pace_percent,
             capacity.cpu_milli if capacity else 0,
             capacity.memory_mib if capacity else 0,
             capacity.accelerators if capacity else 0,
--- a/pistachiodeal/jobagent/paces.py
+++ b/pistachiodeal/jobagent/paces.py
@@ -26,6 +26,7 @@
         fills = [key for key in self._ledger.running if self._is_filling(key)]
         before = self._pacer.percent
         percent = self._pacer.decide(self._list_tails(), read_boot_clock())
+        self._ledger.pace_percent = percent
         if percent != before:
             self._events.emit("pace.changed", percent=percent, was=before)
         self._applied = {key: self._applied.get(key, FULL) for key in fills}
--- a/pistachiodeal/jobagent/renewal.py
+++ b/pistachiodeal/jobagent/renewal.py
@@ -17,6 +17,8 @@
 # of serving tasks cover half a second.
 WAIT_MS = 400
 RETRY_S = 0.1
+# The leader writes an end within 10 ms; a slow store takes 0.3 s.
+NOTED_WAIT_S = 0.25
 IDLE_S = 0.05
 # A runner that crashed refuses connections; one that is only busy doesn't. Three
 # refusals over this time leave no doubt.
@@ -44,6 +46,7 @@
         self._look = signals.look
         self._report = signals.report
         self._fenced = signals.fenced
+        self._noted = signals.noted
         self._answered_at = 0.0
         self._absent = 0
         self._absent_since = 0.0
@@ -57,6 +60,11 @@
             wait_ms = WAIT_MS if self._ledger.listed else 0
             if not await self._renew(wait_ms):
                 await curio.sleep(RETRY_S)
+            elif self._ledger.ends:
+                # A runner with ends that are not acknowledged answers at once; asking
+                # again before the leader has written them would be a busy loop.
+                await curio.ignore_after(NOTED_WAIT_S, self._noted.wait)
+                self._noted.clear()
 
     async def run_looks(self) -> None:
         """Read the listing whenever something was settled."""
--- a/pistachiodeal/jobagent/signals.py
+++ b/pistachiodeal/jobagent/signals.py
@@ -13,10 +13,12 @@
 
     :param look: a listing is wanted at once.
     :param report: there is news for the leader.
+    :param noted: the leader has said which ends are durable.
     :param fenced: the runner has seen a higher fencing token; a new one comes with a
         new link to the leader.
     """
 
     look: curio.Event = field(default_factory=curio.Event)
     report: curio.Event = field(default_factory=curio.Event)
+    noted: curio.Event = field(default_factory=curio.Event)
     fenced: curio.Event = field(default_factory=curio.Event)
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -25,6 +25,7 @@
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.sessions import AgentSessions
 from pistachiodeal.leader.workers import Fleet
+from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.store.row_store import (
     HistoryLostError,
     RowStore,
@@ -67,9 +68,15 @@
         self._book = JobBook(events)
         self._fleet = Fleet()
         self._commits = CommitLog(store, authority, events)
-        self._reconciler = Reconciler(self._book, self._fleet, events)
+        interference = InterferenceModel()
+        self._reconciler = Reconciler(self._book, self._fleet, interference, events)
         self._planner = Planner(
-            self._book, self._fleet, self._reconciler, find_queue, events
+            self._book,
+            self._fleet,
+            self._reconciler,
+            interference,
+            find_queue,
+            events=events,
         )
         self._sessions = AgentSessions(
             self._commits,
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -8,21 +8,25 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
-from pistachiodeal.jobs.model import Queue
+from pistachiodeal.jobs.model import Queue, Step
 from pistachiodeal.jobs.record import JobRecord, StepRecord, Task
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.workers import Fleet, WorkerState
 from pistachiodeal.model.resources import Resources
+from pistachiodeal.scheduling.interference import (
+    STRAIN_LIMIT,
+    InterferenceModel,
+)
 from pistachiodeal.scheduling.ordering import (
     Rank,
     Waiting,
     compute_objective_s,
     rank_step,
 )
-from pistachiodeal.scheduling.placement import choose_worker
+from pistachiodeal.scheduling.placement import Request, choose_worker
 from pistachiodeal.scheduling.preemption import Victim, choose_victims
-from pistachiodeal.scheduling.views import StepKey, WorkerView, reserve_size
+from pistachiodeal.scheduling.views import WorkerView, reserve_size
 
 URGENT_PRIORITY = 0
 # A run that shows no progress for this long is given to another worker. Progress is
@@ -32,6 +36,12 @@
 PREEMPTIONS_A_ROUND = 16
 # A task that can't end before its worker leaves is moved; this is kept for the stop.
 LEAVE_MARGIN_S = 0.6
+# Filling work that waits this long, with nothing of its job at work, goes beside
+# serving tasks even though it disturbs them: paced work is more than none.
+STARVED_S = 2.0
+# Figures of a task that has just begun say nothing yet.
+PART_AFTER_S = 1.0
+PART_PERCENT = 40
 
 FindQueue = Callable[[Queue], Queue]
 
@@ -55,9 +65,12 @@
         book: JobBook,
         fleet: Fleet,
         reconciler: Reconciler,
+        interference: InterferenceModel,
         find_queue: FindQueue,
+        *,
         events: EventLog,
     ) -> None:
+        self._interference = interference
         self._book = book
         self._fleet = fleet
         self._reconciler = reconciler
@@ -70,6 +83,7 @@
         self._open_due()
         self._stop_stalled(now)
         self._leave_draining(now)
+        self._part_neighbours(now)
         this_round = _Round(self._build_views(now))
         for _, _, record, step in self._order_ready():
             self._place_step(this_round, record, step)
@@ -116,22 +130,22 @@
         if step.step.gang:
             self._place_gang(views, record, step, waiting, queue)
             return
-        key = (record.job_id, step.occurrence, step.number)
-        racks = self._list_racks(step, views)
+        request = Request(
+            step.step,
+            (record.job_id, step.occurrence, step.number),
+            urgent=queue.priority == URGENT_PRIORITY,
+            strain=self._estimate_strain(step.step),
+            racks=self._list_racks(step, views),
+            bold=self._is_starved(record, step),
+        )
         for task in waiting:
-            view = choose_worker(
-                step.step,
-                key,
-                views,
-                urgent=queue.priority == URGENT_PRIORITY,
-                avoid=task.avoid,
-                racks=racks,
-            )
+            request = replace(request, avoid=task.avoid)
+            view = choose_worker(request, views)
             if view is None:
                 self._preempt(this_round, task, queue, views)
                 return
-            racks = racks | {view.rack}
-            self._place(task, task.run + 1, key, view)
+            request = replace(request, racks=request.racks | {view.rack}, bold=False)
+            self._place(task, task.run + 1, request, view)
 
     def _place_gang(
         self,
@@ -145,27 +159,45 @@
         # still at work from an earlier run end first.
         if len(waiting) < len(step.tasks):
             return
-        key = (record.job_id, step.occurrence, step.number)
-        urgent = queue.priority == URGENT_PRIORITY
+        request = Request(
+            step.step,
+            (record.job_id, step.occurrence, step.number),
+            urgent=queue.priority == URGENT_PRIORITY,
+            strain=self._estimate_strain(step.step),
+        )
         trial = [replace(view, steps=dict(view.steps)) for view in views]
         chosen: list[str] = []
-        racks: frozenset[str] = frozenset()
         for _ in waiting:
-            view = choose_worker(step.step, key, trial, urgent=urgent, racks=racks)
+            view = choose_worker(request, trial)
             if view is None:
                 return
-            view.take(key, step.step)
-            racks = racks | {view.rack}
+            view.take(request.key, step.step, request.strain)
+            request = replace(request, racks=request.racks | {view.rack})
             chosen.append(view.place)
         run = max(task.run for task in waiting) + 1
         checkpoint = max(task.checkpoint for task in waiting)
         by_place = {view.place: view for view in views}
         for task, place in zip(waiting, chosen, strict=True):
             task.checkpoint = checkpoint
-            self._place(task, run, key, by_place[place])
+            self._place(task, run, request, by_place[place])
+
+    def _estimate_strain(self, step: Step) -> float:
+        """Return what a task adds to its neighbours' strain, or its own strain."""
+        if step.fills:
+            return self._interference.get_press(step.image)
+        return self._interference.get_base(step.image) if step.serves_ms else 0.0
+
+    def _is_starved(self, record: JobRecord, step: StepRecord) -> bool:
+        """Tell whether a filling step has waited long and nothing of its job runs."""
+        if not step.step.fills:
+            return False
+        if any(task.place for task in record.iterate_tasks()):
+            return False
+        ready_at = min(task.ready_at for task in step.tasks if task.waits)
+        return read_boot_clock() - ready_at > STARVED_S
 
-    def _place(self, task: Task, run: int, key: StepKey, view: WorkerView) -> None:
-        view.take(key, task.step)
+    def _place(self, task: Task, run: int, request: Request, view: WorkerView) -> None:
+        view.take(request.key, task.step, request.strain)
         place = view.place
         self._events.emit(
             "run.place",
@@ -265,6 +297,34 @@
                 ):
                     self._reconciler.stop(task, "its worker is leaving")
 
+    def _part_neighbours(self, now: float) -> None:
+        """Stop filling tasks that disturb the serving tasks beside them."""
+        for worker in self._fleet.workers.values():
+            if worker.listed and worker.strain > STRAIN_LIMIT and worker.attachment:
+                self._part(worker, now)
+
+    def _part(self, worker: WorkerState, now: float) -> None:
+        runs = self._book.get_runs(worker.place).values()
+        fills = [task for task in runs if task.step.fills and task.running]
+        base = max(
+            (
+                self._interference.get_base(task.step.image)
+                for task in runs
+                if task.step.serves_ms
+            ),
+            default=0.0,
+        )
+        fills.sort(key=lambda task: self._interference.get_press(task.step.image))
+        press = 0.0
+        for task in fills:
+            press += self._interference.get_press(task.step.image)
+            settled = now - task.began_at > PART_AFTER_S
+            if base + press <= STRAIN_LIMIT or task.stopping or not settled:
+                continue
+            # What saves nothing and is far on is paced to its end where it is.
+            if task.step.checkpoints or task.percent < PART_PERCENT:
+                self._reconciler.stop(task, "it disturbs its neighbours")
+
     def _must_leave(self, task: Task, left_s: float) -> bool:
         if task.step.lasts:
             return True
@@ -285,19 +345,21 @@
             worker.rack,
             frozenset(worker.labels),
             worker.capacity,
-            strain=worker.strain,
             suspect=worker.health.rate(now),
         )
         for task in self._book.get_runs(worker.place).values():
-            name = task.name
-            view.take((name.job_id, name.occurrence, name.step), task.step)
+            self._take_room(view, task)
         for text in worker.strays:
             stray = self._book.find_task(text)
             if stray is not None:
-                name = stray.name
-                view.take((name.job_id, name.occurrence, name.step), stray.step)
+                self._take_room(view, stray)
         return view
 
+    def _take_room(self, view: WorkerView, task: Task) -> None:
+        name = task.name
+        key = (name.job_id, name.occurrence, name.step)
+        view.take(key, task.step, self._estimate_strain(task.step))
+
 
 def _sum_loss(victims: list[Victim]) -> float:
     return sum(victim.loss for victim in victims)
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -16,6 +16,7 @@
     WorkerState,
     build_order,
 )
+from pistachiodeal.scheduling.interference import InterferenceModel, ServingSample
 from pistachiodeal.wire.job_messages import (
     EndedTask,
     OrderOutcome,
@@ -25,6 +26,11 @@
 
 RunKey = tuple[str, int]
 
+# Figures cover half a second and are listed up to 0.4 s later; what began since then is
+# not in them.
+FIGURE_S = 0.5
+SETTLED_S = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class _Listed:
@@ -38,9 +44,16 @@
 class Reconciler:
     """Applies reports to the book."""
 
-    def __init__(self, book: JobBook, fleet: Fleet, events: EventLog) -> None:
+    def __init__(
+        self,
+        book: JobBook,
+        fleet: Fleet,
+        interference: InterferenceModel,
+        events: EventLog,
+    ) -> None:
         self._book = book
         self._fleet = fleet
+        self._interference = interference
         self._events = events
 
     def apply(self, attachment: Attachment, report: WorkerReport) -> None:
@@ -65,6 +78,7 @@
         self._apply_ends(worker, attachment, report)
         self._stop_strays(worker, attachment, listed)
         worker.strain = self._measure_strain(worker)
+        self._learn(worker, report, now)
 
     def stop(self, task: Task, why: str) -> None:
         """Ask for the stop of a task's newest run."""
@@ -245,6 +259,31 @@
             default=0.0,
         )
 
+    def _learn(self, worker: WorkerState, report: WorkerReport, now: float) -> None:
+        """Show the interference model what ran beside each other, once it settled."""
+        if now - worker.learnt_at < FIGURE_S:
+            return
+        runs = [
+            task
+            for task in self._book.get_runs(worker.place).values()
+            if task.running and (task.step.fills or task.step.serves_ms)
+        ]
+        if any(now - task.began_at < SETTLED_S for task in runs):
+            return
+        worker.learnt_at = now
+        mix: dict[str, float] = {}
+        for task in runs:
+            if task.step.fills:
+                image = task.step.image
+                pace = report.pace_percent / 100
+                mix[image] = mix.get(image, 0.0) + pace
+        samples = [
+            ServingSample(task.step.image, task.figure / task.step.serves_ms)
+            for task in runs
+            if task.step.serves_ms and task.figure
+        ]
+        self._interference.observe(samples, mix)
+
 
 def _index(report: WorkerReport) -> _Listed:
     return _Listed(
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -130,6 +130,7 @@
     ends_taken: set[int] = field(default_factory=set)
     strays: dict[str, int] = field(default_factory=dict)
     strain: float = 0.0
+    learnt_at: float = 0.0
     health: WorkerHealth = field(default_factory=WorkerHealth)
 
     @property
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -8,75 +8,90 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from pistachiodeal.jobs.model import Step
 from pistachiodeal.model.resources import Resources
+from pistachiodeal.scheduling.interference import STRAIN_LIMIT
 from pistachiodeal.scheduling.views import StepKey, WorkerView, reserve_size
 
 # Share of a worker that only the most urgent queues may use. Urgent work takes
 # 2 to 6% of the processors of the deployments we know.
 URGENT_SHARE = 0.05
 # A filling task gets what the others leave. It waits rather than share a worker on
-# which that is less than this part of what it asks for.
-LEAST_FILL_SHARE = 0.5
+# which that is less than this part of what it and its like ask for.
+LEAST_FILL_SHARE = 0.8
+# What an empty worker costs a serving task, in units of load: serving tasks share few
+# workers, so that filling work that would disturb them has the others to itself.
+FRESH_COST = 0.5
+# What a worker without serving tasks costs other reserved work, for the same reason.
+UNSHARED_COST = 0.3
 # How a rack other than that of the data counts against load (1.0 is a full worker).
 REMOTE_COST = 0.5
 SUSPECT_COST = 4.0
-SERVING_COST = 1.0
+# Filling work goes beside serving tasks only once the other workers are taken.
+SERVING_COST = 0.5
 
 
-def fits(step: Step, key: StepKey, view: WorkerView, urgent: bool) -> bool:
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A task that needs a worker.
+
+    :param urgent: whether it may use the room that is kept for urgent work.
+    :param strain: what a filling task adds to the strain of a serving neighbour, or
+        a serving task's own strain.
+    :param avoid: nodes on which the task failed before, taken only as a last resort.
+    :param racks: racks on which tasks of the step are already.
+    :param bold: whether it may disturb its neighbours; their agent paces it then.
+    """
+
+    step: Step
+    key: StepKey
+    urgent: bool = False
+    strain: float = 0.0
+    avoid: frozenset[str] = frozenset()
+    racks: frozenset[str] = frozenset()
+    bold: bool = False
+
+
+def fits(request: Request, view: WorkerView) -> bool:
     """Tell whether a worker may take one more task of a step."""
+    step, key = request.step, request.key
     if step.label and step.label not in view.labels:
         return False
     if step.spread and view.steps.get(key, 0) >= step.spread:
         return False
     free = view.free
-    if not urgent:
+    if not request.urgent:
         free = free - _urgent_room(view.capacity)
-    if step.fills and not _has_leftover(step, view):
+    if step.fills and not _bears(request, view):
         return False
     return reserve_size(step).fits(free)
 
 
-def score(step: Step, key: StepKey, view: WorkerView, racks: frozenset[str]) -> float:
-    """Return the cost of a worker for a task of a step; the lowest is best.
-
-    :param racks: racks on which tasks of the step are already.
-    """
-    cost = view.load + SUSPECT_COST * view.suspect + (view.slowness - 1.0)
+def score(request: Request, view: WorkerView) -> float:
+    """Return the cost of a worker for a task of a step; the lowest is best."""
+    step, racks = request.step, request.racks
+    cost = SUSPECT_COST * view.suspect + (view.slowness - 1.0)
     if step.data_rack and view.rack != step.data_rack:
         cost += REMOTE_COST
     if step.same_rack and racks and view.rack not in racks:
         cost += REMOTE_COST
     if step.fills:
-        asked = view.fill_cpu_milli + step.size.cpu_milli
-        cost += asked / max(view.free.cpu_milli, 1)
-        cost += SERVING_COST * view.serving * (0.2 + view.strain)
-    if step.lasts:
-        cost += 0.1 * view.steps.get(key, 0)
-    return cost
-
+        return cost + _score_filling(request, view)
+    if step.serves_ms:
+        return cost + _score_serving(view)
+    return cost + view.load + (0.0 if view.serving else UNSHARED_COST)
 
-def choose_worker(
-    step: Step,
-    key: StepKey,
-    views: Iterable[WorkerView],
-    *,
-    urgent: bool,
-    avoid: frozenset[str] = frozenset(),
-    racks: frozenset[str] = frozenset(),
-) -> WorkerView | None:
-    """Return the best worker for a task, or None when it has to wait.
 
-    :param avoid: nodes on which the task failed before, taken only as a last resort.
-    """
-    fitting = [view for view in views if fits(step, key, view, urgent)]
+def choose_worker(request: Request, views: Iterable[WorkerView]) -> WorkerView | None:
+    """Return the best worker for a task, or None when it has to wait."""
+    fitting = [view for view in views if fits(request, view)]
     if not fitting:
         return None
     return min(
         fitting,
-        key=lambda view: (view.node in avoid, score(step, key, view, racks)),
+        key=lambda view: (view.node in request.avoid, score(request, view)),
     )
 
 
@@ -88,6 +103,26 @@
     )
 
 
-def _has_leftover(step: Step, view: WorkerView) -> bool:
-    asked = view.fill_cpu_milli + step.size.cpu_milli
-    return view.free.cpu_milli >= LEAST_FILL_SHARE * asked
+def _score_filling(request: Request, view: WorkerView) -> float:
+    asked = view.fill_cpu_milli + request.step.size.cpu_milli
+    cost = asked / max(view.leftover_milli, 1)
+    if view.serving:
+        cost += SERVING_COST + view.base + view.press + request.strain
+    return cost
+
+
+def _score_serving(view: WorkerView) -> float:
+    # The fullest worker that still has room: what is left of it is of no use to work
+    # that disturbs, and another worker stays free of serving tasks.
+    cost = view.press - view.load
+    return cost if view.serving else cost + FRESH_COST
+
+
+def _bears(request: Request, view: WorkerView) -> bool:
+    """Tell whether a worker has processor time, and neighbours, for a filling task."""
+    asked = view.fill_cpu_milli + request.step.size.cpu_milli
+    if view.leftover_milli < LEAST_FILL_SHARE * asked and view.fill_cpu_milli:
+        return False
+    if not view.serving or request.bold:
+        return True
+    return view.base + view.press + request.strain <= STRAIN_LIMIT
--- a/pistachiodeal/scheduling/views.py
+++ b/pistachiodeal/scheduling/views.py
@@ -11,6 +11,10 @@
 """Job, occurrence and number of a step."""
 
 
+# Serving tasks use about half of what they reserve, with swings of half of that.
+SERVING_USE = 0.6
+
+
 @dataclass(slots=True)
 class WorkerView:
     """Room and company on one worker.
@@ -21,8 +25,9 @@
     :param fill_cpu_milli: what the tasks that fill would like to use.
     :param steps: number of tasks of each step on it.
     :param serving: tasks on it that keep a tail latency.
-    :param strain: how near its serving tasks are to their aim, 1.0 is at the aim.
-    :param pace_percent: speed at which its filling tasks work now.
+    :param serving_cpu_milli: what these have reserved.
+    :param base: strain of its most sensitive serving task when nothing fills.
+    :param press: what its filling tasks add to that.
     :param suspect: 0 for a sound worker; higher for one that fails or stands still.
     :param slowness: how many times as long tasks take here, 1.0 on a sound worker.
     """
@@ -36,8 +41,9 @@
     fill_cpu_milli: int = 0
     steps: dict[StepKey, int] = field(default_factory=dict)
     serving: int = 0
-    strain: float = 0.0
-    pace_percent: int = 100
+    serving_cpu_milli: int = 0
+    base: float = 0.0
+    press: float = 0.0
     suspect: int = 0
     slowness: float = 1.0
 
@@ -53,14 +59,26 @@
         memory = self.used.memory_mib / max(self.capacity.memory_mib, 1)
         return max(cpu, memory)
 
-    def take(self, key: StepKey, step: Step) -> None:
-        """Reserve the room of one task."""
+    @property
+    def leftover_milli(self) -> int:
+        """Return the processor time that filling tasks find, thousandths of a core."""
+        unused = int(self.serving_cpu_milli * (1.0 - SERVING_USE))
+        return self.free.cpu_milli + unused
+
+    def take(self, key: StepKey, step: Step, strain: float) -> None:
+        """Reserve the room of one task.
+
+        :param strain: what a filling task adds, or a serving task's own strain.
+        """
         self.used = self.used + reserve_size(step)
         self.steps[key] = self.steps.get(key, 0) + 1
         if step.fills:
             self.fill_cpu_milli += step.size.cpu_milli
+            self.press += strain
         if step.serves_ms:
             self.serving += 1
+            self.serving_cpu_milli += step.size.cpu_milli
+            self.base = max(self.base, strain)
 
 
 def reserve_size(step: Step) -> Resources:
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -73,6 +73,7 @@
     :param lost_worker: an incarnation that is certainly gone, empty when there is none.
     :param listed: whether ``running`` and ``ends`` are complete.
     :param leaving_ms: least time left to a draining worker.
+    :param pace_percent: speed of the filling tasks that are paced.
     """
 
     beat: int
@@ -83,6 +84,7 @@
     listed: bool
     draining: bool
     leaving_ms: int
+    pace_percent: int
     cpu_milli: int
     memory_mib: int
     accelerators: int
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -242,6 +242,7 @@
   running @12 :List(RunningTask);
   ends @13 :List(EndedTask);
   outcomes @14 :List(OrderOutcome);
+  pacePercent @15 :Int32;
 }
 
 struct RunOrder {
