--- a/pistachiodeal/scheduling/interference.py
+++ b/pistachiodeal/scheduling/interference.py
@@ -3,7 +3,7 @@
 The load that this answers: filling tasks share workers with tasks that serve. Some
 images hardly matter, others multiply a neighbour's tail latency; nothing declared
 says which. Each report gives the strain of each serving task beside a known mix; the
-error of the predicted strain is shared out over the mix (normalised least mean squares).
+prediction error is shared out over the mix (normalised least mean squares).
 """
 
 from __future__ import annotations
