Short polls, announced rows, one retry of an insert

Polls last 0.8 s, entries announce durable rows to the leader, which reads what its feed hasn't shown after 0.3 s. An insert without an answer is tried once more, then answered.

--- a/pistachiodeal/events.py
+++ b/pistachiodeal/events.py
@@ -18,7 +18,7 @@
 BUFFER_BYTES = 262_144
 # Lines of one kind a second, above which they are only counted: at the worst load
 # a decision a millisecond is still explained, and a loop gone wild is not.
-LINES_PER_S = 400
+LINES_PER_S = 1_500
 
 
 class EventLog:
--- a/pistachiodeal/jobentry/acceptance.py
+++ b/pistachiodeal/jobentry/acceptance.py
@@ -34,6 +34,9 @@
 # Time kept for the answer's way back to the caller.
 ANSWER_MARGIN_S = 0.3
 RETRY_S = 0.05
+# A lost answer is settled by the second try, which finds the row. A store that is
+# silent twice is away: the caller learns it then, and may try elsewhere.
+MOST_TRIES = 2
 # A refused store is asked again this often; in between, callers are refused at once.
 PROBE_S = 0.3
 
@@ -42,13 +45,13 @@
 class _Insert:
     """One row on its way.
 
-    :param uncertain: whether an earlier try may still take effect.
+    :param tries: tries without an answer; any of them may still take effect.
     """
 
     key: str
     value: bytes
     deadline: float
-    uncertain: bool = False
+    tries: int = 0
     error: RequestError | None = None
     done: curio.Event = field(default_factory=curio.Event)
 
@@ -136,33 +139,28 @@
     async def _retry_uncertain(
         self, batch: list[_Insert], error: StoreError
     ) -> list[_Insert]:
-        self._note_down(error)
         again = []
         for insert in batch:
-            insert.uncertain = True
-            if read_boot_clock() < insert.deadline:
+            insert.tries += 1
+            if insert.tries < MOST_TRIES and read_boot_clock() < insert.deadline:
                 again.append(insert)
             else:
                 await self._fail(insert, error)
+        if len(again) < len(batch):
+            self._note_down(error)
         if again:
             await curio.sleep(RETRY_S)
         return again
 
     async def _refuse(self, batch: list[_Insert], error: StoreError) -> list[_Insert]:
         self._note_down(error)
-        again = []
         for insert in batch:
-            # An earlier try may still be carried out: "not accepted" would be untrue.
-            if insert.uncertain and read_boot_clock() < insert.deadline:
-                again.append(insert)
-            else:
-                await self._fail(insert, error)
-        if again:
-            await curio.sleep(RETRY_S)
-        return again
+            await self._fail(insert, error)
+        return []
 
     async def _fail(self, insert: _Insert, error: StoreError) -> None:
-        if insert.uncertain:
+        if insert.tries:
+            # An earlier try may still be carried out: "not accepted" would be untrue.
             insert.error = RequestError(
                 str(error),
                 code="store_uncertain",
--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -114,6 +114,7 @@
             )
         began = time.monotonic()
         await self._acceptance.insert(job_id, value, read_budget_s(request))
+        await self._states.announce(job_id)
         self._events.emit(
             "job.accepted",
             job=job_id,
@@ -138,6 +139,7 @@
             ) from None
         key = build_cancel_key(job_id)
         await self._acceptance.insert(key, CANCEL_VALUE, read_budget_s(request))
+        await self._states.announce(key)
         self._events.emit("job.cancel_accepted", job=job_id)
         return build_json(200, {})
 
--- a/pistachiodeal/jobentry/seat.py
+++ b/pistachiodeal/jobentry/seat.py
@@ -16,7 +16,12 @@
 from pistachiodeal.store.row_store import RowStore
 from pistachiodeal.web.server import bind_listener
 from pistachiodeal.wire.identity import AGENT_ROLE
-from pistachiodeal.wire.job_messages import JobAnswer, JobQuery, LeaderNotice
+from pistachiodeal.wire.job_messages import (
+    JobAnswer,
+    JobNotice,
+    JobQuery,
+    LeaderNotice,
+)
 from pistachiodeal.wire.link import Link
 from pistachiodeal.wire.opening import accept_link
 
@@ -120,6 +125,8 @@
                 message = await link.receive()
                 if isinstance(message, JobQuery):
                     await self._answer(link, message)
+                elif isinstance(message, JobNotice) and self._leadership is not None:
+                    self._leadership.announce(message.key)
         finally:
             self._links.discard(link)
             await notifier.cancel()
--- a/pistachiodeal/jobentry/states.py
+++ b/pistachiodeal/jobentry/states.py
@@ -18,7 +18,7 @@
 )
 from pistachiodeal.leader.election import Election
 from pistachiodeal.store.row_store import RowStore
-from pistachiodeal.wire.job_messages import JobAnswer, JobQuery
+from pistachiodeal.wire.job_messages import JobAnswer, JobNotice, JobQuery
 
 log = Logger("states")
 
@@ -46,6 +46,20 @@
         if waiting is not None:
             await waiting.put(answer)
 
+    async def announce(self, key: str) -> None:
+        """Tell the leader of a durable row; the feed tells it too."""
+        leadership = self._seat.leadership
+        if leadership is not None:
+            leadership.announce(key)
+            return
+        link = self._election.link
+        if link is None:
+            return
+        try:
+            await link.send(JobNotice(key))
+        except LinkClosedError as error:
+            log.debug("states: cannot announce {}: {}", key, error)
+
     async def find_state(self, job_id: str) -> JobState | None:
         """Return a job's state, None when there is certainly no such job.
 
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -40,7 +40,11 @@
 # processor while reports come from many agents.
 PLAN_PAUSE_S = 0.01
 TICK_S = 0.25
-FEED_WAIT_S = 20.0
+# A poll whose connection lost its other end hears nothing until it is given up, and a
+# cancellation that nobody hears leaves tasks running. So polls are short.
+FEED_WAIT_S = 0.8
+# A job that an entry has announced is read by itself when the feed is this late.
+ANNOUNCED_S = 0.3
 RETRY_S = 0.2
 # Agents attach within a beat of a change of leader; decisions made before most of
 # them are there would crowd the first ones.
@@ -88,6 +92,7 @@
         self._loaded = False
         self._loaded_at = 0.0
         self._feed_version = 0
+        self._announced: dict[str, float] = {}
 
     @property
     def epoch(self) -> int:
@@ -124,6 +129,10 @@
         record = self._book.records.get(job_id) if self._loaded else None
         return record.shown if record is not None else None
 
+    def announce(self, key: str) -> None:
+        """Note that a row of the jobs table is durable; the feed should show it."""
+        self._announced.setdefault(key, read_boot_clock())
+
     async def run(self) -> None:
         """Lead.
 
@@ -205,6 +214,35 @@
             if page.rows:
                 await self._touch()
 
+    async def _check_announced(self) -> None:
+        """Read what was announced and the feed has not shown.
+
+        The store may drop its history and let a feed go on as if nothing had changed;
+        an accepted job would then wait for the next leader.
+        """
+        now = read_boot_clock()
+        for key, announced_at in list(self._announced.items()):
+            if self._is_known(key):
+                del self._announced[key]
+            elif now - announced_at > ANNOUNCED_S:
+                await self._read_row(key)
+
+    def _is_known(self, key: str) -> bool:
+        job_id, cancels = split_key(key)
+        record = self._book.records.get(job_id)
+        return record is not None and (not cancels or record.state.final)
+
+    async def _read_row(self, key: str) -> None:
+        try:
+            page = await self._store.read(JOBS_TABLE, key, key + "\0", 1)
+        except StoreError as error:
+            log.debug("leader: cannot read the announced job {}: {}", key, error)
+            return
+        self._events.emit("job.announced", key=key, found=len(page.rows))
+        self._announced.pop(key, None)
+        self._apply_rows(page.rows)
+        await self._touch()
+
     async def _reread(self) -> None:
         try:
             page = await read_whole(self._store, JOBS_TABLE)
@@ -257,6 +295,7 @@
                 if self._sessions.is_lost(self._took_at, place):
                     self._reconciler.lose(place, "its leases have run out")
                     await self._touch()
+            await self._check_announced()
             await self._remove_old()
 
     async def _remove_old(self) -> None:
--- a/pistachiodeal/platform/rows.py
+++ b/pistachiodeal/platform/rows.py
@@ -29,18 +29,22 @@
 HISTORY_GONE = 410
 # 429: over the rate, 503: refused; both say that nothing was done.
 REFUSALS = (429, 503)
-# An answer takes 4 ms, and 0.3 s on a store that is sixty times slower. Longer
-# silence means a connection that lost its other end.
-CALL_TIMEOUT_S = 1.5
-READ_TIMEOUT_S = 1.5
+# An answer takes 4 ms, and 0.3 s on a store that is sixty times slower, where a few
+# transactions may wait for each other. Longer silence means a connection that lost its
+# other end.
+CALL_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 1.0
 # A long poll is answered when its wait is over; what it may take beyond that.
-FOLLOW_SLACK_S = 2.0
+FOLLOW_SLACK_S = 0.7
 CONNECTIONS = 12
+# Transactions of one partition wait for each other; submissions have one of their own,
+# so that a burst of them does not delay the leader's decisions.
+PARTITIONS = {"jobs": "jobs"}
 JSON_TYPE = (("content-type", "application/json"),)
 
 
 class PlatformRows:
-    """The store's rows; every row has the empty partition."""
+    """The store's rows; a table lies in one partition."""
 
     def __init__(self, client: WebClient) -> None:
         self._client = client
@@ -65,7 +69,7 @@
         self, table: str, start: str = "", end: str = "", limit: int = 0
     ) -> RowPage:
         """Return a range of rows; see ``RowStore``."""
-        query: dict[str, Any] = {"table": table, "part": ""}
+        query: dict[str, Any] = {"table": table, "part": _find_part(table)}
         if start:
             query["from"] = start
         if end:
@@ -125,15 +129,24 @@
     return PlatformRows(create_client(address, connections=CONNECTIONS))
 
 
+def _find_part(table: str) -> str:
+    return PARTITIONS.get(table, "")
+
+
 def _encode_transaction(transaction: Transaction) -> bytes:
     conditions = [
-        {"table": c.table, "part": "", "key": c.key, "schema_version": c.version}
+        {
+            "table": c.table,
+            "part": _find_part(c.table),
+            "key": c.key,
+            "schema_version": c.version,
+        }
         for c in transaction.conditions
     ]
     writes = [
         {
             "table": w.table,
-            "part": "",
+            "part": _find_part(w.table),
             "key": w.key,
             "value": b64encode(w.value).decode(),
         }
@@ -141,7 +154,7 @@
         if w.value is not None
     ]
     removals = [
-        {"table": w.table, "part": "", "key": w.key}
+        {"table": w.table, "part": _find_part(w.table), "key": w.key}
         for w in transaction.writes
         if w.value is None
     ]
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -164,6 +164,16 @@
     entries: tuple[Label, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class JobNotice:
+    """Entry to leader: a row of the jobs table is durable.
+
+    :param key: the row's key.
+    """
+
+    key: str
+
+
 @dataclass(frozen=True, slots=True)
 class JobQuery:
     """Entry to leader: a job's state, or how many jobs of a queue have not begun."""
--- a/pistachiodeal/wire/messages.py
+++ b/pistachiodeal/wire/messages.py
@@ -16,6 +16,7 @@
 from pistachiodeal.wire.job_messages import (
     Directive,
     JobAnswer,
+    JobNotice,
     JobQuery,
     LeaderNotice,
     WorkerReport,
@@ -228,4 +229,5 @@
     | LeaderNotice
     | JobQuery
     | JobAnswer
+    | JobNotice
 )
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -284,6 +284,10 @@
   entries @3 :List(Label);
 }
 
+struct JobNotice {
+  key @0 :Text;
+}
+
 struct JobQuery {
   requestId @0 :UInt64;
   job @1 :Text;
@@ -323,5 +327,6 @@
     leaderNotice @22 :LeaderNotice;
     jobQuery @23 :JobQuery;
     jobAnswer @24 :JobAnswer;
+    jobNotice @25 :JobNotice;
   }
 }
