--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -119,7 +119,7 @@
             "job.accepted",
             job=job_id,
             queue=queue.name,
-            tasks=sum(step.count for step in job.steps),
+            steps=[(step.count, step.size.cpu_milli, step.image) for step in job.steps],
             took_ms=int((time.monotonic() - began) * 1000),
         )
         return build_json(200, {})
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -8,7 +8,7 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
-from pistachiodeal.jobs.model import Queue, Step
+from pistachiodeal.jobs.model import Queue
 from pistachiodeal.jobs.record import JobRecord, StepRecord, Task
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.reconcile import Reconciler
@@ -134,13 +134,12 @@
             step.step,
             (record.job_id, step.occurrence, step.number),
             urgent=queue.priority == URGENT_PRIORITY,
-            strain=self._estimate_strain(step.step),
             racks=self._list_racks(step, views),
             bold=self._is_starved(record, step),
         )
         for task in waiting:
             request = replace(request, avoid=task.avoid)
-            view = choose_worker(request, views)
+            view = choose_worker(request, views, self._interference)
             if view is None:
                 self._preempt(this_round, task, queue, views)
                 return
@@ -163,15 +162,14 @@
             step.step,
             (record.job_id, step.occurrence, step.number),
             urgent=queue.priority == URGENT_PRIORITY,
-            strain=self._estimate_strain(step.step),
         )
-        trial = [replace(view, steps=dict(view.steps)) for view in views]
+        trial = [view.copy() for view in views]
         chosen: list[str] = []
         for _ in waiting:
-            view = choose_worker(request, trial)
+            view = choose_worker(request, trial, self._interference)
             if view is None:
                 return
-            view.take(request.key, step.step, request.strain)
+            view.take(request.key, step.step)
             request = replace(request, racks=request.racks | {view.rack})
             chosen.append(view.place)
         run = max(task.run for task in waiting) + 1
@@ -181,12 +179,6 @@
             task.checkpoint = checkpoint
             self._place(task, run, request, by_place[place])
 
-    def _estimate_strain(self, step: Step) -> float:
-        """Return what a task adds to its neighbours' strain, or its own strain."""
-        if step.fills:
-            return self._interference.get_press(step.image)
-        return self._interference.get_base(step.image) if step.serves_ms else 0.0
-
     def _is_starved(self, record: JobRecord, step: StepRecord) -> bool:
         """Tell whether a filling step has waited long and nothing of its job runs."""
         if not step.step.fills:
@@ -197,7 +189,7 @@
         return read_boot_clock() - ready_at > STARVED_S
 
     def _place(self, task: Task, run: int, request: Request, view: WorkerView) -> None:
-        view.take(request.key, task.step, request.strain)
+        view.take(request.key, task.step)
         place = view.place
         self._events.emit(
             "run.place",
@@ -306,20 +298,18 @@
     def _part(self, worker: WorkerState, now: float) -> None:
         runs = self._book.get_runs(worker.place).values()
         fills = [task for task in runs if task.step.fills and task.running]
-        base = max(
-            (
-                self._interference.get_base(task.step.image)
-                for task in runs
-                if task.step.serves_ms
-            ),
-            default=0.0,
-        )
-        fills.sort(key=lambda task: self._interference.get_press(task.step.image))
-        press = 0.0
+        serving = {task.step.image for task in runs if task.step.serves_ms}
+        model = self._interference
+        fills.sort(key=lambda task: model.predict(serving, {task.step.image: 1.0}))
+        mix: dict[str, float] = {}
         for task in fills:
-            press += self._interference.get_press(task.step.image)
+            image = task.step.image
+            tried = {**mix, image: mix.get(image, 0.0) + 1.0}
             settled = now - task.began_at > PART_AFTER_S
-            if base + press <= STRAIN_LIMIT or task.stopping or not settled:
+            if model.predict(serving, tried) <= STRAIN_LIMIT or not settled:
+                mix = tried
+                continue
+            if task.stopping:
                 continue
             # What saves nothing and is far on is paced to its end where it is.
             if task.step.checkpoints or task.percent < PART_PERCENT:
@@ -358,7 +348,7 @@
     def _take_room(self, view: WorkerView, task: Task) -> None:
         name = task.name
         key = (name.job_id, name.occurrence, name.step)
-        view.take(key, task.step, self._estimate_strain(task.step))
+        view.take(key, task.step)
 
 
 def _sum_loss(victims: list[Victim]) -> float:
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -268,14 +268,18 @@
             for task in self._book.get_runs(worker.place).values()
             if task.running and (task.step.fills or task.step.serves_ms)
         ]
-        if any(now - task.began_at < SETTLED_S for task in runs):
+        pace = report.pace_percent / 100
+        mixture = frozenset((str(task.name), task.run) for task in runs), pace
+        if mixture != worker.mixture:
+            # The figures still speak of what ran before.
+            worker.mixture, worker.mixed_at = mixture, now
+        if now - worker.mixed_at < SETTLED_S:
             return
         worker.learnt_at = now
         mix: dict[str, float] = {}
         for task in runs:
             if task.step.fills:
                 image = task.step.image
-                pace = report.pace_percent / 100
                 mix[image] = mix.get(image, 0.0) + pace
         samples = [
             ServingSample(task.step.image, task.figure / task.step.serves_ms)
@@ -283,6 +287,14 @@
             if task.step.serves_ms and task.figure
         ]
         self._interference.observe(samples, mix)
+        for (filling, serving), press in self._interference.take_changes().items():
+            self._events.emit(
+                "interference.learnt",
+                filling=filling,
+                serving=serving,
+                press=press,
+                place=worker.place,
+            )
 
 
 def _index(report: WorkerReport) -> _Listed:
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -131,6 +131,8 @@
     strays: dict[str, int] = field(default_factory=dict)
     strain: float = 0.0
     learnt_at: float = 0.0
+    mixture: tuple[frozenset[tuple[str, int]], float] = (frozenset(), 1.0)
+    mixed_at: float = 0.0
     health: WorkerHealth = field(default_factory=WorkerHealth)
 
     @property
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -12,7 +12,7 @@
 
 from pistachiodeal.jobs.model import Step
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.scheduling.interference import STRAIN_LIMIT
+from pistachiodeal.scheduling.interference import STRAIN_LIMIT, InterferenceModel
 from pistachiodeal.scheduling.views import StepKey, WorkerView, reserve_size
 
 # Share of a worker that only the most urgent queues may use. Urgent work takes
@@ -24,6 +24,7 @@
 # What an empty worker costs a serving task, in units of load: serving tasks share few
 # workers, so that filling work that would disturb them has the others to itself.
 FRESH_COST = 0.5
+OTHER_IMAGE_COST = 0.25
 # What a worker without serving tasks costs other reserved work, for the same reason.
 UNSHARED_COST = 0.3
 # How a rack other than that of the data counts against load (1.0 is a full worker).
@@ -38,8 +39,6 @@
     """A task that needs a worker.
 
     :param urgent: whether it may use the room that is kept for urgent work.
-    :param strain: what a filling task adds to the strain of a serving neighbour, or
-        a serving task's own strain.
     :param avoid: nodes on which the task failed before, taken only as a last resort.
     :param racks: racks on which tasks of the step are already.
     :param bold: whether it may disturb its neighbours; their agent paces it then.
@@ -48,13 +47,12 @@
     step: Step
     key: StepKey
     urgent: bool = False
-    strain: float = 0.0
     avoid: frozenset[str] = frozenset()
     racks: frozenset[str] = frozenset()
     bold: bool = False
 
 
-def fits(request: Request, view: WorkerView) -> bool:
+def fits(request: Request, view: WorkerView, model: InterferenceModel) -> bool:
     """Tell whether a worker may take one more task of a step."""
     step, key = request.step, request.key
     if step.label and step.label not in view.labels:
@@ -64,12 +62,12 @@
     free = view.free
     if not request.urgent:
         free = free - _urgent_room(view.capacity)
-    if step.fills and not _bears(request, view):
+    if step.fills and not _bears(request, view, model):
         return False
     return reserve_size(step).fits(free)
 
 
-def score(request: Request, view: WorkerView) -> float:
+def score(request: Request, view: WorkerView, model: InterferenceModel) -> float:
     """Return the cost of a worker for a task of a step; the lowest is best."""
     step, racks = request.step, request.racks
     cost = SUSPECT_COST * view.suspect + (view.slowness - 1.0)
@@ -78,20 +76,22 @@
     if step.same_rack and racks and view.rack not in racks:
         cost += REMOTE_COST
     if step.fills:
-        return cost + _score_filling(request, view)
+        return cost + _score_filling(request, view, model)
     if step.serves_ms:
-        return cost + _score_serving(view)
+        return cost + _score_serving(request, view, model)
     return cost + view.load + (0.0 if view.serving else UNSHARED_COST)
 
 
-def choose_worker(request: Request, views: Iterable[WorkerView]) -> WorkerView | None:
+def choose_worker(
+    request: Request, views: Iterable[WorkerView], model: InterferenceModel
+) -> WorkerView | None:
     """Return the best worker for a task, or None when it has to wait."""
-    fitting = [view for view in views if fits(request, view)]
+    fitting = [view for view in views if fits(request, view, model)]
     if not fitting:
         return None
     return min(
         fitting,
-        key=lambda view: (view.node in request.avoid, score(request, view)),
+        key=lambda view: (view.node in request.avoid, score(request, view, model)),
     )
 
 
@@ -103,26 +103,41 @@
     )
 
 
-def _score_filling(request: Request, view: WorkerView) -> float:
+def _score_filling(
+    request: Request, view: WorkerView, model: InterferenceModel
+) -> float:
     asked = view.fill_cpu_milli + request.step.size.cpu_milli
     cost = asked / max(view.leftover_milli, 1)
     if view.serving:
-        cost += SERVING_COST + view.base + view.press + request.strain
+        cost += SERVING_COST + _predict(request, view, model)
     return cost
 
 
-def _score_serving(view: WorkerView) -> float:
+def _score_serving(
+    request: Request, view: WorkerView, model: InterferenceModel
+) -> float:
     # The fullest worker that still has room: what is left of it is of no use to work
-    # that disturbs, and another worker stays free of serving tasks.
-    cost = view.press - view.load
-    return cost if view.serving else cost + FRESH_COST
+    # that disturbs, and another worker stays free of serving tasks. Serving tasks of
+    # one image bear the same filling work, so they share workers first.
+    image = request.step.image
+    cost = model.predict((image,), view.filling) - view.load
+    if not view.serving:
+        return cost + FRESH_COST
+    return cost if image in view.serving else cost + OTHER_IMAGE_COST
 
 
-def _bears(request: Request, view: WorkerView) -> bool:
+def _predict(request: Request, view: WorkerView, model: InterferenceModel) -> float:
+    """Return the strain of a worker's serving tasks with one more filling task."""
+    image = request.step.image
+    mix = {**view.filling, image: view.filling.get(image, 0.0) + 1.0}
+    return model.predict(view.serving, mix)
+
+
+def _bears(request: Request, view: WorkerView, model: InterferenceModel) -> bool:
     """Tell whether a worker has processor time, and neighbours, for a filling task."""
     asked = view.fill_cpu_milli + request.step.size.cpu_milli
     if view.leftover_milli < LEAST_FILL_SHARE * asked and view.fill_cpu_milli:
         return False
     if not view.serving or request.bold:
         return True
-    return view.base + view.press + request.strain <= STRAIN_LIMIT
+    return _predict(request, view, model) <= STRAIN_LIMIT
--- a/pistachiodeal/scheduling/views.py
+++ b/pistachiodeal/scheduling/views.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from pistachiodeal.jobs.model import Step
 from pistachiodeal.model.resources import Resources
@@ -24,10 +24,9 @@
     :param used: what is reserved; tasks that fill reserve no processor.
     :param fill_cpu_milli: what the tasks that fill would like to use.
     :param steps: number of tasks of each step on it.
-    :param serving: tasks on it that keep a tail latency.
+    :param serving: tasks on it that keep a tail latency, by image.
     :param serving_cpu_milli: what these have reserved.
-    :param base: strain of its most sensitive serving task when nothing fills.
-    :param press: what its filling tasks add to that.
+    :param filling: tasks on it that fill, by image.
     :param suspect: 0 for a sound worker; higher for one that fails or stands still.
     :param slowness: how many times as long tasks take here, 1.0 on a sound worker.
     """
@@ -40,10 +39,9 @@
     used: Resources = field(default_factory=Resources)
     fill_cpu_milli: int = 0
     steps: dict[StepKey, int] = field(default_factory=dict)
-    serving: int = 0
+    serving: dict[str, int] = field(default_factory=dict)
     serving_cpu_milli: int = 0
-    base: float = 0.0
-    press: float = 0.0
+    filling: dict[str, float] = field(default_factory=dict)
     suspect: int = 0
     slowness: float = 1.0
 
@@ -65,20 +63,25 @@
         unused = int(self.serving_cpu_milli * (1.0 - SERVING_USE))
         return self.free.cpu_milli + unused
 
-    def take(self, key: StepKey, step: Step, strain: float) -> None:
-        """Reserve the room of one task.
-
-        :param strain: what a filling task adds, or a serving task's own strain.
-        """
+    def copy(self) -> WorkerView:
+        """Return a view that can be changed by itself."""
+        return replace(
+            self,
+            steps=dict(self.steps),
+            serving=dict(self.serving),
+            filling=dict(self.filling),
+        )
+
+    def take(self, key: StepKey, step: Step) -> None:
+        """Reserve the room of one task."""
         self.used = self.used + reserve_size(step)
         self.steps[key] = self.steps.get(key, 0) + 1
         if step.fills:
             self.fill_cpu_milli += step.size.cpu_milli
-            self.press += strain
+            self.filling[step.image] = self.filling.get(step.image, 0.0) + 1.0
         if step.serves_ms:
-            self.serving += 1
+            self.serving[step.image] = self.serving.get(step.image, 0) + 1
             self.serving_cpu_milli += step.size.cpu_milli
-            self.base = max(self.base, strain)
 
 
 def reserve_size(step: Step) -> Resources:
