--- a/pistachiodeal/web/server.py
+++ b/pistachiodeal/web/server.py
@@ -44,6 +44,7 @@
         self._limits = limits
         self._counters = WebCounters()
         self._connections: dict[Connection, curio.Task] = {}
+        self._acceptor: curio.Task | None = None
         self._draining = False
         self._empty = curio.Event()
         self._drained = curio.Event()
@@ -66,11 +67,11 @@
     async def run(self) -> None:
         """Accept and serve until drained."""
         sweeper = await curio.spawn(self._sweep)
-        acceptor = await curio.spawn(self._accept)
+        self._acceptor = await curio.spawn(self._accept)
         try:
             await self._drained.wait()
         finally:
-            await acceptor.cancel()
+            await self._stop_accepting()
             await sweeper.cancel()
             self._listener.close()
             for task in list(self._connections.values()):
@@ -84,6 +85,7 @@
         on each is answered with ``connection: close``.
         """
         self._draining = True
+        await self._stop_accepting()
         await self._accept_waiting()
         self._listener.close()
         if not self._connections:
@@ -93,6 +95,14 @@
         await self._drained.set()
         return not busy
 
+    async def _stop_accepting(self) -> None:
+        # A closed descriptor's number is given to the next socket. An acceptor that
+        # still waited on the number would make the first read of that socket fail,
+        # and its request would be cut off.
+        if self._acceptor is not None:
+            await self._acceptor.cancel()
+            self._acceptor = None
+
     async def _accept(self) -> None:
         listener = Socket(self._listener)
         while not self._draining:
--- a/tests/unit/test_web.py
+++ b/tests/unit/test_web.py
@@ -236,3 +236,36 @@
         await task.cancel()
 
     curio.run(main)
+
+
+def test_a_socket_opened_while_draining_can_be_read():
+    """A request on a new connection was cut off during a graceful stop.
+
+    Symptom: ``ReadResourceBusy`` in the log, and a caller without an answer.
+    Sequence: the server drains and closes its listener; the next socket gets the
+    listener's descriptor number; its first read fails.
+    Cause: the accepting task still waited on that number.
+    """
+
+    async def main():
+        server, task, client = await start()
+        await client.call("GET", "/", timeout=2)
+        # An idle connection keeps the drain going while other sockets are opened.
+        drain = await curio.spawn(server.drain, 0.5)
+        await curio.sleep(0.05)
+        opened = [curio.socket.socketpair() for _ in range(8)]
+        for near, far in opened:
+            await far.sendall(b"x")
+            assert await near.recv(1) == b"x"
+            reader = await curio.spawn(near.recv, 1)
+            await curio.sleep(0)
+            await far.sendall(b"y")
+            assert await reader.join() == b"y"
+        for near, far in opened:
+            await near.close()
+            await far.close()
+        await drain.join()
+        await task.join()
+        await client.close()
+
+    curio.run(main)
