--- a/pistachiodeal/jobagent/heartbeats.py
+++ b/pistachiodeal/jobagent/heartbeats.py
@@ -43,10 +43,11 @@
             beat = decode_beat(request.path, request.body)
         except ProtocolError as error:
             raise RequestError(str(error), code="malformed", status=400) from None
-        await self._take(beat)
+        await self.take(beat)
         return build_json(200, {})
 
-    async def _take(self, beat: WorkerBeat) -> None:
+    async def take(self, beat: WorkerBeat) -> None:
+        """Take in one heartbeat."""
         ledger = self._ledger
         if ledger.is_gone(beat.worker):
             # A heartbeat that was held up by a cut may arrive after its sender's end.
--- /dev/null
+++ b/tests/standins/job_cluster.py
@@ -0,0 +1,225 @@
+"""Entries and agents of the product in one process, on the memory stand-ins.
+
+Links are real, over loopback; a "process" is a group of curio tasks, and killing it
+cancels them all at once.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import curio
+
+from pistachiodeal.events import EventLog
+from pistachiodeal.jobagent.executor import Executor
+from pistachiodeal.jobagent.heartbeats import Heartbeats
+from pistachiodeal.jobagent.leader_link import LeaderLink
+from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.paces import PaceKeeper
+from pistachiodeal.jobagent.renewal import Renewal
+from pistachiodeal.jobagent.signals import AgentSignals
+from pistachiodeal.jobentry.acceptance import Acceptance
+from pistachiodeal.jobentry.seat import Seat
+from pistachiodeal.jobentry.states import JobStates
+from pistachiodeal.jobs.model import Job, JobState, Queue, Step
+from pistachiodeal.jobs.rows import CANCEL_VALUE, build_cancel_key, encode_job
+from pistachiodeal.leader.directory import Directory
+from pistachiodeal.leader.election import Election
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.peers import PeerContext
+from pistachiodeal.wire.identity import AGENT_ROLE, ENTRY_ROLE, Identity
+from tests.harness.ports import take_port
+from tests.standins.job_runner import MemoryRunner, Witness
+from tests.standins.rows import MemoryRows, RowsState
+
+QUEUE = Queue("q", "host", "/q/", "svc", 0, 4, 2.0, 1.0)
+SECRET = "secret"
+BEAT_S = 0.1
+
+
+def build_job(number: int, *, count: int = 3, steps: int = 2) -> Job:
+    """Return a job of equal steps, each after the one before."""
+    size = Resources(1_000, 1_000, 0)
+    built = tuple(
+        Step(count, size, 0.2, (index - 1,) if index else ()) for index in range(steps)
+    )
+    return Job(f"{number:016x}", QUEUE, "text", built, time.time())
+
+
+@dataclass
+class Process:
+    """A group of tasks that live and die together."""
+
+    tasks: list[curio.Task] = field(default_factory=list)
+
+    async def start(self, *children: Callable[[], Awaitable[None]]) -> None:
+        """Run children until killed."""
+        for child in children:
+            self.tasks.append(await curio.spawn(child, daemon=True))
+
+    async def kill(self) -> None:
+        """Cancel everything."""
+        while self.tasks:
+            await self.tasks.pop().cancel()
+
+
+class EntryProcess(Process):
+    """An entry without its HTTP side."""
+
+    def __init__(self, name: str, state: RowsState, addresses: list[str]) -> None:
+        super().__init__()
+        self.name = name
+        self.state = state
+        self.addresses = addresses
+        self.address = addresses[int(name)]
+        self.lives = 0
+
+    async def boot(self) -> None:
+        """Start a new life."""
+        self.lives += 1
+        self.store = MemoryRows(self.state)
+        events = create_quiet_log()
+        peers = PeerContext(
+            Identity(ENTRY_ROLE, f"entry-{self.name}", self.lives, "dc"),
+            self.address,
+            SECRET,
+            Directory(tuple(self.addresses)),
+            events,
+        )
+        self.seat = Seat(self.store, peers, lambda queue: queue, 100.0)
+        self.election = Election(self.store, peers, self.seat.lead)
+        self.acceptance = Acceptance(self.store, events)
+        self.states = JobStates(self.store, self.seat, self.election)
+        self.election.set_answer_handler(self.states.take_answer)
+        await self.start(self.seat.listen, self.election.run, self.acceptance.run)
+
+    async def submit(self, job: Job) -> None:
+        """Accept a job."""
+        await self.acceptance.insert(job.job_id, encode_job(job), 3.0)
+        await self.states.announce(job.job_id)
+
+    async def cancel(self, job: Job) -> None:
+        """Cancel a job."""
+        key = build_cancel_key(job.job_id)
+        await self.acceptance.insert(key, CANCEL_VALUE, 3.0)
+        await self.states.announce(key)
+
+
+class AgentProcess(Process):
+    """An agent beside a runner."""
+
+    def __init__(
+        self, name: str, state: RowsState, addresses: list[str], runner: MemoryRunner
+    ) -> None:
+        super().__init__()
+        self.name = name
+        self.state = state
+        self.addresses = addresses
+        self.runner = runner
+        self.lives = 0
+        self.sequence = 0
+
+    async def boot(self) -> None:
+        """Start a new life; the runner goes on by itself."""
+        self.lives += 1
+        events = create_quiet_log()
+        signals = AgentSignals()
+        self.ledger = AgentLedger(events)
+        paces = PaceKeeper(self.ledger, self.runner, events)
+        renewal = Renewal(self.ledger, self.runner, paces, signals)
+        executor = Executor(self.ledger, self.runner, events, signals)
+        peers = PeerContext(
+            Identity(AGENT_ROLE, f"node-{self.name}", self.lives, "dc"),
+            "",
+            SECRET,
+            Directory(tuple(self.addresses)),
+            events,
+        )
+        link = LeaderLink(MemoryRows(self.state), peers, self.ledger, executor, signals)
+        self.heartbeats = Heartbeats(self.ledger, renewal, events, signals.report)
+        await self.start(renewal.run, renewal.run_looks, link.run, self._beat)
+
+    async def _beat(self) -> None:
+        while True:
+            self.sequence += 1
+            await self.heartbeats.take(self.runner.build_beat(self.sequence))
+            await curio.sleep(BEAT_S)
+
+
+@dataclass
+class JobCluster:
+    """All processes, and the witness."""
+
+    state: RowsState
+    witness: Witness
+    entries: list[EntryProcess]
+    agents: list[AgentProcess]
+
+    def find_leader(self) -> EntryProcess | None:
+        """Return the entry that leads."""
+        for entry in self.entries:
+            leadership = entry.seat.leadership if entry.tasks else None
+            if leadership is not None and leadership.loaded:
+                return entry
+        return None
+
+    async def wait_for_state(
+        self, job: Job, state: JobState, timeout: float = 10.0
+    ) -> None:
+        """Wait until any entry shows a job's state.
+
+        :raises AssertionError: it is not shown in time.
+        """
+        deadline = time.monotonic() + timeout
+        shown = None
+        while time.monotonic() < deadline:
+            for entry in self.entries:
+                if entry.tasks:
+                    shown = await entry.states.find_state(job.job_id)
+                    if shown is state:
+                        return
+            await curio.sleep(0.05)
+        raise AssertionError(f"{job.job_id} is {shown}, not {state}")
+
+
+@asynccontextmanager
+async def run_cluster(
+    *, entries: int = 2, agents: int = 2, work_s: float = 0.2, seed: int = 1
+) -> AsyncIterator[JobCluster]:
+    """Run a cluster until the end of the block."""
+    state, witness = RowsState(), Witness()
+    state.rng.seed(seed)
+    addresses = [f"127.0.0.1:{take_port()}" for _ in range(entries)]
+    cluster = JobCluster(
+        state,
+        witness,
+        [EntryProcess(str(number), state, addresses) for number in range(entries)],
+        [
+            AgentProcess(
+                str(number),
+                state,
+                addresses,
+                MemoryRunner(f"w{number}", witness, work_s, seed + number),
+            )
+            for number in range(agents)
+        ],
+    )
+    processes = [*cluster.entries, *cluster.agents]
+    try:
+        for process in processes:
+            await process.boot()
+        yield cluster
+    finally:
+        for process in processes:
+            await process.kill()
+
+
+def create_quiet_log() -> EventLog:
+    """Return a log that nobody reads."""
+    path = os.environ.get("PISTACHIODEAL_TEST_EVENTS", os.devnull)
+    flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+    return EventLog(os.open(path, flags, 0o644), "test")
--- /dev/null
+++ b/tests/standins/job_runner.py
@@ -0,0 +1,253 @@
+"""A runner in memory: leases, fencing tokens, late orders; it sees what it is told."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass, field
+
+import curio
+
+from pistachiodeal.jobs.runtime import CallResult, Listing, StartCall, WorkerBeat
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.wire.job_messages import EndedTask, RunningTask
+
+ROOM = Resources(16_000, 64_000, 0)
+
+
+@dataclass
+class TaskHistory:
+    """What all runners together have seen of one task."""
+
+    alive: dict[int, str] = field(default_factory=dict)
+    done: bool = False
+    done_noted: bool = False
+    starts: int = 0
+
+
+@dataclass
+class Witness:
+    """Watches all runners for a broken promise.
+
+    :ivar broken: one line for each.
+    """
+
+    tasks: dict[str, TaskHistory] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+
+    def see_start(self, task: str, run: int, worker: str) -> None:
+        """Note that a runner began a run."""
+        history = self.tasks.setdefault(task, TaskHistory())
+        if history.alive:
+            self.broken.append(f"twice: {task} run {run} on {worker}, {history.alive}")
+        if history.done_noted:
+            self.broken.append(f"again after its noted end: {task} run {run}")
+        history.starts += 1
+        history.alive[run] = worker
+
+    def see_end(self, task: str, run: int, how: str) -> None:
+        """Note that a run ended."""
+        history = self.tasks[task]
+        history.alive.pop(run, None)
+        history.done |= how == "done"
+
+    def see_noted(self, task: str, how: str) -> None:
+        """Note that an end was acknowledged."""
+        if how == "done":
+            self.tasks[task].done_noted = True
+
+
+@dataclass
+class Work:
+    """A run at work."""
+
+    task: str
+    run: int
+    ends_at: float
+    began_at: float
+
+
+@dataclass
+class RunnerFaults:
+    """What goes wrong at the moment.
+
+    :param late: share of the orders that are carried out ``late_s`` later.
+    :param lost: share of the orders that are carried out and not answered.
+    """
+
+    late: float = 0.0
+    late_s: float = 1.0
+    lost: float = 0.0
+
+
+class MemoryRunner:
+    """One runner's machine; :meth:`crash` gives it a new incarnation."""
+
+    def __init__(self, name: str, witness: Witness, work_s: float, seed: int) -> None:
+        self._name = name
+        self._witness = witness
+        self._work_s = work_s
+        self._rng = random.Random(seed)
+        self._lives = 0
+        self.faults = RunnerFaults()
+        self.draining = False
+        self._reset()
+
+    @property
+    def worker(self) -> str:
+        """Return the incarnation."""
+        return f"{self._name}-{self._lives}"
+
+    def crash(self) -> None:
+        """End everything and come back as another incarnation."""
+        for work in list(self._running.values()):
+            self._witness.see_end(work.task, work.run, "lost")
+        self._reset()
+
+    def build_beat(self, sequence: int) -> WorkerBeat:
+        """Return the heartbeat of now."""
+        return WorkerBeat(
+            self.worker,
+            "svc",
+            "",
+            self.draining,
+            2_000 if self.draining else 0,
+            sequence,
+            ROOM,
+            ("a", "r1"),
+        )
+
+    async def start(self, call: StartCall) -> CallResult:
+        """See ``Runtime``."""
+        return await self._answer(lambda: self._start(call))
+
+    async def stop(self, worker: str, token: int, task: str, run: int) -> CallResult:
+        """See ``Runtime``."""
+        return await self._answer(lambda: self._stop(worker, token, task, run))
+
+    async def pace(
+        self, worker: str, token: int, task: str, run: int, percent: int
+    ) -> CallResult:
+        """See ``Runtime``."""
+        await curio.sleep(0.001)
+        return self._admit(worker, token)
+
+    async def renew(
+        self, worker: str, token: int, noted: int, until_ms: int, wait_ms: int
+    ) -> Listing:
+        """See ``Runtime``."""
+        deadline = time.monotonic() + wait_ms / 1000
+        while True:
+            self._advance()
+            result = self._admit(worker, token)
+            if result is not CallResult.DONE:
+                return Listing(result)
+            self._note(noted)
+            if until_ms:
+                self._until_ms = max(self._until_ms, until_ms)
+            if self._ends or time.monotonic() >= deadline:
+                return self._list()
+            await curio.sleep(0.01)
+
+    def _reset(self) -> None:
+        self._lives += 1
+        self._token = 0
+        self._until_ms = 0
+        self._number = 0
+        self._running: dict[str, Work] = {}
+        self._ends: list[EndedTask] = []
+        self._closed: dict[str, int] = {}
+        self._born = time.monotonic()
+
+    def _read_clock_ms(self) -> int:
+        return 1 + int((time.monotonic() - self._born) * 1000)
+
+    async def _answer(self, order) -> CallResult:
+        await curio.sleep(0.001)
+        dice = self._rng.random()
+        if dice < self.faults.late:
+            await curio.spawn(self._do_late, order, daemon=True)
+            return CallResult.UNKNOWN
+        self._advance()
+        result = order()
+        if dice < self.faults.late + self.faults.lost:
+            return CallResult.UNKNOWN
+        return result
+
+    async def _do_late(self, order) -> None:
+        await curio.sleep(self.faults.late_s)
+        self._advance()
+        order()
+
+    def _admit(self, worker: str, token: int) -> CallResult:
+        if worker != self.worker:
+            return CallResult.OTHER_INCARNATION
+        if token < self._token:
+            return CallResult.FENCED
+        self._token = token
+        return CallResult.DONE
+
+    def _start(self, call: StartCall) -> CallResult:
+        result = self._admit(call.worker, call.token)
+        if result is not CallResult.DONE:
+            return result
+        if call.lease_until_ms <= self._read_clock_ms():
+            return CallResult.LATE
+        self._until_ms = max(self._until_ms, call.lease_until_ms)
+        held = self._running.get(call.task)
+        if held is not None and held.run == call.run:
+            return CallResult.DONE
+        if call.run <= self._closed.get(call.task, 0) or held is not None:
+            return CallResult.SUPERSEDED
+        now = time.monotonic()
+        self._running[call.task] = Work(call.task, call.run, now + self._work_s, now)
+        self._witness.see_start(call.task, call.run, self.worker)
+        return CallResult.DONE
+
+    def _stop(self, worker: str, token: int, task: str, run: int) -> CallResult:
+        result = self._admit(worker, token)
+        if result is not CallResult.DONE:
+            return result
+        self._closed[task] = max(self._closed.get(task, 0), run)
+        held = self._running.get(task)
+        if held is not None and held.run == run:
+            self._end(held, "stopped")
+        return CallResult.DONE
+
+    def _advance(self) -> None:
+        now = time.monotonic()
+        lapsed = self._read_clock_ms() > self._until_ms
+        for work in list(self._running.values()):
+            if work.ends_at <= now:
+                self._end(work, "done")
+            elif lapsed:
+                self._end(work, "lapsed")
+
+    def _end(self, work: Work, how: str) -> None:
+        del self._running[work.task]
+        self._number += 1
+        self._closed[work.task] = max(self._closed.get(work.task, 0), work.run)
+        self._ends.append(EndedTask(self._number, work.task, work.run, how, ""))
+        self._witness.see_end(work.task, work.run, how)
+
+    def _note(self, noted: int) -> None:
+        for end in self._ends:
+            if end.number <= noted:
+                self._witness.see_noted(end.task, end.how)
+        self._ends = [end for end in self._ends if end.number > noted]
+
+    def _list(self) -> Listing:
+        now = time.monotonic()
+        running = tuple(
+            RunningTask(
+                work.task,
+                work.run,
+                "",
+                min(99, int(100 * (now - work.began_at) / self._work_s)),
+                0,
+            )
+            for work in self._running.values()
+        )
+        return Listing(
+            CallResult.DONE, self._read_clock_ms(), running, tuple(self._ends)
+        )
--- /dev/null
+++ b/tests/standins/rows.py
@@ -0,0 +1,151 @@
+"""A transactional row store in memory, with the faults of a real one."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+import curio
+
+from pistachiodeal.exceptions import StoreUnavailableError, StoreUncertainError
+from pistachiodeal.store.row_store import (
+    HistoryLostError,
+    RowPage,
+    StoredRow,
+    Transaction,
+    TransactionResult,
+)
+
+Key = tuple[str, str]
+
+
+@dataclass
+class StoreFaults:
+    """What goes wrong at the moment.
+
+    :param down: every call is refused; nothing is done.
+    :param silent: no call is answered, or carried out.
+    :param lost: share of transactions that are done and not answered.
+    :param late: share that are not answered and done ``late_s`` later, if their
+        conditions still hold then.
+    :param slow_s: time of each call.
+    """
+
+    down: bool = False
+    silent: bool = False
+    lost: float = 0.0
+    late: float = 0.0
+    late_s: float = 1.0
+    slow_s: float = 0.001
+
+
+@dataclass
+class RowsState:
+    """What the store keeps; shared by all its clients."""
+
+    version: int = 0
+    rows: dict[Key, StoredRow] = field(default_factory=dict)
+    changes: list[tuple[str, StoredRow]] = field(default_factory=list)
+    oldest: int = 0
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
+    transactions: int = 0
+
+    def apply(self, transaction: Transaction) -> TransactionResult:
+        """Apply a transaction if its conditions hold."""
+        found = {}
+        holds = True
+        for condition in transaction.conditions:
+            row = self.rows.get((condition.table, condition.key))
+            if row is not None:
+                found[condition.table, condition.key] = row
+            holds &= (row.version if row else 0) == condition.version
+        if not holds:
+            return TransactionResult(False, 0, found)
+        self.version += 1
+        self.transactions += 1
+        for write in transaction.writes:
+            key = (write.table, write.key)
+            removed = write.value is None
+            row = StoredRow(write.key, write.value or b"", self.version, removed)
+            if removed:
+                self.rows.pop(key, None)
+            else:
+                self.rows[key] = row
+            self.changes.append((write.table, row))
+        return TransactionResult(True, self.version)
+
+    def drop_history(self) -> None:
+        """Forget all changes, as after a compaction."""
+        self.changes.clear()
+        self.oldest = self.version
+
+
+class MemoryRows:
+    """One process's client of the store; its own way there may be cut.
+
+    :ivar cut: whether this client's calls get no answer.
+    """
+
+    def __init__(self, state: RowsState) -> None:
+        self._state = state
+        self.cut = False
+
+    async def commit(self, transaction: Transaction) -> TransactionResult:
+        """See ``RowStore``."""
+        await self._reach("commit")
+        state = self._state
+        dice = state.rng.random()
+        if dice < state.faults.late:
+            await curio.spawn(self._apply_late, transaction, daemon=True)
+            raise StoreUncertainError("late", step="commit")
+        result = state.apply(transaction)
+        if dice < state.faults.late + state.faults.lost:
+            raise StoreUncertainError("lost", step="commit")
+        return result
+
+    async def read(
+        self, table: str, start: str = "", end: str = "", limit: int = 0
+    ) -> RowPage:
+        """See ``RowStore``."""
+        await self._reach("read")
+        state = self._state
+        keys = sorted(
+            key
+            for one, key in state.rows
+            if one == table and key >= start and (not end or key < end)
+        )
+        rows = tuple(state.rows[table, key] for key in keys)
+        most = limit or 500
+        return RowPage(rows[:most], state.version, len(rows) > most)
+
+    async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
+        """See ``RowStore``."""
+        waited = 0.0
+        while True:
+            await self._reach("follow")
+            state = self._state
+            if after < state.oldest:
+                raise HistoryLostError(step="follow")
+            rows = tuple(
+                row
+                for one, row in state.changes
+                if one == table and row.version > after
+            )
+            if rows or waited >= wait_s:
+                return RowPage(rows, state.version)
+            await curio.sleep(0.005)
+            waited += 0.005
+
+    async def _reach(self, step: str) -> None:
+        faults = self._state.faults
+        await curio.sleep(faults.slow_s)
+        if self.cut or faults.silent:
+            await curio.sleep(0.2)
+            raise StoreUncertainError("silent", step=step)
+        if faults.down:
+            raise StoreUnavailableError("down", step=step)
+
+    async def _apply_late(self, transaction: Transaction) -> None:
+        await curio.sleep(self._state.faults.late_s)
+        self._state.apply(transaction)
--- /dev/null
+++ b/tests/unit/test_job_cluster.py
@@ -0,0 +1,330 @@
+"""Jobs through entries, leader, agents and runners, under failure."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import curio
+import pytest
+
+from pistachiodeal.exceptions import RequestError
+from pistachiodeal.jobs.model import JobState
+from pistachiodeal.store.row_store import (
+    RowCondition,
+    RowWrite,
+    Transaction,
+)
+from tests.standins.job_cluster import JobCluster, build_job, run_cluster
+
+
+async def wait_for(check, timeout: float = 8.0):
+    """Return what ``check`` returns as soon as it is true."""
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        result = check()
+        if result:
+            return result
+        await curio.sleep(0.01)
+    raise AssertionError("it did not come true in time")
+
+
+async def wait_until_begun(cluster: JobCluster, starts: int = 1) -> None:
+    """Wait until runners have begun runs."""
+    await wait_for(
+        lambda: sum(one.starts for one in cluster.witness.tasks.values()) >= starts
+    )
+
+
+def check(cluster: JobCluster) -> None:
+    """Fail on any broken promise that the runners saw."""
+    assert cluster.witness.broken == []
+
+
+def test_a_job_is_done_step_by_step():
+    async def main():
+        async with run_cluster() as cluster:
+            job = build_job(1)
+            await cluster.entries[1].submit(job)
+            await cluster.wait_for_state(job, JobState.COMPLETED)
+            check(cluster)
+            assert {one.starts for one in cluster.witness.tasks.values()} == {1}
+
+    curio.run(main)
+
+
+def test_a_cancelled_job_stops_and_starts_nothing_more():
+    """Symptom: tasks of a cancelled job run on. Sequence: a job is cancelled at an
+    entry that does not lead, while its tasks run. Cause: the leader never heard.
+    """
+
+    async def main():
+        async with run_cluster(work_s=5.0) as cluster:
+            job = build_job(1)
+            await cluster.entries[0].submit(job)
+            await wait_until_begun(cluster)
+            await cluster.entries[1].cancel(job)
+            await cluster.wait_for_state(job, JobState.CANCELLED)
+            tasks = cluster.witness.tasks
+            await wait_for(lambda: not any(one.alive for one in tasks.values()))
+            starts = sum(one.starts for one in tasks.values())
+            await curio.sleep(0.5)
+            assert sum(one.starts for one in tasks.values()) == starts
+
+    curio.run(main)
+
+
+def test_a_dead_leader_is_replaced_and_no_task_runs_twice():
+    """Symptom: a task runs in two places, or never again. Sequence: the leader is
+    killed while its orders are at work. Cause: the successor took running tasks for
+    waiting ones, or waited for nothing.
+    """
+
+    async def main():
+        async with run_cluster(work_s=0.6) as cluster:
+            jobs = [build_job(number) for number in range(1, 4)]
+            for job in jobs:
+                await cluster.entries[0].submit(job)
+            await wait_until_begun(cluster, 3)
+            leader = await wait_for(cluster.find_leader)
+            await leader.kill()
+            for job in jobs:
+                await cluster.wait_for_state(job, JobState.COMPLETED, 15.0)
+            check(cluster)
+
+    curio.run(main)
+
+
+def test_a_restarted_agent_finds_its_runs():
+    """Symptom: tasks run twice after an agent's restart. Sequence: the agent is killed
+    while its runner works, and comes back. Cause: its empty memory was taken for an
+    empty worker.
+    """
+
+    async def main():
+        async with run_cluster(agents=1, work_s=1.5) as cluster:
+            job = build_job(1, steps=1)
+            await cluster.entries[0].submit(job)
+            await wait_until_begun(cluster, 3)
+            await cluster.agents[0].kill()
+            await curio.sleep(0.3)
+            await cluster.agents[0].boot()
+            await cluster.wait_for_state(job, JobState.COMPLETED)
+            check(cluster)
+            assert {one.starts for one in cluster.witness.tasks.values()} == {1}
+
+    curio.run(main)
+
+
+def test_an_order_that_comes_late_starts_nothing():
+    """Symptom: a task runs twice. Sequence: a start gets no answer, the task is given
+    to another worker, and the first order is carried out seconds later. Cause: the
+    unanswered start was not settled by a stop before the task was given away.
+    """
+
+    async def main():
+        async with run_cluster(work_s=0.3) as cluster:
+            for agent in cluster.agents:
+                agent.runner.faults.late = 0.6
+                agent.runner.faults.late_s = 1.0
+            jobs = [build_job(number) for number in range(1, 4)]
+            for job in jobs:
+                await cluster.entries[0].submit(job)
+            for job in jobs:
+                await cluster.wait_for_state(job, JobState.COMPLETED, 30.0)
+            await curio.sleep(1.2)
+            check(cluster)
+
+    curio.run(main)
+
+
+def test_a_reborn_runner_is_not_taken_for_its_former_life():
+    """Symptom: tasks wait for a lease that nobody holds, or are taken for running.
+    Sequence: the runner crashes and comes back at its address under another
+    incarnation. Cause: orders and listings did not name the incarnation.
+    """
+
+    async def main():
+        async with run_cluster(agents=1, work_s=0.8) as cluster:
+            job = build_job(1, steps=1)
+            await cluster.entries[0].submit(job)
+            await wait_until_begun(cluster, 3)
+            cluster.agents[0].runner.crash()
+            await cluster.wait_for_state(job, JobState.COMPLETED, 6.0)
+            check(cluster)
+
+    curio.run(main)
+
+
+def test_a_lost_answer_of_the_store_does_not_bring_an_old_state_back():
+    """Symptom: a task runs again after its end was acknowledged. Sequence: a write of
+    the leader is carried out late, after a newer one. Cause: the write did not demand
+    the version of the row that it replaces.
+    """
+
+    async def main():
+        async with run_cluster(work_s=0.15) as cluster:
+            jobs = [build_job(number) for number in range(1, 6)]
+            for job in jobs:
+                await cluster.entries[0].submit(job)
+            cluster.state.faults.late, cluster.state.faults.lost = 0.25, 0.25
+            cluster.state.faults.late_s = 0.4
+            await curio.sleep(2.0)
+            cluster.state.faults.late = cluster.state.faults.lost = 0.0
+            for job in jobs:
+                await cluster.wait_for_state(job, JobState.COMPLETED, 20.0)
+            check(cluster)
+
+    curio.run(main)
+
+
+def test_a_leader_that_was_replaced_writes_nothing():
+    """Symptom: two leaders place the same task. Sequence: another process takes the
+    leader's row while the leader is at work. Cause: its writes did not demand the row.
+    """
+
+    async def main():
+        async with run_cluster(entries=1, work_s=0.3) as cluster:
+            leader = await wait_for(cluster.find_leader)
+            row = cluster.state.rows["control", "leader"]
+            stolen = Transaction(
+                (RowCondition("control", "leader", row.version),),
+                (
+                    RowWrite(
+                        "control",
+                        "leader",
+                        b'{"epoch":9,"node":"x","address":"127.0.0.1:9","nonce":1}',
+                    ),
+                ),
+            )
+            assert cluster.state.apply(stolen).committed
+            job = build_job(1)
+            await leader.submit(job)
+            await wait_for(lambda: leader.seat.leadership is None)
+            assert ("progress", job.job_id) not in cluster.state.rows
+
+    curio.run(main)
+
+
+def test_a_store_that_refuses_gets_a_true_refusal():
+    """Symptom: a caller is told "not accepted", and the job runs. Sequence: the answer
+    to the insert is lost, and the next try is refused. Cause: only the last counted.
+    """
+
+    async def main():
+        async with run_cluster() as cluster:
+            entry = cluster.entries[0]
+            await wait_for(cluster.find_leader)
+            cluster.state.faults.down = True
+            with pytest.raises(RequestError) as refused:
+                await entry.submit(build_job(1))
+            assert (refused.value.status, refused.value.outcome) == (503, "not_run")
+            cluster.state.faults.down = False
+            await curio.sleep(0.4)
+            cluster.state.faults.lost = 1.0
+            with pytest.raises(RequestError) as unknown:
+                await entry.submit(build_job(2))
+            assert (unknown.value.status, unknown.value.outcome) == (504, "unknown")
+
+    curio.run(main)
+
+
+def test_a_dropped_history_loses_no_job():
+    """Symptom: an accepted job never starts. Sequence: the store drops its history
+    between the job's row and the leader's next poll. Cause: the leader went on from the
+    newest version without reading what it had missed.
+    """
+
+    async def main():
+        async with run_cluster() as cluster:
+            await wait_for(cluster.find_leader)
+            jobs = [build_job(number, steps=1) for number in range(1, 9)]
+            for job in jobs:
+                await cluster.entries[1].submit(job)
+                cluster.state.drop_history()
+            for job in jobs:
+                await cluster.wait_for_state(job, JobState.COMPLETED)
+
+    curio.run(main)
+
+
+def test_everything_down_at_once_loses_nothing():
+    """Symptom: an accepted job is unknown, or runs twice, after a power cut. Sequence:
+    all processes end right after an acceptance, and all start together. Cause: what
+    was answered was not durable.
+    """
+
+    async def main():
+        async with run_cluster(work_s=0.5) as cluster:
+            jobs = [build_job(number) for number in range(1, 5)]
+            for job in jobs:
+                await cluster.entries[0].submit(job)
+            processes = [*cluster.entries, *cluster.agents]
+            for process in processes:
+                await process.kill()
+            for process in processes:
+                await process.boot()
+            for job in jobs:
+                await cluster.wait_for_state(job, JobState.COMPLETED, 20.0)
+            check(cluster)
+
+    curio.run(main)
+
+
+async def disturb(cluster: JobCluster, rng: random.Random) -> None:
+    """Do one harmful thing, and end it after a while."""
+    kind = rng.choice(("entry", "agent", "runner", "late", "store", "history"))
+    if kind in ("entry", "agent"):
+        process = rng.choice(cluster.entries if kind == "entry" else cluster.agents)
+        if process.tasks:
+            await process.kill()
+            await curio.sleep(rng.uniform(0.0, 0.8))
+            await process.boot()
+    elif kind == "runner":
+        rng.choice(cluster.agents).runner.crash()
+    elif kind == "late":
+        faults = rng.choice(cluster.agents).runner.faults
+        faults.late, faults.lost = rng.choice(((0.5, 0.0), (0.0, 0.5), (0.3, 0.3)))
+        await curio.sleep(rng.uniform(0.2, 1.0))
+        faults.late = faults.lost = 0.0
+    elif kind == "store":
+        faults = cluster.state.faults
+        name = rng.choice(("down", "silent", "lost", "late"))
+        setattr(faults, name, 0.4 if name in ("lost", "late") else True)
+        await curio.sleep(rng.uniform(0.2, 1.0))
+        faults.down = faults.silent = False
+        faults.lost = faults.late = 0.0
+    else:
+        cluster.state.drop_history()
+
+
+def play_random(seed: int) -> None:
+    """Submit jobs among random faults; all accepted ones are done, none twice."""
+    rng = random.Random(seed)
+
+    async def main():
+        async with run_cluster(agents=3, work_s=0.25, seed=seed) as cluster:
+            await wait_for(cluster.find_leader)
+            accepted = []
+            for number in range(1, 11):
+                job = build_job(number, count=rng.randint(1, 4), steps=2)
+                entry = rng.choice(cluster.entries)
+                try:
+                    if entry.tasks:
+                        await entry.submit(job)
+                        accepted.append(job)
+                except RequestError:
+                    pass
+                if rng.random() < 0.6:
+                    await disturb(cluster, rng)
+            for job in accepted:
+                await cluster.wait_for_state(job, JobState.COMPLETED, 30.0)
+            check(cluster)
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_random_faults_break_no_promise(seed):
+    """Symptom: a task twice, or an accepted job never done, under faults in series."""
+    play_random(seed)
