--- /dev/null
+++ b/tests/unit/test_leader_commits.py
@@ -0,0 +1,130 @@
+"""The leader's writes: fenced, conditional, grouped."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.exceptions import FencedError
+from pistachiodeal.jobs.model import EndKind, JobState
+from pistachiodeal.jobs.record import read_state
+from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.commits import Authority, CommitLog
+from pistachiodeal.store.row_store import (
+    ABSENT,
+    RowCondition,
+    RowWrite,
+    StoredRow,
+    Transaction,
+    TransactionResult,
+)
+from tests.standins.job_cluster import build_job, create_quiet_log
+from tests.standins.rows import MemoryRows, RowsState
+
+
+def take_office(state: RowsState, epoch: int, version: int) -> Authority:
+    """Write the leader's row."""
+    transaction = Transaction(
+        (RowCondition("control", "leader", version),),
+        (RowWrite("control", "leader", str(epoch).encode()),),
+    )
+    result = state.apply(transaction)
+    assert result.committed
+    now = read_boot_clock()
+    return Authority(epoch, result.version, now, now)
+
+
+def create_leader(state: RowsState) -> tuple[JobBook, CommitLog, list[str]]:
+    """Return a leader with one job whose only task is placed."""
+    events = create_quiet_log()
+    book = JobBook(events)
+    job = build_job(1, count=1, steps=1)
+    book.add(job, 0.0)
+    seen: list[str] = []
+    task = next(book.records[job.job_id].iterate_tasks())
+    book.place(task, 1, "node/worker", lambda: seen.append("ordered"))
+    return book, CommitLog(MemoryRows(state), take_office(state, 1, 0), events), seen
+
+
+def test_an_order_leaves_only_once_its_decision_is_durable():
+    """Symptom: a run that no successor knows of. Sequence: the order leaves, the leader
+    dies before its write. Cause: effects ran before the write was answered.
+    """
+
+    async def main():
+        state = RowsState()
+        book, commits, seen = create_leader(state)
+        assert seen == []
+        await commits.write(book)
+        assert seen == ["ordered"]
+        assert ("progress", build_job(1).job_id) in state.rows
+
+    curio.run(main)
+
+
+def test_a_replaced_leader_writes_and_orders_nothing():
+    """Symptom: two leaders place the same task. Sequence: a successor takes the row
+    before the write. Cause: the write did not demand the leader's row.
+    """
+
+    async def main():
+        state = RowsState()
+        book, commits, seen = create_leader(state)
+        take_office(state, 2, state.rows["control", "leader"].version)
+        with pytest.raises(FencedError):
+            await commits.write(book)
+        assert seen == []
+        assert ("progress", build_job(1).job_id) not in state.rows
+
+    curio.run(main)
+
+
+def test_a_write_that_is_carried_out_late_does_not_bring_an_older_state_back():
+    """Symptom: a task runs again after its end was acknowledged.
+
+    Sequence: the write of a placement gets no answer; its repeat and the write of the
+    task's end are carried out; then the first one is. Cause: it did not demand the
+    version of the row that it replaces.
+    """
+
+    async def main():
+        state = RowsState()
+        book, commits, _ = create_leader(state)
+        late: list[Transaction] = []
+
+        class LateRows(MemoryRows):
+            async def commit(self, transaction: Transaction) -> TransactionResult:
+                late.append(transaction)
+                return await super().commit(transaction)
+
+        commits._store = LateRows(state)  # noqa: SLF001
+        await commits.write(book)
+        record = book.records[build_job(1).job_id]
+        task = next(record.iterate_tasks())
+        book.end_run(task, EndKind.DONE, "", lambda: None)
+        await commits.write(book)
+        assert not state.apply(late[0]).committed
+        row: StoredRow = state.rows["progress", record.job_id]
+        assert read_state(row.value) is JobState.COMPLETED
+
+    curio.run(main)
+
+
+def test_a_lost_answer_is_recognised_as_our_own_write():
+    """Symptom: the leader stops writing a job for ever. Sequence: a write is done and
+    its answer lost; the repeat finds another version. Cause: taken for a conflict.
+    """
+
+    async def main():
+        state = RowsState()
+        book, commits, seen = create_leader(state)
+        state.faults.lost = 1.0
+        writing = await curio.spawn(commits.write, book)
+        await curio.sleep(0.05)
+        state.faults.lost = 0.0
+        await curio.timeout_after(2.0, writing.join)
+        assert seen == ["ordered"]
+        assert book.records[build_job(1).job_id].row_version != ABSENT
+
+    curio.run(main)
--- /dev/null
+++ b/tests/unit/test_leader_reconcile.py
@@ -0,0 +1,115 @@
+"""Reports of agents against what the leader decided."""
+
+from __future__ import annotations
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.jobagent.ledger import LEASE_S, SLOWEST_CLOCK, Lease
+from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.reconcile import Reconciler
+from pistachiodeal.leader.workers import Attachment, Fleet
+from pistachiodeal.scheduling.interference import InterferenceModel
+from pistachiodeal.wire.job_messages import (
+    EndedTask,
+    Label,
+    OrderOutcome,
+    RunningTask,
+    WorkerReport,
+)
+from tests.standins.job_cluster import build_job, create_quiet_log
+
+TASK = "0000000000000001.0.0.0"
+
+
+class Stage:
+    """A leader with one task placed by an earlier leader on ``node/w1``."""
+
+    def __init__(self) -> None:
+        events = create_quiet_log()
+        self.book = JobBook(events)
+        self.fleet = Fleet()
+        self.reconciler = Reconciler(self.book, self.fleet, InterferenceModel(), events)
+        self.book.add(build_job(1, count=1, steps=1), 0.0)
+        self.task = self.book.find_task(TASK)
+        self.book.place(self.task, 1, "node/w1", lambda: None)
+        self.write()
+        self.attachment = Attachment("node", 1)
+        self.fleet.get("node").attachment = self.attachment
+
+    def write(self) -> None:
+        """Note that all changes are durable."""
+        for record, effects in self.book.take_unsaved(10):
+            self.book.note_written(record.job_id)
+            for effect in effects:
+                effect()
+
+    def report(self, worker="w1", running=(), ends=(), outcomes=()) -> None:
+        """Apply a report of the node's agent."""
+        self.reconciler.apply(
+            self.attachment,
+            WorkerReport(
+                1, 1, worker, "", "svc", True, False, 0, 100, 16_000, 64_000, 0,
+                (Label("a"), Label("r1")), tuple(running), tuple(ends), tuple(outcomes),
+            ),
+        )  # fmt: skip
+
+
+def test_a_run_of_an_earlier_leader_that_is_not_listed_is_settled_by_a_stop():
+    """Symptom: a task runs twice. Sequence: a leader orders a run and dies; the order
+    is still on its way when the successor sees the worker without it. Cause: the run
+    was taken for one that will never begin.
+    """
+    stage = Stage()
+    stage.report()
+    assert stage.task.place == "node/w1"
+    assert [ref.task for ref in stage.attachment.outbox.stops] == [TASK]
+    stage.report(outcomes=[OrderOutcome(TASK, 1, "void", "")])
+    assert stage.task.waits
+
+
+def test_an_end_is_acknowledged_only_once_it_is_durable():
+    """Symptom: a task whose end was acknowledged runs again. Sequence: the end is
+    acknowledged, the leader dies before its write. Cause: the order of the two.
+    """
+    stage = Stage()
+    stage.report(ends=[EndedTask(1, TASK, 1, "done", "")])
+    worker = stage.fleet.get("node")
+    assert worker.ends_noted == 0
+    stage.write()
+    stage.report(ends=[EndedTask(1, TASK, 1, "done", "")])
+    assert worker.ends_noted == 1
+
+
+def test_a_new_incarnation_frees_what_the_old_one_held():
+    """Symptom: tasks wait for leases of a runner that is gone. Sequence: it crashes and
+    comes back under another incarnation. Cause: only the address was compared.
+    """
+    stage = Stage()
+    stage.report(worker="w2")
+    assert stage.task.waits
+    assert stage.task.run == 1
+
+
+def test_a_run_that_was_given_up_is_stopped_where_it_shows_up():
+    """Symptom: a task runs in two places. Sequence: a worker is given up, its task is
+    placed anew, the worker comes back with the old run. Cause: unknown runs were left.
+    """
+    stage = Stage()
+    stage.book.requeue(stage.task)
+    stage.report(running=[RunningTask(TASK, 1, "", 10, 0)])
+    assert [ref.run for ref in stage.attachment.outbox.stops] == [1]
+
+
+def test_no_lease_outlives_the_leaders_grant():
+    """Symptom: a task runs in two places after a cut. Sequence: an agent that can't
+    reach the leader renews its runner's lease past the grant; the leader gives the
+    tasks away when the grant ends. Cause: the lease was not bounded by the grant, or
+    not by the slowest clock allowed.
+    """
+    now = read_boot_clock()
+    lease = Lease()
+    lease.sample(1_000, now)
+    until_ms = lease.extend(now, now + 2.0)
+    assert lease.until == now + 2.0
+    assert until_ms == 1_000 + int(2_000 * SLOWEST_CLOCK)
+    assert lease.extend(now, now + 100.0) <= 1_000 + LEASE_S * 1_000
+    assert lease.extend(now, now - 1.0) == 0
