--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -24,9 +24,9 @@
     compute_objective_s,
     rank_step,
 )
-from pistachiodeal.scheduling.placement import Request, choose_worker
+from pistachiodeal.scheduling.placement import Request, choose_worker, find_obstacle
 from pistachiodeal.scheduling.preemption import Victim, choose_victims
-from pistachiodeal.scheduling.views import WorkerView, reserve_size
+from pistachiodeal.scheduling.views import StepKey, WorkerView, reserve_size
 
 URGENT_PRIORITY = 0
 # A run that shows no progress for this long is given to another worker. Progress is
@@ -41,6 +41,9 @@
 STARVED_S = 2.0
 # Figures of a task that has just begun say nothing yet.
 PART_AFTER_S = 1.0
+# A line a step for why it waits; more often would say the same again.
+EXPLAIN_S = 1.0
+MOST_EXPLAINED = 2_000
 PART_PERCENT = 40
 
 FindQueue = Callable[[Queue], Queue]
@@ -71,6 +74,7 @@
         events: EventLog,
     ) -> None:
         self._interference = interference
+        self._explained: dict[StepKey, float] = {}
         self._book = book
         self._fleet = fleet
         self._reconciler = reconciler
@@ -141,6 +145,7 @@
             request = replace(request, avoid=task.avoid)
             view = choose_worker(request, views, self._interference)
             if view is None:
+                self._explain_wait(request, views)
                 self._preempt(this_round, task, queue, views)
                 return
             request = replace(request, racks=request.racks | {view.rack}, bold=False)
@@ -179,6 +184,24 @@
             task.checkpoint = checkpoint
             self._place(task, run, request, by_place[place])
 
+    def _explain_wait(self, request: Request, views: list[WorkerView]) -> None:
+        """Log why a step waits, now and then."""
+        now = read_boot_clock()
+        if now - self._explained.get(request.key, 0.0) < EXPLAIN_S:
+            return
+        self._explained[request.key] = now
+        while len(self._explained) > MOST_EXPLAINED:
+            del self._explained[next(iter(self._explained))]
+        counts: dict[str, int] = {}
+        for view in views:
+            obstacle = find_obstacle(request, view, self._interference)
+            if obstacle is not None:
+                counts[obstacle.value] = counts.get(obstacle.value, 0) + 1
+        job_id, occurrence, step = request.key
+        self._events.emit(
+            "step.waits", job=job_id, step=f"{occurrence}.{step}", **counts
+        )
+
     def _is_starved(self, record: JobRecord, step: StepRecord) -> bool:
         """Tell whether a filling step has waited long and nothing of its job runs."""
         if not step.step.fills:
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import StrEnum
 
 from pistachiodeal.jobs.model import Step
 from pistachiodeal.model.resources import Resources
@@ -24,6 +25,8 @@
 # What an empty worker costs a serving task, in units of load: serving tasks share few
 # workers, so that filling work that would disturb them has the others to itself.
 FRESH_COST = 0.5
+# A worker whose serving tasks are of one image bears the filling work that this image
+# bears; with two images it bears only what both do.
 OTHER_IMAGE_COST = 0.25
 # What a worker without serving tasks costs other reserved work, for the same reason.
 UNSHARED_COST = 0.3
@@ -52,19 +55,31 @@
     bold: bool = False
 
 
-def fits(request: Request, view: WorkerView, model: InterferenceModel) -> bool:
-    """Tell whether a worker may take one more task of a step."""
+class Obstacle(StrEnum):
+    """Why a worker can't take a task."""
+
+    LABEL = "label"
+    SPREAD = "spread"
+    ROOM = "room"
+    LEFTOVER = "leftover"
+    NEIGHBOURS = "neighbours"
+
+
+def find_obstacle(
+    request: Request, view: WorkerView, model: InterferenceModel
+) -> Obstacle | None:
+    """Return why a worker can't take one more task of a step, None if it can."""
     step, key = request.step, request.key
     if step.label and step.label not in view.labels:
-        return False
+        return Obstacle.LABEL
     if step.spread and view.steps.get(key, 0) >= step.spread:
-        return False
+        return Obstacle.SPREAD
     free = view.free
     if not request.urgent:
         free = free - _urgent_room(view.capacity)
-    if step.fills and not _bears(request, view, model):
-        return False
-    return reserve_size(step).fits(free)
+    if not reserve_size(step).fits(free):
+        return Obstacle.ROOM
+    return _find_filling_obstacle(request, view, model) if step.fills else None
 
 
 def score(request: Request, view: WorkerView, model: InterferenceModel) -> float:
@@ -86,7 +101,7 @@
     request: Request, views: Iterable[WorkerView], model: InterferenceModel
 ) -> WorkerView | None:
     """Return the best worker for a task, or None when it has to wait."""
-    fitting = [view for view in views if fits(request, view, model)]
+    fitting = [view for view in views if not find_obstacle(request, view, model)]
     if not fitting:
         return None
     return min(
@@ -133,11 +148,14 @@
     return model.predict(view.serving, mix)
 
 
-def _bears(request: Request, view: WorkerView, model: InterferenceModel) -> bool:
-    """Tell whether a worker has processor time, and neighbours, for a filling task."""
+def _find_filling_obstacle(
+    request: Request, view: WorkerView, model: InterferenceModel
+) -> Obstacle | None:
     asked = view.fill_cpu_milli + request.step.size.cpu_milli
     if view.leftover_milli < LEAST_FILL_SHARE * asked and view.fill_cpu_milli:
-        return False
+        return Obstacle.LEFTOVER
     if not view.serving or request.bold:
-        return True
-    return _predict(request, view, model) <= STRAIN_LIMIT
+        return None
+    if _predict(request, view, model) > STRAIN_LIMIT:
+        return Obstacle.NEIGHBOURS
+    return None
--- a/pistachiodeal/scheduling/views.py
+++ b/pistachiodeal/scheduling/views.py
@@ -11,8 +11,8 @@
 """Job, occurrence and number of a step."""
 
 
-# Serving tasks use about half of what they reserve, with swings of half of that.
-SERVING_USE = 0.6
+# Serving tasks use about half of what they reserve, by the tails they show alone.
+SERVING_USE = 0.5
 
 
 @dataclass(slots=True)
