--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -211,7 +211,10 @@
         """Return the worker as it is now."""
         known = self.beat
         for order in self.orders.values():
-            if order.state is not OrderState.PENDING and not order.reported_in:
+            settled = order.state is not OrderState.PENDING
+            # The leader leaves a report without a listing aside; an outcome that was
+            # dropped after one would leave its task waiting for ever.
+            if settled and self.listed and not order.reported_in:
                 order.reported_in = beat
         capacity = known.capacity if known else None
         return WorkerReport(
--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -58,17 +58,32 @@
 
 @dataclass(slots=True, eq=False)
 class StepRecord:
-    """The tasks of one step of one occurrence."""
+    """The tasks of one step of one occurrence.
+
+    :param left: tasks that are not done; counted, since each round of decisions asks.
+    """
 
     number: int
     occurrence: int
     step: Step
     tasks: list[Task]
+    left: int = 0
 
     @property
     def done(self) -> bool:
         """Tell whether all tasks have ended as done."""
-        return all(task.done for task in self.tasks)
+        return self.left == 0
+
+    @property
+    def left_work(self) -> float:
+        """Return the core-seconds of the tasks that are not done."""
+        return self.left * _compute_task_work(self.step)
+
+    def mark_done(self, task: Task) -> None:
+        """Note that a task has ended as done."""
+        if not task.done:
+            task.done = True
+            self.left -= 1
 
 
 @dataclass(slots=True, eq=False)
@@ -90,6 +105,7 @@
     completed: set[int] = field(default_factory=set)
     occurrences: dict[int, list[StepRecord]] = field(default_factory=dict)
     chain_s: float = 0.0
+    work: float = 0.0
 
     @property
     def job_id(self) -> str:
@@ -167,7 +183,8 @@
 
 def build_record(job: Job) -> JobRecord:
     """Return the record of a job of which nothing has run yet."""
-    return JobRecord(job, chain_s=compute_chain_s(job.steps))
+    work = sum(step.count * _compute_task_work(step) for step in job.steps)
+    return JobRecord(job, chain_s=compute_chain_s(job.steps), work=work)
 
 
 def encode_progress(record: JobRecord) -> bytes:
@@ -233,7 +250,8 @@
         record.occurrences[occurrence] = _build_steps(record.job, occurrence)
     task = record.occurrences[occurrence][step].tasks[index]
     task.run, task.place, done, task.failures, task.checkpoint = fields
-    task.done = bool(done)
+    if done:
+        record.find_step(task.name).mark_done(task)
     task.moved_at = task.placed_at = read_boot_clock()
 
 
@@ -244,5 +262,9 @@
             Task(TaskName(job.job_id, occurrence, number, index), step)
             for index in range(step.count)
         ]
-        records.append(StepRecord(number, occurrence, step, tasks))
+        records.append(StepRecord(number, occurrence, step, tasks, len(tasks)))
     return records
+
+
+def _compute_task_work(step: Step) -> float:
+    return step.size.cpu_milli / 1000 * step.estimate_s
--- a/pistachiodeal/leader/book.py
+++ b/pistachiodeal/leader/book.py
@@ -18,6 +18,9 @@
 
 Effect = Callable[[], None]
 
+# A queue's usual job is that of about its last ten.
+USUAL_WEIGHT = 0.1
+
 
 @dataclass(slots=True)
 class _Unsaved:
@@ -35,6 +38,7 @@
         self._open: dict[str, JobRecord] = {}
         self._unsaved: dict[str, _Unsaved] = {}
         self._writing: set[str] = set()
+        self._usual_work: dict[str, float] = {}
         self._runs: dict[str, dict[str, Task]] = {}
 
     @property
@@ -85,9 +89,19 @@
             return
         record = build_record(job)
         self.restore(record)
+        self._note_work(record)
         self.open_due(record, time_of_day_s)
         self._events.emit("job.known", job=job.job_id, queue=job.queue.name)
 
+    def get_usual_work(self, queue: str) -> float:
+        """Return the core-seconds of a usual job of a queue."""
+        return self._usual_work.get(queue, 0.0)
+
+    def _note_work(self, record: JobRecord) -> None:
+        queue = record.job.queue.name
+        usual = self._usual_work.get(queue, record.work)
+        self._usual_work[queue] = usual + USUAL_WEIGHT * (record.work - usual)
+
     def open_due(self, record: JobRecord, time_of_day_s: float) -> None:
         """Open a job's occurrences that are due."""
         if not record.open_due(time_of_day_s):
@@ -198,15 +212,16 @@
                 yield record, step
 
     def _note_done(self, record: JobRecord, task: Task) -> None:
-        task.done = True
+        step = record.find_step(task.name)
+        step.mark_done(task)
         if not task.step.gang:
             return
         # One end stands for all members of a gang, which end together; the listed
         # ends of the others are then of no run that is known.
-        for member in record.find_step(task.name).tasks:
+        for member in step.tasks:
             if not member.done:
                 self._release(member, "")
-                member.done = True
+                step.mark_done(member)
 
     def _finish(self, record: JobRecord, state: JobState) -> list[Task]:
         record.state = state
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -39,8 +39,9 @@
 # Filling work that waits this long, with nothing of its job at work, goes beside
 # serving tasks even though it disturbs them: paced work is more than none.
 STARVED_S = 2.0
-# Figures of a task that has just begun say nothing yet.
-PART_AFTER_S = 1.0
+# Figures of a task that has just begun say nothing yet, and one high figure may be the
+# swing of the serving task's own load; its agent's pace answers that at once.
+PART_AFTER_S = 1.2
 # A line a step for why it waits; more often would say the same again.
 EXPLAIN_S = 1.0
 MOST_EXPLAINED = 2_000
@@ -122,6 +123,9 @@
                 max(0.0, time_of_day_s - due_s),
                 record.compute_left_s(record.occurrences[step.occurrence]),
                 compute_objective_s(record.chain_s, queue.stretch, queue.aim_s),
+                sum(one.left_work for one in record.occurrences[step.occurrence]),
+                record.work,
+                self._book.get_usual_work(queue.name),
             )
         )
 
@@ -315,7 +319,10 @@
     def _part_neighbours(self, now: float) -> None:
         """Stop filling tasks that disturb the serving tasks beside them."""
         for worker in self._fleet.workers.values():
-            if worker.listed and worker.strain > STRAIN_LIMIT and worker.attachment:
+            if worker.strain <= STRAIN_LIMIT:
+                worker.strained_at = now
+            strained_s = now - worker.strained_at
+            if worker.listed and worker.attachment and strained_s > PART_AFTER_S:
                 self._part(worker, now)
 
     def _part(self, worker: WorkerState, now: float) -> None:
--- a/pistachiodeal/leader/sessions.py
+++ b/pistachiodeal/leader/sessions.py
@@ -50,7 +50,7 @@
         token = (self._commits.epoch << TOKEN_SHIFT) + self._tokens
         attachment = Attachment(node, token)
         worker = self._fleet.get(node)
-        worker.attachment = attachment
+        worker.attach(attachment)
         self._links[node] = (link, attachment)
         self._events.emit("agent.attached", node=node, token=token)
         try:
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -130,6 +130,7 @@
     ends_taken: set[int] = field(default_factory=set)
     strays: dict[str, int] = field(default_factory=dict)
     strain: float = 0.0
+    strained_at: float = 0.0
     learnt_at: float = 0.0
     mixture: tuple[frozenset[tuple[str, int]], float] = (frozenset(), 1.0)
     mixed_at: float = 0.0
@@ -152,6 +153,15 @@
             not self.draining
         )
 
+    def attach(self, attachment: Attachment) -> None:
+        """Take in a new link to the agent; nothing is placed before its first listing.
+
+        A restarted agent knows neither its runner's clock nor what runs there, so it
+        would have to refuse every order.
+        """
+        self.attachment = attachment
+        self.listed = False
+
     def become(self, report: WorkerReport) -> None:
         """Take in what a report says of the worker itself."""
         if report.worker != self.worker:
--- a/pistachiodeal/scheduling/interference.py
+++ b/pistachiodeal/scheduling/interference.py
@@ -31,6 +31,8 @@
 # swing of their own load.
 STRAIN_LIMIT = 0.8
 TOLD_CHANGE = 0.2
+# An image that left two neighbours alone is tried more freely beside a third.
+GUESS_PAIRS = 2
 
 Pair = tuple[str, str]
 """Image of the filling task, image of the serving task."""
@@ -51,6 +53,7 @@
         self._press: dict[Pair, float] = {}
         self._base: dict[str, float] = {}
         self._told: dict[Pair, float] = {}
+        self._known: dict[str, set[str]] = {}
 
     def observe(
         self, serving: Iterable[ServingSample], mix: Mapping[str, float]
@@ -69,7 +72,9 @@
 
     def get_press(self, filling: str, serving: str) -> float:
         """Return what one filling task adds to a serving task's strain."""
-        press = self._press.get((filling, serving), FIRST_PRESS)
+        press = self._press.get((filling, serving))
+        if press is None:
+            press = self._guess(filling)
         return press if press > NOISE else 0.0
 
     def get_base(self, image: str) -> float:
@@ -92,6 +97,14 @@
         self._told.update(changed)
         return changed
 
+    def _guess(self, filling: str) -> float:
+        """Return what an untried pair is taken to add, by the image's other pairs."""
+        known = self._known.get(filling, ())
+        if len(known) < GUESS_PAIRS:
+            return FIRST_PRESS
+        total = sum(self._press[filling, serving] for serving in known)
+        return min(total / len(known), FIRST_PRESS)
+
     def _predict_one(self, serving: str, filling: Mapping[str, float]) -> float:
         return self.get_base(serving) + sum(
             self.get_press(image, serving) * weight for image, weight in filling.items()
@@ -103,6 +116,8 @@
         if norm <= 0:
             return
         for filling, weight in mix.items():
-            press = self._press.get((filling, image), FIRST_PRESS)
+            pair = (filling, image)
+            press = self._press.get(pair, self._guess(filling))
             press += LEARN * error * weight / norm
-            self._press[filling, image] = max(-NOISE, press)
+            self._press[pair] = max(-NOISE, press)
+            self._known.setdefault(filling, set()).add(image)
--- a/tests/unit/test_jobagent_ledger.py
+++ b/tests/unit/test_jobagent_ledger.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import os
+from dataclasses import replace
 
 from pistachiodeal.events import EventLog
-from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.ledger import AgentLedger, Order
+from pistachiodeal.jobs.model import OrderState
 from pistachiodeal.jobs.runtime import CallResult, Listing, WorkerBeat
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.job_messages import Directive, EndedTask
@@ -88,3 +90,24 @@
     ledger.take_listing(Listing(CallResult.DONE, 200, (), (end,)), 1.0, 1.0)
     ledger.take_listing(Listing(CallResult.DONE, 150, (), ()), 1.1, 1.2)
     assert ledger.build_report(1).ends == (end,)
+
+
+def test_an_outcome_is_kept_until_a_report_with_a_listing_carries_it():
+    """A task was never started again after its order had been refused.
+
+    Symptom: a job stays active for ever; its order was sent and nothing was heard.
+    Sequence: a restarted agent attaches and gets an order before it has heard its
+    runner; it refuses; the refusal goes out in a report without a listing, which the
+    leader leaves aside; the answer to that report drops the refusal. Cause: the
+    outcome counted as told.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    task = "0123456789abcdef.0.0.0"
+    ledger.orders[task, 1] = Order(task, 1, OrderState.REFUSED, "no lease")
+    ledger.build_report(1)
+    ledger.take_directive(replace(build_directive("w"), beat=1), 0.0)
+    ledger.take_listing(Listing(CallResult.DONE, 100), 1.0, 1.0)
+    assert [one.task for one in ledger.build_report(2).outcomes] == [task]
+    ledger.take_directive(replace(build_directive("w"), beat=2), 0.0)
+    assert ledger.build_report(3).outcomes == ()
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -113,3 +113,16 @@
     assert until_ms == 1_000 + int(2_000 * SLOWEST_CLOCK)
     assert lease.extend(now, now + 100.0) <= 1_000 + LEASE_S * 1_000
     assert lease.extend(now, now - 1.0) == 0
+
+
+def test_nothing_is_placed_on_a_worker_whose_agent_has_not_listed_it():
+    """Symptom: orders are refused right after an agent's restart. Sequence: the agent
+    attaches anew; the leader places by what the agent before it listed. Cause: the
+    listing outlived its link.
+    """
+    stage = Stage()
+    stage.report()
+    worker = stage.fleet.get("node")
+    assert worker.open
+    worker.attach(Attachment("node", 2))
+    assert not worker.open
