--- a/pistachiodeal/jobagent/executor.py
+++ b/pistachiodeal/jobagent/executor.py
@@ -75,8 +75,8 @@
             await self._refuse(entry, refusal)
             return
         now = read_boot_clock()
-        until_ms = ledger.lease.extend(now, ledger.authority.granted_until)
-        if not until_ms:
+        lease_end_ms = ledger.lease.extend(now, ledger.authority.granted_until)
+        if not lease_end_ms:
             await self._refuse(entry, "no lease can be given")
             return
         result = await self._runtime.start(
@@ -86,7 +86,7 @@
                 order.task,
                 order.run,
                 ledger.find_text(order.task),
-                until_ms,
+                lease_end_ms,
                 order.checkpoint,
                 order.ticket,
             )
--- a/pistachiodeal/jobagent/renewal.py
+++ b/pistachiodeal/jobagent/renewal.py
@@ -88,11 +88,11 @@
         ledger = self._ledger
         worker = ledger.worker
         now = read_boot_clock()
-        until_ms = 0
+        lease_end_ms = 0
         if now - self._answered_at < SILENT_S:
-            until_ms = ledger.lease.extend(now, ledger.authority.granted_until)
+            lease_end_ms = ledger.lease.extend(now, ledger.authority.granted_until)
         listing = await self._runtime.renew(
-            worker, ledger.authority.token, ledger.noted, until_ms, wait_ms
+            worker, ledger.authority.token, ledger.noted, lease_end_ms, wait_ms
         )
         if ledger.worker != worker:
             return True
--- a/pistachiodeal/jobentry/configuration.py
+++ b/pistachiodeal/jobentry/configuration.py
@@ -8,7 +8,7 @@
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import ProtocolError, StoreError
 from pistachiodeal.jobs.model import Queue, find_queue
-from pistachiodeal.platform.manifest import (
+from pistachiodeal.platform.configuration import (
     CONFIG_KEY,
     CONFIG_TABLE,
     Configuration,
--- a/pistachiodeal/jobs/runtime.py
+++ b/pistachiodeal/jobs/runtime.py
@@ -89,10 +89,10 @@
         """Let a run work at a share of its speed."""
 
     async def renew(
-        self, worker: str, token: int, noted: int, until_ms: int, wait_ms: int
+        self, worker: str, token: int, noted: int, lease_end_ms: int, wait_ms: int
     ) -> Listing:
         """Renew the lease, acknowledge ends, and list what runs and has ended.
 
-        :param until_ms: on the runner's clock; 0 leaves the lease as it is.
+        :param lease_end_ms: on the runner's clock; 0 leaves the lease as it is.
         :param wait_ms: how long the answer may wait for an end.
         """
--- a/pistachiodeal/platform/runner.py
+++ b/pistachiodeal/platform/runner.py
@@ -78,14 +78,14 @@
         return result
 
     async def renew(
-        self, worker: str, token: int, noted: int, until_ms: int, wait_ms: int
+        self, worker: str, token: int, noted: int, lease_end_ms: int, wait_ms: int
     ) -> Listing:
         """Renew the lease and list what runs and has ended."""
         # The field for acknowledged ends speaks of what was seen; it is final, so it
         # holds what is durable.
         document = {"fencing_token": token, "last_seen": noted}
-        if until_ms:
-            document["until_ms"] = until_ms
+        if lease_end_ms:
+            document["until_ms"] = lease_end_ms
         if wait_ms:
             document["wait_ms"] = wait_ms
         timeout = CALL_TIMEOUT_S + wait_ms / 1000
--- a/tests/standins/job_runner.py
+++ b/tests/standins/job_runner.py
@@ -133,7 +133,7 @@
         return self._admit(worker, token)
 
     async def renew(
-        self, worker: str, token: int, noted: int, until_ms: int, wait_ms: int
+        self, worker: str, token: int, noted: int, lease_end_ms: int, wait_ms: int
     ) -> Listing:
         """See ``Runtime``."""
         deadline = time.monotonic() + wait_ms / 1000
@@ -143,8 +143,8 @@
             if result is not CallResult.DONE:
                 return Listing(result)
             self._note(noted)
-            if until_ms:
-                self._until_ms = max(self._until_ms, until_ms)
+            if lease_end_ms:
+                self._until_ms = max(self._until_ms, lease_end_ms)
             if self._ends or time.monotonic() >= deadline:
                 return self._list()
             await curio.sleep(0.01)
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -108,9 +108,9 @@
     now = read_boot_clock()
     lease = Lease()
     lease.sample(1_000, now)
-    until_ms = lease.extend(now, now + 2.0)
+    lease_end_ms = lease.extend(now, now + 2.0)
     assert lease.until == now + 2.0
-    assert until_ms == 1_000 + int(2_000 * SLOWEST_CLOCK)
+    assert lease_end_ms == 1_000 + int(2_000 * SLOWEST_CLOCK)
     assert lease.extend(now, now + 100.0) <= 1_000 + LEASE_S * 1_000
     assert lease.extend(now, now - 1.0) == 0
 
