--- a/pistachiodeal/jobagent/heartbeats.py
+++ b/pistachiodeal/jobagent/heartbeats.py
@@ -42,7 +42,9 @@
         try:
             beat = decode_beat(request.path, request.body)
         except ProtocolError as error:
-            raise RequestError(str(error), code="malformed", status=400) from None
+            raise RequestError(
+                str(error), code="malformed_request", status=400
+            ) from None
         await self.take(beat)
         return build_json(200, {})
 
--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -94,7 +94,10 @@
             return await self._cancel(job_id, request)
         if request.method != "GET":
             raise RequestError(
-                "use POST, GET or DELETE", code="bad_method", status=405, step="jobs"
+                "use POST, GET or DELETE",
+                code="method_not_allowed",
+                status=405,
+                step="jobs",
             )
         if not job_id:
             return build_pending(await self._states.count_pending(queue))
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -33,6 +33,9 @@
 # How a rack other than that of the data counts against load (1.0 is a full worker).
 REMOTE_COST = 0.5
 SUSPECT_COST = 4.0
+# What each task of the same step on a worker costs: a worker that fails all it starts
+# then takes one attempt of a job's tasks, and not all of them.
+SPREAD_COST = 0.05
 # Filling work goes beside serving tasks only once the other workers are taken.
 SERVING_COST = 0.5
 
@@ -90,6 +93,7 @@
         cost += REMOTE_COST
     if step.same_rack and racks and view.rack not in racks:
         cost += REMOTE_COST
+    cost += SPREAD_COST * view.steps.get(request.key, 0)
     if step.fills:
         return cost + _score_filling(request, view, model)
     if step.serves_ms:
--- a/tests/unit/test_scheduling_load.py
+++ b/tests/unit/test_scheduling_load.py
@@ -191,3 +191,13 @@
         now += 0.5
         pacer.decide([ServingTail(15, 50)], now)
     assert pacer.percent == FULL
+
+
+def test_a_small_step_is_not_put_on_one_worker():
+    """The load: a black hole among idle workers; a job's tasks come all at once."""
+    model = InterferenceModel()
+    views = [build_view(f"n{number}") for number in range(4)]
+    views[0].take(("other", 0, 0), build_serving("s"))
+    small = Step(4, Resources(100, 400, 0), 1.0)
+    places = [place(small, views, model) for _ in range(8)]
+    assert max(places.count(node) for node in places) < 8
