Count and time all events; remove what nothing sets

Counters and histograms came only from callers' requests, and the agent's page was empty; each event is counted now, and its times are measured.

--- a/pistachiodeal/jobagent/app.py
+++ b/pistachiodeal/jobagent/app.py
@@ -18,7 +18,6 @@
 from pistachiodeal.platform.runner import create_runner
 from pistachiodeal.reload import wait_for_stop
 from pistachiodeal.signals import SignalWatch
-from pistachiodeal.stats import Stats
 from pistachiodeal.supervisor import Supervisor
 from pistachiodeal.web.messages import WebLimits, WebRequest, WebResponse
 from pistachiodeal.web.server import create_server
@@ -31,7 +30,6 @@
     def __init__(self, settings: DeploymentSettings, events: EventLog) -> None:
         self._settings = settings
         self._events = events
-        self._stats = Stats()
         agent_signals = AgentSignals()
         runtime = create_runner(settings.runner)
         ledger = AgentLedger(events)
@@ -70,4 +68,4 @@
         await running.join()
 
     async def _answer_metrics(self, request: WebRequest) -> WebResponse:
-        return build_metrics(self._stats)
+        return build_metrics(self._events.stats)
--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -18,7 +18,6 @@
     read_budget_s,
     read_host,
 )
-from pistachiodeal.stats import Stats
 from pistachiodeal.web.messages import WebRequest, WebResponse, build_json
 
 RETRY_AFTER_S = 1.0
@@ -36,7 +35,6 @@
         acceptance: Acceptance,
         states: JobStates,
         events: EventLog,
-        stats: Stats,
         *,
         row_bytes: int,
     ) -> None:
@@ -45,7 +43,7 @@
         self._states = states
         self._row_bytes = row_bytes
         self._events = events
-        self._stats = stats
+        self._stats = events.stats
 
     async def handle(self, request: WebRequest) -> WebResponse:
         """Answer one request."""
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -16,7 +16,6 @@
 from pistachiodeal.platform.rows import create_rows
 from pistachiodeal.reload import wait_for_stop
 from pistachiodeal.signals import SignalWatch
-from pistachiodeal.stats import Stats
 from pistachiodeal.supervisor import Supervisor
 from pistachiodeal.web.messages import WebLimits, WebRequest, WebResponse
 from pistachiodeal.web.server import Handler, WebServer, create_server
@@ -41,7 +40,6 @@
     def __init__(self, settings: DeploymentSettings, events: EventLog) -> None:
         self._settings = settings
         self._events = events
-        self._stats = Stats()
         store = create_rows(settings.store.address)
         peers = create_peer_context(settings, ENTRY_ROLE, events)
         peers.directory.note_entry(settings.peer_address)
@@ -61,7 +59,6 @@
             self._acceptance,
             states,
             events,
-            self._stats,
             row_bytes=settings.store.row_bytes,
         )
         limits = WebLimits(body_bytes=BODY_BYTES, idle_s=IDLE_S)
@@ -112,7 +109,7 @@
         return WebResponse(200 if ready else 503)
 
     async def _answer_metrics(self, request: WebRequest) -> WebResponse:
-        return build_metrics(self._stats)
+        return build_metrics(self._events.stats)
 
 
 def _create_server(address: str, handler: Handler, limits: WebLimits) -> WebServer:
--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -43,7 +43,6 @@
     running: bool = False
     percent: int = 0
     figure: int = 0
-    first_percent: int = 0
     moved_at: float = 0.0
     placed_at: float = 0.0
     began_at: float = 0.0
--- a/pistachiodeal/leader/book.py
+++ b/pistachiodeal/leader/book.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
@@ -22,13 +21,6 @@
 USUAL_WEIGHT = 0.1
 
 
-@dataclass(slots=True)
-class _Unsaved:
-    """What waits for a job's row to be written."""
-
-    effects: list[Effect] = field(default_factory=list)
-
-
 class JobBook:
     """The leader's memory of jobs."""
 
@@ -36,7 +28,7 @@
         self._events = events
         self._records: dict[str, JobRecord] = {}
         self._open: dict[str, JobRecord] = {}
-        self._unsaved: dict[str, _Unsaved] = {}
+        self._unsaved: dict[str, list[Effect]] = {}
         self._writing: set[str] = set()
         self._usual_work: dict[str, float] = {}
         self._runs: dict[str, dict[str, Task]] = {}
@@ -174,8 +166,7 @@
         """Return jobs to write, oldest change first, with their effects."""
         batch = []
         for job_id in list(self._unsaved)[:most]:
-            unsaved = self._unsaved.pop(job_id)
-            batch.append((self._records[job_id], unsaved.effects))
+            batch.append((self._records[job_id], self._unsaved.pop(job_id)))
         self._writing = {record.job_id for record, _ in batch}
         return batch
 
@@ -243,12 +234,12 @@
             task.checkpoint = checkpoint
 
     def _save(self, record: JobRecord, effect: Effect | None) -> None:
-        unsaved = self._unsaved.setdefault(record.job_id, _Unsaved())
+        effects = self._unsaved.setdefault(record.job_id, [])
         if effect is not None:
-            unsaved.effects.append(effect)
+            effects.append(effect)
         state = record.state
         if state is not record.shown:
-            unsaved.effects.append(lambda: self._show(record, state))
+            effects.append(lambda: self._show(record, state))
 
     def _show(self, record: JobRecord, state: JobState) -> None:
         if record.shown is not state and not record.shown.final:
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -174,7 +174,6 @@
     def _note_running(self, task: Task, seen: RunningTask, now: float) -> None:
         if not task.running:
             task.running, task.began_at, task.moved_at = True, now, now
-            task.first_percent = seen.percent
         if seen.percent != task.percent:
             task.percent, task.moved_at = seen.percent, now
         task.figure = seen.figure
--- a/pistachiodeal/scheduling/ordering.py
+++ b/pistachiodeal/scheduling/ordering.py
@@ -76,7 +76,8 @@
     elif done_at <= LATE_FACTOR * waiting.objective_s:
         hope, limit = Hope.LATE, LATE_FACTOR * waiting.objective_s
     else:
-        hope, limit = Hope.GONE, waiting.age_s + waiting.left_s + waiting.age_s
+        # Among those that earn nothing any more, the one that waited longest.
+        hope, limit = Hope.GONE, done_at - waiting.age_s
     return Rank(
         waiting.priority,
         not waiting.lasts,
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -88,7 +88,7 @@
 def score(request: Request, view: WorkerView, model: InterferenceModel) -> float:
     """Return the cost of a worker for a task of a step; the lowest is best."""
     step, racks = request.step, request.racks
-    cost = SUSPECT_COST * view.suspect + (view.slowness - 1.0)
+    cost = SUSPECT_COST * view.suspect
     if step.data_rack and view.rack != step.data_rack:
         cost += REMOTE_COST
     if step.same_rack and racks and view.rack not in racks:
--- a/pistachiodeal/scheduling/views.py
+++ b/pistachiodeal/scheduling/views.py
@@ -28,7 +28,6 @@
     :param serving_cpu_milli: what these have reserved.
     :param filling: tasks on it that fill, by image.
     :param suspect: 0 for a sound worker; higher for one that fails or stands still.
-    :param slowness: how many times as long tasks take here, 1.0 on a sound worker.
     """
 
     place: str
@@ -43,7 +42,6 @@
     serving_cpu_milli: int = 0
     filling: dict[str, float] = field(default_factory=dict)
     suspect: int = 0
-    slowness: float = 1.0
 
     @property
     def free(self) -> Resources:
--- a/tests/unit/test_jobentry_api.py
+++ b/tests/unit/test_jobentry_api.py
@@ -18,7 +18,6 @@
 from pistachiodeal.platform.callers import parse_job
 from pistachiodeal.platform.configuration import decode_configuration
 from pistachiodeal.platform.runner import decode_beat
-from pistachiodeal.stats import Stats
 from pistachiodeal.store.row_store import RowWrite, Transaction
 from pistachiodeal.web.messages import WebRequest
 from tests.standins.job_cluster import QUEUE, create_quiet_log, run_cluster
@@ -64,7 +63,6 @@
                 entry.acceptance,
                 entry.states,
                 events,
-                Stats(),
                 row_bytes=2_000,
             )
             assert await ask(api, "POST", f"/q/{JOB_ID}", BODY) == 503
@@ -191,3 +189,13 @@
         JobState.FAILED,
         JobState.CANCELLED,
     }
+
+
+def test_events_are_counted_and_timed_also_when_their_lines_are_dropped():
+    log = create_quiet_log()
+    for _ in range(LINES_PER_S + 10):
+        log.emit("run.place", waited_ms=30)
+    text = log.stats.format()
+    assert f"run_place {LINES_PER_S + 10}\n" in text
+    assert f'run_place_waited_ms_bucket{{le="50"}} {LINES_PER_S + 10}\n' in text
+    assert 'run_place_waited_ms_bucket{le="20"} 0\n' in text
