Let the scenarios' set-up follow Retry-After

Only a not_run with a time to come back is followed, ten times at most; every other answer fails as before, and no scenario's own check is touched.

--- a/tests/scenarios/steps/deployment.py
+++ b/tests/scenarios/steps/deployment.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
+
 from pytest_bdd import given, parsers
 
+from tests.harness.calls import Reply
 from tests.harness.cluster import get_address
 from tests.harness.documents import PARTITIONS
 from tests.harness.waiting import wait_until
@@ -16,6 +20,8 @@
     r"(?P<apart>, each agent linked to one entry)?"
 )
 TASK_LEASE_S = 2.0
+# More refusals than this are a fault of the set-up itself.
+SETUP_TRIES = 10
 
 
 @given(parsers.re(SHAPE))
@@ -86,18 +92,34 @@
 def define_profiles(world: World) -> None:
     cluster = world.cluster
     entry = cluster[world.entries[0]]
-    first = cluster.define_profile(entry, PROFILE, promised_ms=500)
-    assert first.status in (200, 201), first
-    second = cluster.define_profile(
-        entry,
-        BATCH_PROFILE,
-        latency_critical=False,
-        task_lease_s=TASK_LEASE_S,
-        min_run_s=0.0,
+    follow_retry_after(lambda: cluster.define_profile(entry, PROFILE, promised_ms=500))
+    follow_retry_after(
+        lambda: cluster.define_profile(
+            entry,
+            BATCH_PROFILE,
+            latency_critical=False,
+            task_lease_s=TASK_LEASE_S,
+            min_run_s=0.0,
+        )
     )
-    assert second.status in (200, 201), second
-    assigned = cluster.assign(entry, SERVICE, PROFILE)
-    assert assigned.status in (200, 201), assigned
+    follow_retry_after(lambda: cluster.assign(entry, SERVICE, PROFILE))
+
+
+def follow_retry_after(change: Callable[[], Reply]) -> None:
+    """Make a change of the set-up as an operator does: again after ``Retry-After``.
+
+    Only an answer that says "not run" and when to come back is followed; any other
+    one but success fails the scenario at once.
+    """
+    for _ in range(SETUP_TRIES):
+        reply = change()
+        if reply.status in (200, 201):
+            return
+        problem = reply.document()
+        assert reply.outcome == "not_run", reply
+        assert "retry_after_ms" in problem, reply
+        time.sleep(problem["retry_after_ms"] / 1000)
+    raise AssertionError(reply)
 
 
 def wait_owned(world: World) -> None:
