--- a/pistachiodeal/jobagent/app.py
+++ b/pistachiodeal/jobagent/app.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from pistachiodeal.addresses import split_address
 from pistachiodeal.config.deployment import DeploymentSettings
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.executor import Executor
@@ -44,8 +45,8 @@
             agent_signals,
         )
         heartbeats = Heartbeats(ledger, self._renewal, events, agent_signals.report)
-        host, _, port = settings.listen.runners.rpartition(":")
-        self._runners = create_server(host, int(port), heartbeats.handle, WebLimits())
+        host, port = split_address(settings.listen.runners)
+        self._runners = create_server(host, port, heartbeats.handle, WebLimits())
         self._metrics = create_server(
             settings.host,
             settings.listen.metrics_port,
--- a/pistachiodeal/jobagent/leader_link.py
+++ b/pistachiodeal/jobagent/leader_link.py
@@ -13,7 +13,7 @@
 from pistachiodeal.jobagent.signals import AgentSignals
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
 from pistachiodeal.peers import PeerContext
-from pistachiodeal.store.row_store import RowStore
+from pistachiodeal.store.row_store import RowStore, read_row
 from pistachiodeal.task_groups import run_until_one_ends
 from pistachiodeal.wire.job_messages import Directive, LeaderNotice
 from pistachiodeal.wire.link import Link
@@ -73,9 +73,7 @@
 
     async def _look_up(self) -> None:
         try:
-            page = await self._store.read(
-                CONTROL_TABLE, LEADER_KEY, LEADER_KEY + "\0", 1
-            )
+            page = await read_row(self._store, CONTROL_TABLE, LEADER_KEY)
         except StoreError as error:
             log.debug("leader_link: cannot look the leader up: {}", error)
             return
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from pistachiodeal.addresses import split_address
 from pistachiodeal.config.deployment import DeploymentSettings
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobentry.acceptance import Acceptance
@@ -113,5 +114,5 @@
 
 
 def _create_server(address: str, handler: Handler, limits: WebLimits) -> WebServer:
-    host, _, port = address.rpartition(":")
-    return create_server(host, int(port), handler, limits)
+    host, port = split_address(address)
+    return create_server(host, port, handler, limits)
--- a/pistachiodeal/jobentry/configuration.py
+++ b/pistachiodeal/jobentry/configuration.py
@@ -14,7 +14,12 @@
     Configuration,
     decode_configuration,
 )
-from pistachiodeal.store.row_store import HistoryLostError, RowStore, StoredRow
+from pistachiodeal.store.row_store import (
+    HistoryLostError,
+    RowStore,
+    StoredRow,
+    read_row,
+)
 
 log = Logger("configuration")
 
@@ -78,7 +83,7 @@
         self._version = max(self._version, page.version)
 
     async def _read(self) -> int:
-        page = await self._store.read(CONFIG_TABLE, CONFIG_KEY, CONFIG_KEY + "\0", 1)
+        page = await read_row(self._store, CONFIG_TABLE, CONFIG_KEY)
         self._take(page.rows)
         return page.version
 
--- a/pistachiodeal/jobentry/seat.py
+++ b/pistachiodeal/jobentry/seat.py
@@ -8,6 +8,7 @@
 from curio.io import Socket
 from logbook import Logger
 
+from pistachiodeal.addresses import split_address
 from pistachiodeal.exceptions import FencedError, PistachiodealError
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.leader.commits import Authority
@@ -73,8 +74,8 @@
 
     async def listen(self) -> None:
         """Accept links for ever."""
-        host, _, port = self._address.rpartition(":")
-        listener = Socket(bind_listener(host, int(port)))
+        host, port = split_address(self._address)
+        listener = Socket(bind_listener(host, port))
         async with listener:
             while True:
                 sock, _ = await listener.accept()
--- a/pistachiodeal/jobentry/states.py
+++ b/pistachiodeal/jobentry/states.py
@@ -17,7 +17,7 @@
     build_cancel_key,
 )
 from pistachiodeal.leader.election import Election
-from pistachiodeal.store.row_store import RowStore
+from pistachiodeal.store.row_store import RowStore, read_row
 from pistachiodeal.wire.job_messages import JobAnswer, JobNotice, JobQuery
 
 log = Logger("states")
@@ -80,7 +80,7 @@
 
         :raises StoreError: the store gives no answer.
         """
-        page = await self._store.read(JOBS_TABLE, job_id, job_id + "\0", 1)
+        page = await read_row(self._store, JOBS_TABLE, job_id)
         return bool(page.rows)
 
     async def count_pending(self, queue: Queue) -> int:
@@ -126,7 +126,7 @@
             keys = {row.key for row in page.rows}
             if job_id not in keys:
                 return None
-            progress = await self._store.read(PROGRESS_TABLE, job_id, job_id + "\0", 1)
+            progress = await read_row(self._store, PROGRESS_TABLE, job_id)
         except StoreError as error:
             raise _build_refusal(str(error)) from None
         state = JobState.QUEUED
--- a/pistachiodeal/jobs/runtime.py
+++ b/pistachiodeal/jobs/runtime.py
@@ -61,7 +61,7 @@
 class StartCall:
     """A start as the runner is told it.
 
-    :param lease_until_ms: on the runner's clock.
+    :param lease_end_ms: on the runner's clock.
     """
 
     worker: str
@@ -69,7 +69,7 @@
     task: str
     run: int
     text: str
-    lease_until_ms: int
+    lease_end_ms: int
     checkpoint: str
     ticket: str
 
--- a/pistachiodeal/leader/commits.py
+++ b/pistachiodeal/leader/commits.py
@@ -25,6 +25,7 @@
     RowWrite,
     Transaction,
     TransactionResult,
+    read_row,
 )
 
 log = Logger("leader")
@@ -98,9 +99,7 @@
         if asked_at - self._confirmed_at < CONFIRM_S:
             return
         try:
-            page = await self._store.read(
-                CONTROL_TABLE, LEADER_KEY, LEADER_KEY + "\0", 1
-            )
+            page = await read_row(self._store, CONTROL_TABLE, LEADER_KEY)
         except StoreError as error:
             log.debug("leader: cannot confirm: {}", error)
             return
--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -32,6 +32,7 @@
     RowWrite,
     StoredRow,
     Transaction,
+    read_row,
 )
 from pistachiodeal.wire.job_messages import JobAnswer, LeaderNotice
 from pistachiodeal.wire.link import Link
@@ -143,9 +144,7 @@
 
     async def _read_row(self) -> LeaderRow | None:
         try:
-            page = await self._store.read(
-                CONTROL_TABLE, LEADER_KEY, LEADER_KEY + "\0", 1
-            )
+            page = await read_row(self._store, CONTROL_TABLE, LEADER_KEY)
         except StoreError as error:
             log.debug("election: cannot read the leader's row: {}", error)
             return None
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -30,6 +30,7 @@
     HistoryLostError,
     RowStore,
     StoredRow,
+    read_row,
     read_whole,
 )
 from pistachiodeal.task_groups import run_until_one_ends
@@ -234,7 +235,7 @@
 
     async def _read_row(self, key: str) -> None:
         try:
-            page = await self._store.read(JOBS_TABLE, key, key + "\0", 1)
+            page = await read_row(self._store, JOBS_TABLE, key)
         except StoreError as error:
             log.debug("leader: cannot read the announced job {}: {}", key, error)
             return
--- a/pistachiodeal/platform/runner.py
+++ b/pistachiodeal/platform/runner.py
@@ -48,7 +48,7 @@
             "task": call.task,
             "run_id": call.run,
             "spec": call.text,
-            "until_ms": call.lease_until_ms,
+            "until_ms": call.lease_end_ms,
             "fencing_token": call.token,
         }
         if call.checkpoint:
--- a/pistachiodeal/store/http_objects.py
+++ b/pistachiodeal/store/http_objects.py
@@ -26,14 +26,18 @@
     async def get(self, key: str) -> bytes | None:
         """Return an object, or None."""
         response = await self._caller.call(
-            "objects.get", "GET", _build_target(key), changes=False, may_miss=True
+            "objects.get", "GET", _build_target(key), changes=False, may_be_absent=True
         )
         return None if response.status == NOT_FOUND else response.body
 
     async def delete(self, key: str) -> None:
         """Remove an object if it is there."""
         await self._caller.call(
-            "objects.delete", "DELETE", _build_target(key), changes=True, may_miss=True
+            "objects.delete",
+            "DELETE",
+            _build_target(key),
+            changes=True,
+            may_be_absent=True,
         )
 
 
--- a/pistachiodeal/store/http_store.py
+++ b/pistachiodeal/store/http_store.py
@@ -43,12 +43,12 @@
         body: bytes = b"",
         *,
         changes: bool,
-        may_miss: bool = False,
+        may_be_absent: bool = False,
     ) -> WebResponse:
         """Return a good answer.
 
         :param changes: whether the call may change anything.
-        :param may_miss: whether status 404 is a good answer.
+        :param may_be_absent: whether status 404 is a good answer.
         :raises StoreUnavailableError: the call took no effect.
         :raises StoreUncertainError: it may have taken effect.
         :raises StoreError: the store refused what was asked.
@@ -62,7 +62,7 @@
                 raise map_call_error(
                     error, step, self._peer, changes=changes
                 ) from error
-            if may_miss and response.status == NOT_FOUND:
+            if may_be_absent and response.status == NOT_FOUND:
                 return response
             refusal = map_status(response, step, self._peer, changes=changes)
             if refusal is not None:
--- a/pistachiodeal/store/row_store.py
+++ b/pistachiodeal/store/row_store.py
@@ -114,3 +114,8 @@
         page = await store.read(table, start=page.rows[-1].key + "\0")
         rows += page.rows
     return RowPage(tuple(rows), version)
+
+
+async def read_row(store: RowStore, table: str, key: str) -> RowPage:
+    """Return the page that holds one row, or none."""
+    return await store.read(table, key, key + "\0", 1)
--- a/tests/standins/job_runner.py
+++ b/tests/standins/job_runner.py
@@ -191,9 +191,9 @@
         result = self._admit(call.worker, call.token)
         if result is not CallResult.DONE:
             return result
-        if call.lease_until_ms <= self._read_clock_ms():
+        if call.lease_end_ms <= self._read_clock_ms():
             return CallResult.LATE
-        self._until_ms = max(self._until_ms, call.lease_until_ms)
+        self._until_ms = max(self._until_ms, call.lease_end_ms)
         held = self._running.get(call.task)
         if held is not None and held.run == call.run:
             return CallResult.DONE
