Pace filling work by image; learn pairs from siblings

Change: slack (aim over tail) is additive in the load, so pairs are learnt in it, by comparing a task with its siblings of the same moment; agents know the presses and share out the slack that is left, first to the images that cost least.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobs.model import OrderState
 from pistachiodeal.jobs.runtime import Listing, WorkerBeat
+from pistachiodeal.scheduling.interference import Pair
+from pistachiodeal.scheduling.pacing import FULL, PaceHistory
 from pistachiodeal.wire.job_messages import (
     Directive,
     EndedTask,
@@ -27,6 +29,8 @@
 # The runner's clock may be this much slower than ours.
 SLOWEST_CLOCK = 0.98
 TEXTS_KEPT = 400
+# Pairs of images; a worker has a dozen of either kind at once.
+PRESSES_KEPT = 1_000
 
 
 @dataclass(slots=True)
@@ -103,7 +107,8 @@
         self.orders: dict[RunKey, Order] = {}
         self.described: dict[RunKey, RunOrder] = {}
         self.noted = 0
-        self.pace_percent = 100
+        self.presses: dict[Pair, float] = {}
+        self.histories: dict[RunKey, PaceHistory] = {}
         self._listing_ms = 0
         self._texts: dict[str, str] = {}
         self._gone: set[str] = set()
@@ -153,7 +158,7 @@
         self.beat = None
         self.listed = False
         self.lease = Lease()
-        self.running, self.ends = {}, ()
+        self.running, self.histories, self.ends = {}, {}, ()
         self.orders, self.described = {}, {}
         self.noted = self._listing_ms = 0
 
@@ -169,12 +174,29 @@
         news = not self.listed
         self.listed = True
         self._listing_ms = listing.clock_ms
-        self.running = {(one.task, one.run): one for one in listing.running}
+        self._take_running(listing, now)
         known = {end.number for end in self.ends}
         self.ends = tuple(end for end in listing.ends if end.number > self.noted)
         news |= any(end.number not in known for end in self.ends)
         return self._settle(sent_at) or news
 
+    def _take_running(self, listing: Listing, now: float) -> None:
+        self.running = {}
+        histories, self.histories = self.histories, {}
+        for one in listing.running:
+            key = (one.task, one.run)
+            self.running[key] = one
+            described = self.described.get(key)
+            if described is None or not described.fills:
+                continue
+            history = histories.get(key)
+            if history is None:
+                history = PaceHistory()
+                history.note(FULL, now)
+            self.histories[key] = history
+            worked_milli = int(history.average(now) * 1000)
+            self.running[key] = replace(one, worked_milli=worked_milli)
+
     def take_directive(self, directive: Directive, sent_at: float | None) -> bool:
         """Take in the leader's word; False for a leader that was replaced.
 
@@ -192,6 +214,10 @@
         if self.worker and directive.worker == self.worker:
             self.noted = max(self.noted, directive.ends_noted)
             self.ends = tuple(end for end in self.ends if end.number > self.noted)
+        for one in directive.presses:
+            self.presses[one.filling, one.serving] = one.press_milli / 1000
+        while len(self.presses) > PRESSES_KEPT:
+            del self.presses[next(iter(self.presses))]
         for text in directive.texts:
             self._texts[text.job] = text.text
         while len(self._texts) > TEXTS_KEPT:
@@ -226,7 +252,6 @@
             self.listed,
             self.draining,
             known.leaving_ms if known else 0,
-            self.pace_percent,
             capacity.cpu_milli if capacity else 0,
             capacity.memory_mib if capacity else 0,
             capacity.accelerators if capacity else 0,
--- a/pistachiodeal/jobagent/paces.py
+++ b/pistachiodeal/jobagent/paces.py
@@ -8,31 +8,37 @@
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.ledger import AgentLedger, RunKey
 from pistachiodeal.jobs.runtime import CallResult, Runtime
-from pistachiodeal.scheduling.pacing import FULL, Pacer, ServingTail
+from pistachiodeal.scheduling.interference import FIRST_PRESS
+from pistachiodeal.scheduling.pacing import FillingLoad, Pacer, ServingTail
 
 
 class PaceKeeper:
-    """Applies one pace to all filling tasks of the worker."""
+    """Applies a pace to the filling tasks of each image."""
 
     def __init__(self, ledger: AgentLedger, runtime: Runtime, events: EventLog) -> None:
         self._ledger = ledger
         self._runtime = runtime
         self._events = events
         self._pacer = Pacer()
-        self._applied: dict[RunKey, int] = {}
 
     async def apply(self) -> None:
         """Decide by the newest figures, and tell the runner what has changed."""
-        fills = [key for key in self._ledger.running if self._is_filling(key)]
-        before = self._pacer.percent
-        percent = self._pacer.decide(self._list_tails(), read_boot_clock())
-        self._ledger.pace_percent = percent
-        if percent != before:
-            self._events.emit("pace.changed", percent=percent, was=before)
-        self._applied = {key: self._applied.get(key, FULL) for key in fills}
-        for key in fills:
-            if self._applied[key] != percent:
-                self._applied[key] = percent
+        now = read_boot_clock()
+        before = self._pacer.paces
+        paces = self._pacer.decide(
+            self._list_tails(), self._count_fills(), self._find_press, now
+        )
+        changed = {
+            image: percent
+            for image, percent in paces.items()
+            if percent != before.get(image)
+        }
+        if changed:
+            self._events.emit("pace.changed", paces=changed)
+        for key, history in list(self._ledger.histories.items()):
+            percent = paces[self._ledger.described[key].image]
+            if history.newest != percent:
+                history.note(percent, now)
                 await curio.spawn(self._pace, key, percent, daemon=True)
 
     def _list_tails(self) -> list[ServingTail]:
@@ -40,12 +46,21 @@
         for key, running in self._ledger.running.items():
             described = self._ledger.described.get(key)
             if described is not None and described.serves_ms:
-                tails.append(ServingTail(running.figure, described.serves_ms))
+                tails.append(
+                    ServingTail(described.image, running.figure, described.serves_ms)
+                )
         return tails
 
-    def _is_filling(self, key: RunKey) -> bool:
-        described = self._ledger.described.get(key)
-        return described is not None and described.fills
+    def _count_fills(self) -> dict[str, FillingLoad]:
+        loads: dict[str, FillingLoad] = {}
+        for key in self._ledger.histories:
+            load = loads.setdefault(self._ledger.described[key].image, FillingLoad())
+            load.count += 1
+            load.worked += self._ledger.running[key].worked_milli / 1000
+        return loads
+
+    def _find_press(self, filling: str, serving: str) -> float:
+        return self._ledger.presses.get((filling, serving), FIRST_PRESS)
 
     async def _pace(self, key: RunKey, percent: int) -> None:
         ledger = self._ledger
@@ -54,5 +69,5 @@
             ledger.worker, ledger.authority.token, task, run, percent
         )
         if result is not CallResult.DONE:
-            # Unknown counts as not applied: the next round tells it again.
-            self._applied.pop(key, None)
+            # What the runner does now is unknown; the next round tells it again.
+            ledger.histories.pop(key, None)
--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -31,6 +31,8 @@
     :param stopping: why the run is being stopped, empty when it isn't.
     :param held_until: it gets no place before, seconds of the boot clock.
     :param avoid: nodes on which it failed or stood still.
+    :param worked: pace of a filling task while its worker's figures were taken.
+    :param slow_since: since when that pace is low, seconds of the boot clock.
     """
 
     name: TaskName
@@ -50,6 +52,8 @@
     stopping: str = ""
     held_until: float = 0.0
     avoid: frozenset[str] = frozenset()
+    worked: float = 0.0
+    slow_since: float = 0.0
 
     @property
     def waits(self) -> bool:
--- a/pistachiodeal/leader/book.py
+++ b/pistachiodeal/leader/book.py
@@ -115,6 +115,7 @@
         now = read_boot_clock()
         task.run, task.place = run, place
         task.running, task.percent, task.stopping = False, 0, ""
+        task.worked = task.slow_since = 0.0
         task.placed_at = task.moved_at = now
         self._runs.setdefault(place, {})[str(task.name)] = task
         record = self._records[task.name.job_id]
--- a/pistachiodeal/leader/moves.py
+++ b/pistachiodeal/leader/moves.py
@@ -1,23 +1,22 @@
-"""Which runs leave the worker they are on: stalled, on a leaving worker, or harmful."""
+"""Which runs leave their worker: stalled, held back, or on one that is leaving."""
 
 from __future__ import annotations
 
 from pistachiodeal.jobs.record import Task
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.reconcile import Reconciler
-from pistachiodeal.leader.workers import Fleet, WorkerState
-from pistachiodeal.scheduling.interference import STRAIN_LIMIT, InterferenceModel
+from pistachiodeal.leader.workers import Fleet
 
 # A run that shows no progress for this long is given to another worker. Progress is
 # listed in hundredths twice a second, so a task of half a minute still moves.
 STALL_S = 2.5
 # A task that can't end before its worker leaves is moved; this is kept for the stop.
 LEAVE_MARGIN_S = 0.6
-# Figures of a task that has just begun say nothing yet, and one high figure may be the
-# swing of the serving task's own load; its agent's pace answers that at once.
-PART_AFTER_S = 1.2
+# The pace comes back with the swing of the serving tasks' own load within a few
+# seconds; a task that saves its progress is better off elsewhere before that.
+HELD_BACK_S = 2.0
 # What saves nothing and is this far on is paced to its end where it is.
-PART_PERCENT = 40
+RESTART_PERCENT = 40
 
 
 class Mover:
@@ -28,12 +27,10 @@
         book: JobBook,
         fleet: Fleet,
         reconciler: Reconciler,
-        interference: InterferenceModel,
     ) -> None:
         self._book = book
         self._fleet = fleet
         self._reconciler = reconciler
-        self._interference = interference
 
     def move(self, now: float) -> None:
         """Stop what has to go on elsewhere.
@@ -42,7 +39,7 @@
         """
         self._stop_stalled(now)
         self._leave_draining(now)
-        self._part_neighbours(now)
+        self._free_paced(now)
 
     def _stop_stalled(self, now: float) -> None:
         for worker in self._fleet.workers.values():
@@ -73,33 +70,23 @@
                 ):
                     self._reconciler.stop(task, "its worker is leaving")
 
-    def _part_neighbours(self, now: float) -> None:
-        """Stop filling tasks that disturb the serving tasks beside them."""
+    def _free_paced(self, now: float) -> None:
+        """Stop filling tasks that hardly move beside their neighbours."""
         for worker in self._fleet.workers.values():
-            if worker.strain <= STRAIN_LIMIT:
-                worker.strained_at = now
-            strained_s = now - worker.strained_at
-            if worker.listed and worker.attachment and strained_s > PART_AFTER_S:
-                self._part(worker, now)
-
-    def _part(self, worker: WorkerState, now: float) -> None:
-        runs = self._book.get_runs(worker.place).values()
-        fills = [task for task in runs if task.step.fills and task.running]
-        serving = {task.step.image for task in runs if task.step.serves_ms}
-        model = self._interference
-        fills.sort(key=lambda task: model.predict(serving, {task.step.image: 1.0}))
-        mix: dict[str, float] = {}
-        for task in fills:
-            image = task.step.image
-            tried = {**mix, image: mix.get(image, 0.0) + 1.0}
-            settled = now - task.began_at > PART_AFTER_S
-            if model.predict(serving, tried) <= STRAIN_LIMIT or not settled:
-                mix = tried
-                continue
-            if task.stopping:
+            if not worker.listed or worker.attachment is None:
                 continue
-            if task.step.checkpoints or task.percent < PART_PERCENT:
-                self._reconciler.stop(task, "it disturbs its neighbours")
+            for task in list(self._book.get_runs(worker.place).values()):
+                if not self._is_held_back(task, now):
+                    continue
+                task.avoid |= {worker.node}
+                self._reconciler.stop(task, "its neighbours leave it no pace")
+
+    def _is_held_back(self, task: Task, now: float) -> bool:
+        if not task.step.fills or not task.running or task.stopping:
+            return False
+        if now - task.slow_since < HELD_BACK_S:
+            return False
+        return task.step.checkpoints or task.percent < RESTART_PERCENT
 
     def _must_leave(self, task: Task, left_s: float) -> bool:
         if task.step.lasts:
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -64,7 +64,7 @@
         events: EventLog,
     ) -> None:
         self._interference = interference
-        self._mover = Mover(book, fleet, reconciler, interference)
+        self._mover = Mover(book, fleet, reconciler)
         self._explained: dict[StepKey, float] = {}
         self._book = book
         self._fleet = fleet
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -26,10 +26,8 @@
 
 RunKey = tuple[str, int]
 
-# Figures cover half a second and are listed up to 0.4 s later; what began since then is
-# not in them.
-FIGURE_S = 0.5
-SETTLED_S = 1.0
+# A filling task below this pace hardly moves.
+SLOW_PACE = 0.25
 # A runner that refuses a start for want of room lists what took it soon after.
 REFUSED_S = 0.3
 
@@ -79,8 +77,7 @@
         self._apply_runs(worker, attachment, listed, now)
         self._apply_ends(worker, attachment, report)
         self._stop_strays(worker, attachment, listed)
-        worker.strain = self._measure_strain(worker)
-        self._learn(worker, report, now)
+        self._learn(worker, attachment, now)
 
     def stop(self, task: Task, why: str) -> None:
         """Ask for the stop of a task's newest run."""
@@ -177,9 +174,15 @@
         if seen.percent != task.percent:
             task.percent, task.moved_at = seen.percent, now
         task.figure = seen.figure
+        self._note_pace(task, seen.worked_milli / 1000, now)
         if seen.checkpoint:
             task.checkpoint = seen.checkpoint
 
+    def _note_pace(self, task: Task, worked: float, now: float) -> None:
+        task.worked = worked
+        if worked > SLOW_PACE or not task.slow_since:
+            task.slow_since = now
+
     def _apply_outcome(
         self, worker: WorkerState, task: Task, outcome: OrderOutcome, now: float
     ) -> None:
@@ -252,45 +255,21 @@
             worker.strays[name] = run
             attachment.order_stop(name, run)
 
-    def _measure_strain(self, worker: WorkerState) -> float:
-        runs = self._book.get_runs(worker.place).values()
-        return max(
-            (
-                task.figure / task.step.serves_ms
-                for task in runs
-                if task.running and task.step.serves_ms
-            ),
-            default=0.0,
-        )
-
-    def _learn(self, worker: WorkerState, report: WorkerReport, now: float) -> None:
-        """Show the interference model what ran beside each other, once it settled."""
-        if now - worker.learnt_at < FIGURE_S:
-            return
+    def _learn(self, worker: WorkerState, attachment: Attachment, now: float) -> None:
+        """Show the interference model each serving task's figure and its company."""
         runs = [
             task
             for task in self._book.get_runs(worker.place).values()
-            if task.running and (task.step.fills or task.step.serves_ms)
+            if task.step.fills or task.step.serves_ms
         ]
-        pace = report.pace_percent / 100
-        mixture = frozenset((str(task.name), task.run) for task in runs), pace
-        if mixture != worker.mixture:
-            # The figures still speak of what ran before.
-            worker.mixture, worker.mixed_at = mixture, now
-        if now - worker.mixed_at < SETTLED_S:
-            return
-        worker.learnt_at = now
         mix: dict[str, float] = {}
         for task in runs:
-            if task.step.fills:
+            if task.running and task.step.fills:
                 image = task.step.image
-                mix[image] = mix.get(image, 0.0) + pace
-        samples = [
-            ServingSample(task.step.image, task.figure / task.step.serves_ms)
-            for task in runs
-            if task.step.serves_ms and task.figure
-        ]
-        self._interference.observe(samples, mix)
+                mix[image] = mix.get(image, 0.0) + task.worked
+        for task in runs:
+            if task.running and task.step.serves_ms and task.figure:
+                self._interference.observe(_build_sample(task, mix, now))
         for (filling, serving), press in self._interference.take_changes().items():
             self._events.emit(
                 "interference.learnt",
@@ -299,6 +278,27 @@
                 press=press,
                 place=worker.place,
             )
+        self._tell_presses(attachment, runs)
+
+    def _tell_presses(self, attachment: Attachment, runs: list[Task]) -> None:
+        fillings = {task.step.image for task in runs if task.step.fills}
+        servings = {task.step.image for task in runs if task.step.serves_ms}
+        for filling in fillings:
+            for serving in servings:
+                press = self._interference.get_press(filling, serving)
+                attachment.tell_press((filling, serving), press)
+
+
+def _build_sample(task: Task, mix: dict[str, float], now: float) -> ServingSample:
+    name = task.name
+    return ServingSample(
+        (name.job_id, name.occurrence, name.step),
+        str(name),
+        task.step.image,
+        task.figure / task.step.serves_ms,
+        mix,
+        now,
+    )
 
 
 def _index(report: WorkerReport) -> _Listed:
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -7,10 +7,12 @@
 from pistachiodeal.jobs.record import Task
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.health import WorkerHealth
+from pistachiodeal.scheduling.interference import TOLD_CHANGE, Pair
 from pistachiodeal.wire.job_messages import (
     Directive,
     EndedTask,
     JobText,
+    PairPress,
     RunOrder,
     RunRef,
     WorkerReport,
@@ -38,10 +40,11 @@
     starts: list[RunOrder] = field(default_factory=list)
     stops: list[RunRef] = field(default_factory=list)
     known: list[RunOrder] = field(default_factory=list)
+    presses: list[PairPress] = field(default_factory=list)
 
     @property
     def empty(self) -> bool:
-        """Tell whether there is nothing to send."""
+        """Tell whether there is nothing to send by itself; presses can wait."""
         return not (self.starts or self.stops or self.known)
 
 
@@ -65,6 +68,7 @@
     ordered: set[tuple[str, int]] = field(default_factory=set)
     stopped: set[tuple[str, int]] = field(default_factory=set)
     described: set[tuple[str, int]] = field(default_factory=set)
+    told_presses: dict[Pair, float] = field(default_factory=dict)
 
     def order_stop(self, task: str, run: int) -> None:
         """Tell the agent once to stop a run, or to make sure it never starts."""
@@ -85,6 +89,13 @@
             self.described.add((order.task, order.run))
             self.outbox.known.append(order)
 
+    def tell_press(self, pair: Pair, press: float) -> None:
+        """Tell the agent what one image takes from another, if that is news."""
+        told = self.told_presses.get(pair)
+        if told is None or abs(press - told) > TOLD_CHANGE:
+            self.told_presses[pair] = press
+            self.outbox.presses.append(PairPress(*pair, int(press * 1000)))
+
     def build_directive(
         self, epoch: int, worker: str, ends_noted: int, grant_ms: int
     ) -> Directive:
@@ -102,6 +113,7 @@
             tuple(outbox.starts),
             tuple(outbox.stops),
             tuple(outbox.known),
+            tuple(outbox.presses),
         )
 
 
@@ -129,11 +141,6 @@
     ends_durable: set[int] = field(default_factory=set)
     ends_taken: set[int] = field(default_factory=set)
     strays: dict[str, int] = field(default_factory=dict)
-    strain: float = 0.0
-    strained_at: float = 0.0
-    learnt_at: float = 0.0
-    mixture: tuple[frozenset[tuple[str, int]], float] = (frozenset(), 1.0)
-    mixed_at: float = 0.0
     health: WorkerHealth = field(default_factory=WorkerHealth)
 
     @property
@@ -223,5 +230,11 @@
     """Return the order to start a task's newest run."""
     step = task.step
     return RunOrder(
-        str(task.name), task.run, task.checkpoint, "", step.fills, step.serves_ms
+        str(task.name),
+        task.run,
+        task.checkpoint,
+        "",
+        step.fills,
+        step.serves_ms,
+        step.image,
     )
--- a/pistachiodeal/scheduling/interference.py
+++ b/pistachiodeal/scheduling/interference.py
@@ -2,122 +2,199 @@
 
 The load that this answers: filling tasks share workers with tasks that serve. Whether
 they matter depends on the pair of images: one multiplies the tail latency of one
-neighbour and leaves another alone, and nothing declared says which. Each report gives
-the strain of each serving task beside a known mix; the error of the prediction is
-shared out over the mix (normalised least mean squares).
+neighbour and leaves another alone, and nothing declared says which. A serving task's
+own load swings as much as a neighbour disturbs it, so a high tail by itself says
+nothing.
+
+Two facts make the pairs tell apart. A tail grows as 1 / (1 - load), so what neighbours
+add is additive in its inverse: the slack. And the tasks of one step swing together, so
+a task beside filling work is compared with its siblings elsewhere at that moment, and
+with itself just before the neighbour came. Of what is missing, each neighbour gets the
+blame by its share (normalised least mean squares).
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
-
-# Strain is a tail latency as a share of its aim. Alone, serving tasks are at 0.4 to 0.5
-# on the average and swing by half of that.
-FIRST_BASE = 0.5
-# What one task of an untried pair is taken to add: one may be tried beside a serving
-# task, two may not.
-FIRST_PRESS = 0.25
-# A queue near its limit shows strains of ten; what lies above this says no more about
-# the pair than that it is far too much.
-MOST_STRAIN = 2.5
-# Three figures in a row tell a pair that disturbs from one that doesn't.
-LEARN = 0.4
-# The swing of the serving tasks' own load is noise of this size. Cut off at zero, it
-# would add up over ten harmless neighbours to one that disturbs.
-NOISE = 0.12
-BASE_LEARN = 0.1
-# Serving tasks are kept below this when work is placed beside them; the rest is for the
-# swing of their own load.
-STRAIN_LIMIT = 0.8
-TOLD_CHANGE = 0.2
+from dataclasses import dataclass, field
+
+# Slack is the aim of a serving task over its tail latency: 1 is just within its aim,
+# 2 is twice as fast. Alone, serving tasks are between 1.4 and 4.
+MOST_SLACK = 5.0
+LEAST_TAIL = 1.0 / MOST_SLACK
+# What one task of an untried pair is taken to cost: two may be tried beside a serving
+# task, three may not.
+FIRST_PRESS = 0.45
+# What filling work may cost a serving task on the average of its swing; the agents
+# pace it at the peaks.
+PRESS_LIMIT = 1.0
+# Figures are 5 to 8% off, which is up to 0.3 of slack; less than this half of it is
+# taken for none.
+NOISE = 0.15
+# A pair's first figure counts half, later ones less, down to a fifth: neighbours change
+# within seconds.
+FIRST_RATE = 0.5
+LAST_RATE = 0.2
+# Siblings are reported up to 0.45 s apart; a swing moves slack by 0.3 in that time.
+FRESH_S = 0.6
+# A task's own earlier figure, from before a neighbour came.
+BEFORE_S = 1.1
+# Compared figures differ by at least this much filling work, in tasks at full speed.
+LEAST_CONTRAST = 0.3
+# A line in the log, and a word to the agents, for a change of this much.
+TOLD_CHANGE = 0.1
 # An image that left two neighbours alone is tried more freely beside a third.
 GUESS_PAIRS = 2
+MOST_STEPS = 2_000
 
 Pair = tuple[str, str]
 """Image of the filling task, image of the serving task."""
 
+StepName = tuple[str, int, int]
+"""Job, occurrence and number of a serving step."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServingSample:
-    """A serving task's image and strain, measured beside a mix that has settled."""
+    """A serving task's figure, and the filling work beside it at that time.
+
+    :param task: its name; tasks of one step are siblings.
+    :param strain: its tail latency as a share of its aim.
+    :param mix: filling tasks by image, each counted by its pace (1.0 is full).
+    """
 
+    step: StepName
+    task: str
     image: str
     strain: float
+    mix: Mapping[str, float]
+    at: float
+
+    @property
+    def slack(self) -> float:
+        """Return the inverse of the strain."""
+        return compute_slack(self.strain)
+
+    @property
+    def weight(self) -> float:
+        """Return how much filling work was beside it."""
+        return sum(self.mix.values())
+
+
+@dataclass(slots=True)
+class _PairState:
+    """What is known of a pair.
+
+    :param press: slack that one filling task at full speed takes away.
+    """
+
+    press: float
+    seen: int = 0
+
+    @property
+    def rate(self) -> float:
+        """Return how far the next figure moves it."""
+        return max(LAST_RATE, FIRST_RATE / (1 + self.seen / 4))
+
+
+@dataclass(slots=True)
+class _StepFigures:
+    """The newest figures of the tasks of one serving step, and those before."""
+
+    newest: dict[str, ServingSample] = field(default_factory=dict)
+    before: dict[str, ServingSample] = field(default_factory=dict)
+
+    def add(self, sample: ServingSample) -> None:
+        """Take in a figure; the one with less beside it stays for comparison."""
+        last = self.newest.get(sample.task)
+        if last is not None and sample.weight - last.weight >= LEAST_CONTRAST:
+            self.before[sample.task] = last
+        self.newest[sample.task] = sample
+
+    def list_references(self, sample: ServingSample) -> list[ServingSample]:
+        """Return figures of the same moment with less filling work beside them."""
+        found = [
+            other
+            for other in self.newest.values()
+            if other.task != sample.task and sample.at - other.at <= FRESH_S
+        ]
+        before = self.before.get(sample.task)
+        if before is not None and sample.at - before.at <= BEFORE_S:
+            found.append(before)
+        limit = sample.weight - LEAST_CONTRAST
+        return [other for other in found if other.weight <= limit]
 
 
 class InterferenceModel:
-    """What one filling task adds to the strain of a serving neighbour, by pair."""
+    """What one filling task takes from the slack of a serving neighbour, by pair."""
 
     def __init__(self) -> None:
-        self._press: dict[Pair, float] = {}
-        self._base: dict[str, float] = {}
+        self._pairs: dict[Pair, _PairState] = {}
         self._told: dict[Pair, float] = {}
         self._known: dict[str, set[str]] = {}
-
-    def observe(
-        self, serving: Iterable[ServingSample], mix: Mapping[str, float]
-    ) -> None:
-        """Learn from one report.
-
-        :param mix: filling tasks by image, each counted by its pace (1.0 is full).
-        """
-        for sample in serving:
-            strain = min(sample.strain, MOST_STRAIN)
-            if not mix:
-                base = self.get_base(sample.image)
-                self._base[sample.image] = base + BASE_LEARN * (strain - base)
-            else:
-                self._learn_mix(sample.image, strain, mix)
+        self._steps: dict[StepName, _StepFigures] = {}
+
+    def observe(self, sample: ServingSample) -> None:
+        """Learn from one figure."""
+        figures = self._steps.setdefault(sample.step, _StepFigures())
+        figures.add(sample)
+        while len(self._steps) > MOST_STEPS:
+            del self._steps[next(iter(self._steps))]
+        references = figures.list_references(sample)
+        if not references:
+            return
+        image = sample.image
+        alone = [one.slack + self._sum(image, one.mix) for one in references]
+        missing = sum(alone) / len(alone) - sample.slack
+        error = missing - self._sum(image, sample.mix)
+        norm = sum(weight * weight for weight in sample.mix.values())
+        for filling, weight in sample.mix.items():
+            if weight > 0:
+                self._move(filling, image, error * weight / norm)
 
     def get_press(self, filling: str, serving: str) -> float:
-        """Return what one filling task adds to a serving task's strain."""
-        press = self._press.get((filling, serving))
-        if press is None:
-            press = self._guess(filling)
+        """Return what one filling task takes from a serving task's slack."""
+        pair = self._pairs.get((filling, serving))
+        press = pair.press if pair is not None else self._guess(filling)
         return press if press > NOISE else 0.0
 
-    def get_base(self, image: str) -> float:
-        """Return the strain of a serving task alone."""
-        return self._base.get(image, FIRST_BASE)
-
-    def predict(self, serving: Iterable[str], filling: Mapping[str, float]) -> float:
-        """Return the strain of the worst of the serving tasks beside a mix."""
-        return max(
-            (self._predict_one(image, filling) for image in serving), default=0.0
-        )
+    def weigh(self, serving: Iterable[str], mix: Mapping[str, float]) -> float:
+        """Return the slack that a mix takes from the worst of the serving images."""
+        return max((self._sum(image, mix) for image in serving), default=0.0)
 
     def take_changes(self) -> dict[Pair, float]:
         """Return the pairs whose press has changed enough for a line in the log."""
         changed = {
-            pair: round(press, 2)
-            for pair, press in self._press.items()
-            if abs(press - self._told.get(pair, FIRST_PRESS)) > TOLD_CHANGE
+            pair: round(state.press, 2)
+            for pair, state in self._pairs.items()
+            if abs(state.press - self._told.get(pair, FIRST_PRESS)) > TOLD_CHANGE
         }
         self._told.update(changed)
         return changed
 
+    def _sum(self, serving: str, mix: Mapping[str, float]) -> float:
+        return sum(
+            self.get_press(filling, serving) * weight for filling, weight in mix.items()
+        )
+
     def _guess(self, filling: str) -> float:
-        """Return what an untried pair is taken to add, by the image's other pairs."""
+        """Return what an untried pair is taken to cost, by the image's other pairs."""
         known = self._known.get(filling, ())
         if len(known) < GUESS_PAIRS:
             return FIRST_PRESS
-        total = sum(self._press[filling, serving] for serving in known)
+        total = sum(self._pairs[filling, serving].press for serving in known)
         return min(total / len(known), FIRST_PRESS)
 
-    def _predict_one(self, serving: str, filling: Mapping[str, float]) -> float:
-        return self.get_base(serving) + sum(
-            self.get_press(image, serving) * weight for image, weight in filling.items()
-        )
+    def _move(self, filling: str, serving: str, by: float) -> None:
+        pair = self._pairs.get((filling, serving))
+        if pair is None:
+            pair = _PairState(self._guess(filling))
+            self._pairs[filling, serving] = pair
+            self._known.setdefault(filling, set()).add(serving)
+        pair.press = max(-NOISE, pair.press + pair.rate * by)
+        pair.seen += 1
 
-    def _learn_mix(self, image: str, strain: float, mix: Mapping[str, float]) -> None:
-        error = strain - self._predict_one(image, mix)
-        norm = sum(weight * weight for weight in mix.values())
-        if norm <= 0:
-            return
-        for filling, weight in mix.items():
-            pair = (filling, image)
-            press = self._press.get(pair, self._guess(filling))
-            press += LEARN * error * weight / norm
-            self._press[pair] = max(-NOISE, press)
-            self._known.setdefault(filling, set()).add(image)
+
+def compute_slack(strain: float) -> float:
+    """Return the inverse of a strain, at most ``MOST_SLACK``."""
+    return 1.0 / max(strain, LEAST_TAIL)
--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -1,33 +1,51 @@
 """How fast filling tasks may work beside tasks that serve.
 
 The load that this answers: a filling task makes its neighbour's answers slow, by an
-amount that depends on both and changes within seconds. The figures are half a second
-old, so the pace falls fast and rises slowly: additive increase, multiplicative
-decrease.
+amount that depends on both images and changes within seconds. One pace for all filling
+tasks of a worker holds back those that harm nobody: on 74 workers whose serving tasks
+swing by 60%, filling work then got a fifth of the processor time that was left over.
+
+So each image has a pace of its own. From a figure and the work that was beside it, the
+slack of the serving task without neighbours follows; what that has above its aim is
+shared out, first to the images that cost least. Nothing has to be tried out, so the
+pace neither echoes its own effect nor creeps back.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from bisect import bisect_right
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from pistachiodeal.scheduling.interference import compute_slack
 
 FULL = 100
-# Above this share of its aim a serving task is in danger.
-DANGER = 0.85
-# Below this share there is room for more.
-CALM = 0.6
-CUT = 0.5
-STEP_UP = 10
-# Slower than this, a task is better stopped for good: zero means that it stands.
-SLOWEST = 8
-# Figures are rough and cover half a second; a faster reaction acts on its own echo.
-REACT_S = 0.5
+# Serving tasks are kept at this share of their aim: figures are 5 to 8% off, and a
+# swing adds 0.1 until the next figure.
+KEPT_STRAIN = 0.82
+# Paces are set in steps: a smaller change than this isn't worth a call.
+STEP = 5
+# Slower than this, a task had better stand: it would hold its neighbours back for
+# nothing.
+SLOWEST = 10
+# A pace falls at once and rises by this much a decision, in case the figure was off.
+MOST_RISE = 40
+# A serving task over its aim for this long, whatever is believed of its neighbours,
+# has them stand still. Harm counts after four seconds.
+GUARD_S = 1.8
+# Figures speak of the half second before them, and a new pace is in force 0.1 s later.
+WINDOW_S = 0.5
+DELAY_S = 0.1
+
+FindPress = Callable[[str, str], float]
+"""Slack that one task of a filling image takes from a serving image."""
 
 
 @dataclass(frozen=True, slots=True)
 class ServingTail:
     """A serving task's tail latency and its aim, both in ms."""
 
+    image: str
     tail_ms: int
     aim_ms: int
 
@@ -37,27 +55,119 @@
         return self.tail_ms / max(self.aim_ms, 1)
 
 
+@dataclass(slots=True)
+class FillingLoad:
+    """The filling tasks of one image on a worker.
+
+    :param count: how many there are.
+    :param worked: how many were at work while the figures were taken, by their pace.
+    """
+
+    count: int = 0
+    worked: float = 0.0
+
+
+@dataclass(slots=True)
+class PaceHistory:
+    """The paces of one run over the last second."""
+
+    times: list[float] = field(default_factory=list)
+    percents: list[int] = field(default_factory=list)
+
+    @property
+    def newest(self) -> int:
+        """Return the pace in force."""
+        return self.percents[-1]
+
+    def note(self, percent: int, now: float) -> None:
+        """Note that a pace was set."""
+        self.times.append(now + DELAY_S)
+        self.percents.append(percent)
+        begin = bisect_right(self.times, now - WINDOW_S) - 1
+        if begin > 0:
+            del self.times[:begin], self.percents[:begin]
+
+    def average(self, now: float) -> float:
+        """Return the mean pace of the last half second, 0.0 to 1.0."""
+        begin, end = now - WINDOW_S, now
+        worked = 0.0
+        for number, since in enumerate(self.times):
+            last = number + 1 == len(self.times)
+            until = end if last else min(end, self.times[number + 1])
+            worked += max(0.0, until - max(begin, since)) * self.percents[number]
+        return worked / (WINDOW_S * FULL)
+
+
 @dataclass(slots=True)
 class Pacer:
-    """Decides one worker's pace.
+    """Decides the paces on one worker.
 
-    :ivar percent: share of their speed at which filling tasks may work.
+    :ivar paces: the paces decided last, by image.
+    :ivar over_since: since when a serving task is over its aim, 0 while none is.
     """
 
-    percent: int = FULL
-    decided_at: float = 0.0
+    paces: dict[str, int] = field(default_factory=dict)
+    over_since: float = 0.0
 
-    def decide(self, tails: Iterable[ServingTail], now: float) -> int:
-        """Return the pace for the figures of now."""
+    def decide(
+        self,
+        tails: Iterable[ServingTail],
+        fills: dict[str, FillingLoad],
+        find_press: FindPress,
+        now: float,
+    ) -> dict[str, int]:
+        """Return the pace of each filling image, in percent."""
+        tails = [tail for tail in tails if tail.tail_ms]
+        if self._is_guarded(tails, now):
+            self.paces = dict.fromkeys(fills, 0)
+            return self.paces
+        wanted = share_slack(tails, fills, find_press)
+        self.paces = {
+            image: min(percent, self.paces.get(image, FULL) + MOST_RISE)
+            for image, percent in wanted.items()
+        }
+        return self.paces
+
+    def _is_guarded(self, tails: list[ServingTail], now: float) -> bool:
         worst = max((tail.strain for tail in tails), default=0.0)
-        if now - self.decided_at < REACT_S:
-            return self.percent
-        if worst > DANGER:
-            self._set(int(self.percent * CUT), now)
-        elif worst < CALM and self.percent < FULL:
-            self._set(max(self.percent, SLOWEST) + STEP_UP, now)
-        return self.percent
-
-    def _set(self, percent: int, now: float) -> None:
-        self.percent = 0 if percent < SLOWEST else min(percent, FULL)
-        self.decided_at = now
+        if worst <= 1.0:
+            self.over_since = 0.0
+        elif not self.over_since:
+            self.over_since = now
+        return bool(self.over_since) and now - self.over_since > GUARD_S
+
+
+def share_slack(
+    tails: Iterable[ServingTail], fills: dict[str, FillingLoad], find_press: FindPress
+) -> dict[str, int]:
+    """Return the paces at which the serving tasks keep their aim, in percent."""
+    left: dict[str, float] = {}
+    for tail in tails:
+        serving = tail.image
+        alone = compute_slack(tail.strain) + sum(
+            find_press(image, serving) * load.worked for image, load in fills.items()
+        )
+        spare = max(0.0, alone - 1.0 / KEPT_STRAIN)
+        left[serving] = min(spare, left.get(serving, spare))
+    worst = {
+        image: max((find_press(image, serving) for serving in left), default=0.0)
+        for image in fills
+    }
+    paces: dict[str, int] = {}
+    for image in sorted(fills, key=lambda one: (worst[one], one)):
+        costs = {
+            serving: find_press(image, serving) * fills[image].count for serving in left
+        }
+        share = min(
+            (left[serving] / cost for serving, cost in costs.items() if cost > 0),
+            default=1.0,
+        )
+        paces[image] = _round(min(share, 1.0))
+        for serving, cost in costs.items():
+            left[serving] = max(0.0, left[serving] - cost * paces[image] / FULL)
+    return paces
+
+
+def _round(share: float) -> int:
+    percent = int(share * FULL) // STEP * STEP
+    return percent if percent >= SLOWEST else 0
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -13,7 +13,7 @@
 
 from pistachiodeal.jobs.model import Step
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.scheduling.interference import STRAIN_LIMIT, InterferenceModel
+from pistachiodeal.scheduling.interference import PRESS_LIMIT, InterferenceModel
 from pistachiodeal.scheduling.views import StepKey, WorkerView, reserve_size
 
 # Share of a worker that only the most urgent queues may use. Urgent work takes
@@ -131,7 +131,7 @@
     asked = view.fill_cpu_milli + request.step.size.cpu_milli
     cost = asked / max(view.leftover_milli, 1)
     if view.serving:
-        cost += SERVING_COST + _predict(request, view, model)
+        cost += SERVING_COST + _weigh(request, view, model)
     return cost
 
 
@@ -142,17 +142,17 @@
     # that disturbs, and another worker stays free of serving tasks. Serving tasks of
     # one image bear the same filling work, so they share workers first.
     image = request.step.image
-    cost = model.predict((image,), view.filling) - view.load
+    cost = model.weigh((image,), view.filling) - view.load
     if not view.serving:
         return cost + FRESH_COST
     return cost if image in view.serving else cost + OTHER_IMAGE_COST
 
 
-def _predict(request: Request, view: WorkerView, model: InterferenceModel) -> float:
-    """Return the strain of a worker's serving tasks with one more filling task."""
+def _weigh(request: Request, view: WorkerView, model: InterferenceModel) -> float:
+    """Return the slack that a worker's filling tasks take, with one more of them."""
     image = request.step.image
     mix = {**view.filling, image: view.filling.get(image, 0.0) + 1.0}
-    return model.predict(view.serving, mix)
+    return model.weigh(view.serving, mix)
 
 
 def _find_filling_obstacle(
@@ -163,6 +163,6 @@
         return Obstacle.LEFTOVER
     if not view.serving or request.bold:
         return None
-    if _predict(request, view, model) > STRAIN_LIMIT:
+    if _weigh(request, view, model) > PRESS_LIMIT:
         return Obstacle.NEIGHBOURS
     return None
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -25,6 +25,8 @@
     :param percent: of its work done; for a task that lasts, 100 while it serves.
     :param figure: tail latency in ms of a serving task, else processor use in
         thousandths of a core.
+    :param worked_milli: pace of a filling task while the figures were taken, in
+        thousandths of full speed.
     """
 
     task: str
@@ -32,6 +34,7 @@
     checkpoint: str
     percent: int
     figure: int
+    worked_milli: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +76,6 @@
     :param lost_worker: an incarnation that is certainly gone, empty when there is none.
     :param listed: whether ``running`` and ``ends`` are complete.
     :param leaving_ms: least time left to a draining worker.
-    :param pace_percent: speed of the filling tasks that are paced.
     """
 
     beat: int
@@ -84,7 +86,6 @@
     listed: bool
     draining: bool
     leaving_ms: int
-    pace_percent: int
     cpu_milli: int
     memory_mib: int
     accelerators: int
@@ -100,6 +101,7 @@
 
     :param serves: tail latency in ms that the task must keep, 0 when it has none.
     :param fills: whether it lives on what others leave and may be paced.
+    :param image: what it runs; tasks of one image behave alike.
     """
 
     task: str
@@ -108,6 +110,19 @@
     ticket: str
     fills: bool
     serves_ms: int
+    image: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class PairPress:
+    """What one filling task at full speed takes from a serving neighbour.
+
+    :param press_milli: thousandths of slack, the aim over the tail latency.
+    """
+
+    filling: str
+    serving: str
+    press_milli: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +151,7 @@
     :param worker: the incarnation that the orders are for.
     :param ends_noted: ends up to this number are durable.
     :param known: runs that are at work already, described for a new agent.
+    :param presses: news of which images disturb each other on this worker.
     """
 
     epoch: int
@@ -148,6 +164,7 @@
     starts: tuple[RunOrder, ...]
     stops: tuple[RunRef, ...]
     known: tuple[RunOrder, ...]
+    presses: tuple[PairPress, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -209,6 +209,7 @@
   checkpoint @2 :Text;
   percent @3 :Int32;
   figure @4 :Int64;
+  workedMilli @5 :Int32;
 }
 
 struct EndedTask {
@@ -242,7 +243,6 @@
   running @12 :List(RunningTask);
   ends @13 :List(EndedTask);
   outcomes @14 :List(OrderOutcome);
-  pacePercent @15 :Int32;
 }
 
 struct RunOrder {
@@ -252,6 +252,13 @@
   ticket @3 :Text;
   fills @4 :Bool;
   servesMs @5 :Int64;
+  image @6 :Text;
+}
+
+struct PairPress {
+  filling @0 :Text;
+  serving @1 :Text;
+  pressMilli @2 :Int32;
 }
 
 struct RunRef {
@@ -275,6 +282,7 @@
   starts @7 :List(RunOrder);
   stops @8 :List(RunRef);
   known @9 :List(RunOrder);
+  presses @10 :List(PairPress);
 }
 
 struct LeaderNotice {
