Suspect all neighbours of a task near its aim; place by the slack of now

Cause: what a pair does to each other changes within seconds, sooner than it is learnt; and filling tasks went to workers at the peak of their swing.

--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -290,6 +290,7 @@
             worker.rack,
             frozenset(worker.labels),
             worker.capacity,
+            alone=worker.alone,
             suspect=worker.health.rate(now),
         )
         for task in self._book.get_runs(worker.place).values():
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -267,9 +267,14 @@
             if task.running and task.step.fills:
                 image = task.step.image
                 mix[image] = mix.get(image, 0.0) + task.worked
+        worker.alone = {}
         for task in runs:
             if task.running and task.step.serves_ms and task.figure:
-                self._interference.observe(_build_sample(task, mix, now))
+                sample = _build_sample(task, mix, now)
+                self._interference.observe(sample)
+                alone = sample.slack + self._interference.weigh((sample.image,), mix)
+                known = worker.alone.get(sample.image, alone)
+                worker.alone[sample.image] = min(alone, known)
         for (filling, serving), press in self._interference.take_changes().items():
             self._events.emit(
                 "interference.learnt",
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -125,6 +125,8 @@
     :param attachment: the link to its agent, None while there is none.
     :param granted_until: until when its leases may run, boot clock.
     :param ends_noted: ends up to this number are durable.
+    :param alone: slack that its serving tasks would have without filling work, the
+        least by image.
     """
 
     node: str
@@ -141,6 +143,7 @@
     ends_durable: set[int] = field(default_factory=set)
     ends_taken: set[int] = field(default_factory=set)
     strays: dict[str, int] = field(default_factory=dict)
+    alone: dict[str, float] = field(default_factory=dict)
     health: WorkerHealth = field(default_factory=WorkerHealth)
 
     @property
--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -17,12 +17,20 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from pistachiodeal.scheduling.interference import compute_slack
+from pistachiodeal.scheduling.interference import Pair, compute_slack
 
 FULL = 100
 # Serving tasks are kept at this share of their aim: figures are 5 to 8% off, and a
 # swing adds 0.1 until the next figure.
-KEPT_STRAIN = 0.82
+KEPT_STRAIN = 0.8
+KEPT_SLACK = 1.0 / KEPT_STRAIN
+# Above this share of its aim, whatever fills beside a serving task is suspected of
+# taking at least this much of its slack, for this long. What a pair does to each other
+# changes within seconds, sooner than the leader learns it.
+ALARM_STRAIN = 0.95
+SUSPECT_PRESS = 0.5
+SUSPECT_S = 5.0
+LEAST_SUSPECT = 0.2
 # Paces are set in steps: a smaller change than this isn't worth a call.
 STEP = 5
 # Slower than this, a task had better stand: it would hold its neighbours back for
@@ -104,10 +112,12 @@
 
     :ivar paces: the paces decided last, by image.
     :ivar over_since: since when a serving task is over its aim, 0 while none is.
+    :ivar suspects: pairs of images and until when they are suspected.
     """
 
     paces: dict[str, int] = field(default_factory=dict)
     over_since: float = 0.0
+    suspects: dict[Pair, float] = field(default_factory=dict)
 
     def decide(
         self,
@@ -121,13 +131,33 @@
         if self._is_guarded(tails, now):
             self.paces = dict.fromkeys(fills, 0)
             return self.paces
-        wanted = share_slack(tails, fills, find_press)
+        self._suspect(tails, fills, now)
+
+        def find_feared(filling: str, serving: str) -> float:
+            press = find_press(filling, serving)
+            if self.suspects.get((filling, serving), 0.0) > now:
+                return max(press, SUSPECT_PRESS)
+            return press
+
+        wanted = share_slack(tails, fills, find_feared)
         self.paces = {
             image: min(percent, self.paces.get(image, FULL) + MOST_RISE)
             for image, percent in wanted.items()
         }
         return self.paces
 
+    def _suspect(
+        self, tails: list[ServingTail], fills: dict[str, FillingLoad], now: float
+    ) -> None:
+        for tail in tails:
+            if tail.strain <= ALARM_STRAIN:
+                continue
+            for image, load in fills.items():
+                if load.worked >= LEAST_SUSPECT:
+                    self.suspects[image, tail.image] = now + SUSPECT_S
+        for pair in [one for one, until in self.suspects.items() if until <= now]:
+            del self.suspects[pair]
+
     def _is_guarded(self, tails: list[ServingTail], now: float) -> bool:
         worst = max((tail.strain for tail in tails), default=0.0)
         if worst <= 1.0:
@@ -147,7 +177,7 @@
         alone = compute_slack(tail.strain) + sum(
             find_press(image, serving) * load.worked for image, load in fills.items()
         )
-        spare = max(0.0, alone - 1.0 / KEPT_STRAIN)
+        spare = max(0.0, alone - KEPT_SLACK)
         left[serving] = min(spare, left.get(serving, spare))
     worst = {
         image: max((find_press(image, serving) for serving in left), default=0.0)
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -13,7 +13,12 @@
 
 from pistachiodeal.jobs.model import Step
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.scheduling.interference import PRESS_LIMIT, InterferenceModel
+from pistachiodeal.scheduling.interference import (
+    MOST_SLACK,
+    PRESS_LIMIT,
+    InterferenceModel,
+)
+from pistachiodeal.scheduling.pacing import KEPT_SLACK
 from pistachiodeal.scheduling.views import StepKey, WorkerView, reserve_size
 
 # Share of a worker that only the most urgent queues may use. Urgent work takes
@@ -131,7 +136,7 @@
     asked = view.fill_cpu_milli + request.step.size.cpu_milli
     cost = asked / max(view.leftover_milli, 1)
     if view.serving:
-        cost += SERVING_COST + _weigh(request, view, model)
+        cost += SERVING_COST + _find_excess(request, view, model)
     return cost
 
 
@@ -148,11 +153,21 @@
     return cost if image in view.serving else cost + OTHER_IMAGE_COST
 
 
-def _weigh(request: Request, view: WorkerView, model: InterferenceModel) -> float:
-    """Return the slack that a worker's filling tasks take, with one more of them."""
+def _find_excess(request: Request, view: WorkerView, model: InterferenceModel) -> float:
+    """Return by how much a worker's filling tasks, with one more, take too much slack.
+
+    Half of what they may take is what the serving tasks have to spare now: filling
+    tasks last for about half of a swing, so they go where a swing is at its low.
+    """
     image = request.step.image
     mix = {**view.filling, image: view.filling.get(image, 0.0) + 1.0}
-    return model.weigh(view.serving, mix)
+    worst = -MOST_SLACK
+    for serving in view.serving:
+        limit = PRESS_LIMIT
+        if serving in view.alone:
+            limit = (PRESS_LIMIT + view.alone[serving] - KEPT_SLACK) / 2
+        worst = max(worst, model.weigh((serving,), mix) - limit)
+    return worst
 
 
 def _find_filling_obstacle(
@@ -163,6 +178,6 @@
         return Obstacle.LEFTOVER
     if not view.serving or request.bold:
         return None
-    if _weigh(request, view, model) > PRESS_LIMIT:
+    if _find_excess(request, view, model) > 0:
         return Obstacle.NEIGHBOURS
     return None
--- a/pistachiodeal/scheduling/views.py
+++ b/pistachiodeal/scheduling/views.py
@@ -25,7 +25,9 @@
     :param fill_cpu_milli: what the tasks that fill would like to use.
     :param steps: number of tasks of each step on it.
     :param serving: tasks on it that keep a tail latency, by image.
-    :param serving_cpu_milli: what these have reserved.
+    :param alone: slack that serving tasks would have now without neighbours, the
+        least by image.
+    :param serving_cpu_milli: what the serving tasks have reserved.
     :param filling: tasks on it that fill, by image.
     :param suspect: 0 for a sound worker; higher for one that fails or stands still.
     """
@@ -39,6 +41,7 @@
     fill_cpu_milli: int = 0
     steps: dict[StepKey, int] = field(default_factory=dict)
     serving: dict[str, int] = field(default_factory=dict)
+    alone: dict[str, float] = field(default_factory=dict)
     serving_cpu_milli: int = 0
     filling: dict[str, float] = field(default_factory=dict)
     suspect: int = 0
