Set figures against the work of their own half second

Cause: each listing was taken for a new figure, and the work beside it as of the listing; the leader learnt the same figure several times, and presses jumped between 0 and 0.95.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -29,6 +29,9 @@
 # The runner's clock may be this much slower than ours.
 SLOWEST_CLOCK = 0.98
 TEXTS_KEPT = 400
+# The runner makes figures this often; an unchanged one that is older is a new one that
+# happens to be the same.
+FIGURE_S = 0.6
 # Pairs of images; a worker has a dozen of either kind at once.
 PRESSES_KEPT = 1_000
 
@@ -109,6 +112,8 @@
         self.noted = 0
         self.presses: dict[Pair, float] = {}
         self.histories: dict[RunKey, PaceHistory] = {}
+        self._figures: dict[RunKey, int] = {}
+        self._figures_at = 0.0
         self._listing_ms = 0
         self._texts: dict[str, str] = {}
         self._gone: set[str] = set()
@@ -181,11 +186,11 @@
         return self._settle(sent_at) or news
 
     def _take_running(self, listing: Listing, now: float) -> None:
-        self.running = {}
+        before = self.running
+        self.running = {(one.task, one.run): one for one in listing.running}
         histories, self.histories = self.histories, {}
-        for one in listing.running:
-            key = (one.task, one.run)
-            self.running[key] = one
+        fresh = self._is_refreshed(now)
+        for key, one in self.running.items():
             described = self.described.get(key)
             if described is None or not described.fills:
                 continue
@@ -194,9 +199,27 @@
                 history = PaceHistory()
                 history.note(FULL, now)
             self.histories[key] = history
-            worked_milli = int(history.average(now) * 1000)
+            worked_milli = before[key].worked_milli if key in before else 0
+            if fresh:
+                worked_milli = int(history.average(now) * 1000)
             self.running[key] = replace(one, worked_milli=worked_milli)
 
+    def _is_refreshed(self, now: float) -> bool:
+        """Tell whether the figures of serving tasks are new ones.
+
+        The runner makes them twice a second and lists them as often as it is asked.
+        Set against the work of another half second, they would blame the wrong tasks.
+        """
+        figures = {
+            key: one.figure
+            for key, one in self.running.items()
+            if (described := self.described.get(key)) and described.serves_ms
+        }
+        if figures == self._figures and now - self._figures_at < FIGURE_S:
+            return False
+        self._figures, self._figures_at = figures, now
+        return True
+
     def take_directive(self, directive: Directive, sent_at: float | None) -> bool:
         """Take in the leader's word; False for a leader that was replaced.
 
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -17,6 +17,7 @@
     build_order,
 )
 from pistachiodeal.scheduling.interference import InterferenceModel, ServingSample
+from pistachiodeal.scheduling.pacing import FIRST_STRAIN
 from pistachiodeal.wire.job_messages import (
     EndedTask,
     OrderOutcome,
@@ -269,7 +270,9 @@
                 mix[image] = mix.get(image, 0.0) + task.worked
         worker.alone = {}
         for task in runs:
-            if task.running and task.step.serves_ms and task.figure:
+            if not task.running or not task.step.serves_ms:
+                continue
+            if task.figure >= FIRST_STRAIN * task.step.serves_ms:
                 sample = _build_sample(task, mix, now)
                 self._interference.observe(sample)
                 alone = sample.slack + self._interference.weigh((sample.image,), mix)
--- a/pistachiodeal/scheduling/interference.py
+++ b/pistachiodeal/scheduling/interference.py
@@ -104,12 +104,18 @@
     newest: dict[str, ServingSample] = field(default_factory=dict)
     before: dict[str, ServingSample] = field(default_factory=dict)
 
-    def add(self, sample: ServingSample) -> None:
-        """Take in a figure; the one with less beside it stays for comparison."""
+    def add(self, sample: ServingSample) -> bool:
+        """Take in a figure, and keep the one before if it had less beside it.
+
+        :return: False for a figure that was listed before.
+        """
         last = self.newest.get(sample.task)
+        if last is not None and last.strain == sample.strain and last.mix == sample.mix:
+            return False
         if last is not None and sample.weight - last.weight >= LEAST_CONTRAST:
             self.before[sample.task] = last
         self.newest[sample.task] = sample
+        return True
 
     def list_references(self, sample: ServingSample) -> list[ServingSample]:
         """Return figures of the same moment with less filling work beside them."""
@@ -137,7 +143,8 @@
     def observe(self, sample: ServingSample) -> None:
         """Learn from one figure."""
         figures = self._steps.setdefault(sample.step, _StepFigures())
-        figures.add(sample)
+        if not figures.add(sample):
+            return
         while len(self._steps) > MOST_STEPS:
             del self._steps[next(iter(self._steps))]
         references = figures.list_references(sample)
--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -36,8 +36,12 @@
 # Slower than this, a task had better stand: it would hold its neighbours back for
 # nothing.
 SLOWEST = 10
-# A pace falls at once and rises by this much a decision, in case the figure was off.
-MOST_RISE = 40
+# A pace falls at once and rises by this much a second, in case the figure was off.
+RISE_A_SECOND = 80
+# What a serving task without a figure yet is taken to have; alone it has 1.4 to 4.
+FIRST_SLACK = 2.0
+# A tail below this part of its aim is of the task's first moments.
+FIRST_STRAIN = 0.1
 # A serving task over its aim for this long, whatever is believed of its neighbours,
 # has them stand still. Harm counts after four seconds.
 GUARD_S = 1.8
@@ -111,11 +115,13 @@
     """Decides the paces on one worker.
 
     :ivar paces: the paces decided last, by image.
+    :ivar decided_at: when that was.
     :ivar over_since: since when a serving task is over its aim, 0 while none is.
     :ivar suspects: pairs of images and until when they are suspected.
     """
 
     paces: dict[str, int] = field(default_factory=dict)
+    decided_at: float = 0.0
     over_since: float = 0.0
     suspects: dict[Pair, float] = field(default_factory=dict)
 
@@ -127,7 +133,7 @@
         now: float,
     ) -> dict[str, int]:
         """Return the pace of each filling image, in percent."""
-        tails = [tail for tail in tails if tail.tail_ms]
+        tails = list(tails)
         if self._is_guarded(tails, now):
             self.paces = dict.fromkeys(fills, 0)
             return self.paces
@@ -140,8 +146,12 @@
             return press
 
         wanted = share_slack(tails, fills, find_feared)
+        rise = int(RISE_A_SECOND * (now - self.decided_at))
+        if rise < STEP and all(wanted[one] >= self.paces.get(one, 0) for one in wanted):
+            return {one: self.paces.get(one, wanted[one]) for one in wanted}
+        self.decided_at = now
         self.paces = {
-            image: min(percent, self.paces.get(image, FULL) + MOST_RISE)
+            image: min(percent, self.paces.get(image, FULL) + rise)
             for image, percent in wanted.items()
         }
         return self.paces
@@ -174,9 +184,12 @@
     left: dict[str, float] = {}
     for tail in tails:
         serving = tail.image
-        alone = compute_slack(tail.strain) + sum(
-            find_press(image, serving) * load.worked for image, load in fills.items()
-        )
+        alone = FIRST_SLACK
+        if tail.strain >= FIRST_STRAIN:
+            alone = compute_slack(tail.strain) + sum(
+                find_press(image, serving) * load.worked
+                for image, load in fills.items()
+            )
         spare = max(0.0, alone - KEPT_SLACK)
         left[serving] = min(spare, left.get(serving, spare))
     worst = {
