Put serving tasks of another image on a fresh worker first

Cause: 2.3 serving images on a worker on the average (8 images, 74 workers), and filling work has to be borne by all of them.

--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -32,7 +32,7 @@
 FRESH_COST = 0.5
 # A worker whose serving tasks are of one image bears the filling work that this image
 # bears; with two images it bears only what both do.
-OTHER_IMAGE_COST = 0.25
+OTHER_IMAGE_COST = 2.0
 # What a worker without serving tasks costs other reserved work, for the same reason.
 UNSHARED_COST = 0.3
 # How a rack other than that of the data counts against load (1.0 is a full worker).
