--- a/pistachiodeal/config/deployment.py
+++ b/pistachiodeal/config/deployment.py
@@ -66,6 +66,19 @@
     interference_ms: int = 4_000
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessorSettings:
+    """A share of a core, and how many times as fast as a usual core it is."""
+
+    share: float = 1.0
+    speed: float = 1.0
+
+    @property
+    def cores(self) -> float:
+        """Return how many usual cores that is."""
+        return self.share * self.speed
+
+
 @dataclass(frozen=True, slots=True)
 class DeploymentSettings:
     """Settings of an entry or agent.
@@ -76,6 +89,8 @@
     :param peer_secret: proves to each other that two processes belong together.
     :param runner: ``ip:port`` of the runner beside an agent.
     :param advice: ``ip:port`` of the service that chooses workers, or empty.
+    :param processor: what the VM's processor gives this process.
+    :param link_mbps: bandwidth of the VM's link, Mbit/s.
     """
 
     node: str
@@ -89,6 +104,8 @@
     runner: str = ""
     advice: str = ""
     memory_mib: int = 0
+    processor: ProcessorSettings = field(default_factory=ProcessorSettings)
+    link_mbps: float = 1_000.0
     limits: LimitSettings = field(default_factory=LimitSettings)
 
     @property
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -12,7 +12,7 @@
 from pistachiodeal.jobentry.configuration import ConfigurationKeeper
 from pistachiodeal.jobentry.seat import Seat
 from pistachiodeal.jobentry.states import JobStates
-from pistachiodeal.leader.election import Election
+from pistachiodeal.leader.election import Election, is_weak
 from pistachiodeal.peers import build_metrics, create_peer_context
 from pistachiodeal.platform.rows import create_rows
 from pistachiodeal.reload import wait_for_stop
@@ -52,7 +52,8 @@
             self._configuration.refresh,
             settings.limits.kept_s + KEPT_MARGIN_S,
         )
-        self._election = Election(store, peers, self._seat.lead)
+        weak = is_weak(settings.processor.cores, settings.link_mbps)
+        self._election = Election(store, peers, self._seat.lead, weak=weak)
         self._acceptance = Acceptance(store, events)
         states = JobStates(store, self._seat, self._election)
         self._election.set_answer_handler(states.take_answer)
--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -50,6 +50,12 @@
 # before it takes the row from a leader whom the others may still hear.
 ALONE_S = 3.0
 STAGGER_S = 0.2
+# A leader of 74 workers uses up to 0.55 of a core and 5 Mbit/s. On 0.3 of a core, with
+# 10 Mbit/s, short jobs that take 2 s took 20. Entries below these limits let the others
+# go first for a second, which is how far apart entries suspect a leader.
+WEAK_CORES = 0.35
+WEAK_MBPS = 50.0
+HANDICAP_S = 1.0
 RETRY_S = 0.2
 
 
@@ -76,6 +82,7 @@
     """Follows the leader, or becomes it.
 
     :param lead: leads under an authority until fenced.
+    :param weak: whether other entries had better lead.
     """
 
     def __init__(
@@ -83,6 +90,8 @@
         store: RowStore,
         peers: PeerContext,
         lead: Lead,
+        *,
+        weak: bool = False,
     ) -> None:
         self._store = store
         self._peers = peers
@@ -91,6 +100,7 @@
         self._directory = peers.directory
         self._events = peers.events
         self._lead = lead
+        self._weak = weak
         self._row = NOBODY
         self._link: Link | None = None
         self._on_answer: Callable[[JobAnswer], Awaitable[None]] | None = None
@@ -233,6 +243,9 @@
 
     async def _campaign(self, why: str) -> None:
         row = self._row
+        if self._weak:
+            # Whoever takes the row meanwhile makes the condition below fail.
+            await curio.sleep(HANDICAP_S)
         epoch = row.epoch + 1
         value = orjson.dumps(
             {
@@ -287,6 +300,11 @@
             self._events.emit("leader.ended", epoch=row.epoch)
 
 
+def is_weak(cores: float, link_mbps: float) -> bool:
+    """Tell whether a process had better leave the lead to others."""
+    return cores < WEAK_CORES or link_mbps < WEAK_MBPS
+
+
 def _decode_row(row: StoredRow) -> LeaderRow:
     document = orjson.loads(row.value)
     return LeaderRow(
