Bound the planner's share of the leader's processor

Cause: a round takes 1.3 ms for each waiting step that fits nowhere among 74 workers, and rounds followed each other after 10 ms. Changed pairs were looked for among all.

--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -37,9 +37,11 @@
 
 log = Logger("leader")
 
-# A round takes what has gathered since the last one; this bounds its share of the
-# processor while reports come from many agents.
+# A round takes what has gathered since the last one. It rests for this long, and three
+# times as long as it took: where hundreds of tasks wait for 74 workers a round takes
+# 30 ms, and without the rest planning would leave no processor time for reports.
 PLAN_PAUSE_S = 0.01
+PLAN_REST = 3.0
 TICK_S = 0.25
 # A poll whose connection lost its other end hears nothing until it is given up, and a
 # cancellation that nobody hears leaves tasks running. So polls are short.
@@ -281,12 +283,14 @@
         while True:
             await curio.ignore_after(TICK_S, self._changed.wait)
             self._changed.clear()
-            if read_boot_clock() - self._loaded_at > SETTLE_S:
+            began_at = read_boot_clock()
+            if began_at - self._loaded_at > SETTLE_S:
                 self._planner.plan()
+            took_s = read_boot_clock() - began_at
             await self._sessions.send_orders()
             if self._book.has_unsaved:
                 await self._unsaved.set()
-            await curio.sleep(PLAN_PAUSE_S)
+            await curio.sleep(max(PLAN_PAUSE_S, PLAN_REST * took_s))
 
     async def _keep_right(self) -> None:
         while True:
--- a/pistachiodeal/scheduling/interference.py
+++ b/pistachiodeal/scheduling/interference.py
@@ -139,6 +139,7 @@
     def __init__(self) -> None:
         self._pairs: dict[Pair, _PairState] = {}
         self._told: dict[Pair, float] = {}
+        self._moved: set[Pair] = set()
         self._known: dict[str, set[str]] = {}
         self._steps: dict[StepName, _StepFigures] = {}
 
@@ -173,11 +174,12 @@
 
     def take_changes(self) -> dict[Pair, float]:
         """Return the pairs whose press has changed enough for a line in the log."""
-        changed = {
-            pair: round(state.press, 2)
-            for pair, state in self._pairs.items()
-            if abs(state.press - self._told.get(pair, FIRST_PRESS)) > TOLD_CHANGE
-        }
+        changed = {}
+        for pair in self._moved:
+            press = self._pairs[pair].press
+            if abs(press - self._told.get(pair, FIRST_PRESS)) > TOLD_CHANGE:
+                changed[pair] = round(press, 2)
+        self._moved.clear()
         self._told.update(changed)
         return changed
 
@@ -202,6 +204,7 @@
             self._known.setdefault(filling, set()).add(serving)
         pair.press = max(-NOISE, pair.press + pair.rate * by)
         pair.seen += 1
+        self._moved.add((filling, serving))
 
 
 def compute_slack(strain: float) -> float:
