Tell the pace of runs that an agent finds; fewer, larger changes of pace

Cause: a restarted agent took what it found to be at full speed, so a task that its predecessor had paced to zero stood still for ever beside calm neighbours. Found by reading; the new test failed before.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -198,7 +198,10 @@
                 continue
             last = before.get(key)
             if described.fills:
-                self.histories[key] = histories.get(key) or PaceHistory(now)
+                history = histories.get(key)
+                if history is None:
+                    history = PaceHistory(now, fresh=key in self.orders)
+                self.histories[key] = history
                 self.running[key] = self._sample_worked(key, one, last, now, due)
             elif described.serves_ms:
                 self._tails[key] = tails.get(key) or TailFilter()
--- a/pistachiodeal/scheduling/interference.py
+++ b/pistachiodeal/scheduling/interference.py
@@ -43,8 +43,9 @@
 BEFORE_S = 1.1
 # Compared figures differ by at least this much filling work, in tasks at full speed.
 LEAST_CONTRAST = 0.3
-# A line in the log, and a word to the agents, for a change of this much.
+# A word to the agents for a change of this much, and a line in the log.
 TOLD_CHANGE = 0.1
+LOGGED_CHANGE = 0.4
 # An image that left two neighbours alone is tried more freely beside a third.
 GUESS_PAIRS = 2
 MOST_STEPS = 2_000
@@ -177,7 +178,7 @@
         changed = {}
         for pair in self._moved:
             press = self._pairs[pair].press
-            if abs(press - self._told.get(pair, FIRST_PRESS)) > TOLD_CHANGE:
+            if abs(press - self._told.get(pair, FIRST_PRESS)) > LOGGED_CHANGE:
                 changed[pair] = round(press, 2)
         self._moved.clear()
         self._told.update(changed)
--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -35,7 +35,7 @@
 SUSPECT_S = 5.0
 LEAST_SUSPECT = 0.2
 # Paces are set in steps: a smaller change than this isn't worth a call.
-STEP = 5
+STEP = 10
 # Slower than this, a task had better stand: it would hold its neighbours back for
 # nothing.
 SLOWEST = 10
@@ -115,20 +115,24 @@
 class PaceHistory:
     """The paces of one run, as far back as figures go.
 
-    :param now: when the run was first seen; it begins at full speed.
+    :param now: when the run was first seen.
+    :param fresh: whether it has just begun, at full speed. A run that was there before
+        its agent may stand still by the word of the agent before.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, *, fresh: bool = True) -> None:
         self._times = [now]
         self._percents = [FULL]
+        self._certain = fresh
 
     @property
-    def newest(self) -> int:
-        """Return the pace set last."""
-        return self._percents[-1]
+    def newest(self) -> int | None:
+        """Return the pace set last, None while it is unknown."""
+        return self._percents[-1] if self._certain else None
 
     def note(self, percent: int, now: float) -> None:
         """Note that a pace was set."""
+        self._certain = True
         self._times.append(now + DELAY_S)
         self._percents.append(percent)
         begin = bisect_right(self._times, now - KEPT_S) - 1
--- /dev/null
+++ b/tests/unit/test_jobagent_paces.py
@@ -0,0 +1,58 @@
+"""Paces of filling tasks, as an agent tells them to its runner."""
+
+from __future__ import annotations
+
+import curio
+
+from pistachiodeal.jobagent.ledger import AgentLedger, Order
+from pistachiodeal.jobagent.paces import PaceKeeper
+from pistachiodeal.jobs.runtime import CallResult, Listing
+from pistachiodeal.wire.job_messages import RunningTask, RunOrder
+from tests.standins.job_cluster import create_quiet_log
+
+TASK = "0000000000000001.0.0.0"
+
+
+class FakeRuntime:
+    """Records paces."""
+
+    def __init__(self) -> None:
+        self.paces: list[int] = []
+
+    async def pace(self, worker, token, task, run, percent) -> CallResult:
+        self.paces.append(percent)
+        return CallResult.DONE
+
+
+def play_first_listing(*, ordered: bool) -> list[int]:
+    """Return the paces told after an agent's first listing of a filling task."""
+    ledger = AgentLedger(create_quiet_log())
+    runtime = FakeRuntime()
+    ledger.described[TASK, 1] = RunOrder(TASK, 1, "", "", True, 0, "filling")
+    if ordered:
+        ledger.orders[TASK, 1] = Order(TASK, 1)
+    running = (RunningTask(TASK, 1, "", 10, 500),)
+    ledger.take_listing(Listing(CallResult.DONE, 1_000, running), 1.0, 1.0)
+
+    async def main() -> None:
+        await PaceKeeper(ledger, runtime, create_quiet_log()).apply()
+        await curio.sleep(0.01)
+
+    curio.run(main)
+    return runtime.paces
+
+
+def test_a_restarted_agent_tells_the_pace_of_what_it_finds():
+    """A filling task stood still for ever.
+
+    Symptom: a task at work that makes no progress beside calm neighbours.
+    Sequence: its agent paces it down to zero and is killed; the next agent finds it,
+    decides on full speed, and says nothing.
+    Cause: a run was taken to be at full speed when it was first seen.
+    """
+    assert play_first_listing(ordered=False) == [100]
+
+
+def test_a_run_that_has_just_begun_needs_no_word():
+    """A start is at full speed; a call for each would double the calls."""
+    assert play_first_listing(ordered=True) == []
