Take an announced cancellation in at once

The entry announces a row that is durable, so the leader needs no other proof. The new test failed before. With it: the soak itself, real programs as processes on addresses of 127/8, with the platform's stand-ins over HTTP, relays, signals and callers that check what they are told.

--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -133,7 +133,15 @@
         return record.shown if record is not None else None
 
     def announce(self, key: str) -> None:
-        """Note that a row of the jobs table is durable; the feed should show it."""
+        """Note that a row of the jobs table is durable; the feed should show it.
+
+        A cancellation is taken in at once: an entry that asks the store tells callers
+        of it by now, and another, that asks here, would tell them that the job is
+        active again.
+        """
+        job_id, cancels = split_key(key)
+        if cancels:
+            self._cancel(job_id)
         self._announced.setdefault(key, read_boot_clock())
 
     async def run(self) -> None:
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,40 @@
+"""Plays seeds by hand: ``python -m tests.soak --first 1 --seeds 50``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+import curio
+
+from tests.soak.driver import play
+
+
+def main() -> None:
+    """Play seeds one after another; keep the logs of those that broke a promise."""
+    parser = argparse.ArgumentParser(prog="tests.soak")
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=12.0, help="time of faults")
+    parser.add_argument("--folder", default="target/soak", help="for logs")
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        folder = Path(options.folder) / str(seed)
+        folder.mkdir(parents=True, exist_ok=True)
+        result = curio.run(lambda: play(seed, folder, faults_s=options.seconds))  # noqa: B023
+        print(
+            f"seed {seed}: {result.accepted} accepted, {result.refused} refused, "
+            f"{result.completed} completed, {result.starts} starts, "
+            f"{len(result.faults)} faults, {len(result.broken)} broken",
+            flush=True,
+        )
+        if result.broken:
+            failed += 1
+            print("\n".join([*result.broken[:10], *result.faults]), flush=True)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,168 @@
+"""Entries and agents as processes, each on a loopback address of its own."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import curio
+from curio.io import Socket
+
+from pistachiodeal.web.server import bind_listener
+from tests.harness.ports import take_port
+from tests.harness.processes import Process
+from tests.soak.platform import RunnerServer, StoreServer, TimedWitness
+from tests.standins import base
+from tests.standins.job_runner import MemoryRunner
+from tests.standins.relay import Relay
+from tests.standins.rows import RowsState, StoredRow
+
+SERVICE = "svc"
+PREFIX = "/soak/"
+GRACE_S = 6.0
+ENTRY_MODULE = "pistachiodeal.jobentry"
+AGENT_MODULE = "pistachiodeal.jobagent"
+
+
+class Node:
+    """One VM: its process, and the relays through which it sees the platform."""
+
+    def __init__(self, name: str, module: str, settings: dict[str, Any], folder: Path):
+        self.name = name
+        self.module = module
+        self.process: Process | None = None
+        self.relays: list[Relay] = []
+        self._folder = folder
+        self._path = folder / f"{name}.json"
+        self._path.write_text(json.dumps(settings))
+
+    @property
+    def up(self) -> bool:
+        """Tell whether its process has not ended."""
+        return self.process is not None and self.process.running
+
+    def start(self) -> None:
+        """Start its process again."""
+        self.process = Process(
+            self.name, self.module, ["--settings", str(self._path)], self._folder
+        )
+
+    def stop(self) -> None:
+        """End its process, in whatever state it is."""
+        if self.process is not None:
+            self.process.clean_up()
+
+
+class Deployment:
+    """The platform's stand-ins and all nodes."""
+
+    def __init__(self, entries: int, agents: int, folder: Path, seed: int) -> None:
+        self.state = RowsState()
+        self.state.rng.seed(seed)
+        self.witness = TimedWitness()
+        self.runners = [
+            MemoryRunner(f"w{number}", self.witness, 0.4, seed + number)
+            for number in range(agents)
+        ]
+        self._folder = folder
+        self._ports = {name: take_port() for name in ("peer", "front", "ready", "beat")}
+        self._net = 2 + seed % 200
+        self._hosts = [f"127.{self._net}.0.{1 + number}" for number in range(entries)]
+        self.entries: list[Node] = []
+        self.agents: list[Node] = []
+        self._version = 0
+        self.configure()
+
+    @property
+    def nodes(self) -> list[Node]:
+        """Return all nodes."""
+        return [*self.entries, *self.agents]
+
+    def list_fronts(self) -> list[str]:
+        """Return where callers reach the entries."""
+        return [f"{host}:{self._ports['front']}" for host in self._hosts]
+
+    def configure(self) -> None:
+        """Put the next version of the configuration into force."""
+        self._version += 1
+        # Callers name an entry by its address, so each has a queue of its own.
+        routes = [
+            {
+                "name": f"queue-{number}",
+                "host": host,
+                "path_prefix": PREFIX,
+                "service": SERVICE,
+                "priority": 0,
+                "attempts": 4,
+                "stretch": 2.0 + self._version / 100,
+                "target_latency_ms": 1000,
+            }
+            for number, host in enumerate(self._hosts)
+        ]
+        document = {"version": self._version, "routes": routes, "services": []}
+        self.state.version += 1
+        row = StoredRow("config", json.dumps(document).encode(), self.state.version)
+        self.state.rows["op", "config"] = row
+        self.state.changes.append(("op", row))
+
+    async def start(self) -> None:
+        """Start the stand-ins and then all processes."""
+        store = await self._serve(StoreServer(self.state), base.HOST, take_port())
+        for number, host in enumerate(self._hosts):
+            node = await self._build_node(
+                f"entry-{number}", ENTRY_MODULE, host, store, ""
+            )
+            self.entries.append(node)
+        for number, runner in enumerate(self.runners):
+            host = f"127.{self._net}.1.{1 + number}"
+            server = RunnerServer(runner, f"{host}:{self._ports['beat']}")
+            address = await self._serve(server, base.HOST, take_port())
+            node = await self._build_node(
+                f"agent-{number}", AGENT_MODULE, host, store, address
+            )
+            await curio.spawn(server.beat, daemon=True)
+            self.agents.append(node)
+        for node in self.nodes:
+            node.start()
+
+    def stop(self) -> None:
+        """End all processes that were started here."""
+        for node in self.nodes:
+            node.stop()
+
+    async def _serve(self, server: base.StandIn, host: str, port: int) -> str:
+        sock = Socket(bind_listener(host, port))
+        await curio.spawn(base.serve, server, sock, daemon=True)
+        return f"{host}:{port}"
+
+    async def _build_node(
+        self, name: str, module: str, host: str, store: str, runner: str
+    ) -> Node:
+        relays = []
+        for target in (store, runner):
+            if target:
+                relay = Relay(target, take_port())
+                await relay.listen()
+                relays.append(relay)
+        seen = [f"{base.HOST}:{relay.port}" for relay in relays]
+        settings = {
+            "node": name,
+            "host": host,
+            "data_centre": "dc",
+            "peer_ports": [self._ports["peer"], self._ports["peer"]],
+            "seed_peers": [f"{one}:{self._ports['beat']}" for one in self._hosts],
+            "peer_secret": "soak",
+            "listen": {
+                "callers": f"{host}:{self._ports['front']}",
+                "readiness": f"{host}:{self._ports['ready']}",
+                "runners": f"{host}:{self._ports['beat']}",
+                "metrics_port": 0,
+            },
+            "store": {"address": seen[0]},
+            "runner": seen[1] if runner else "",
+            "limits": {"grace_s": GRACE_S},
+        }
+        node = Node(name, module, settings, self._folder)
+        node.relays = relays
+        return node
--- /dev/null
+++ b/tests/soak/driver.py
@@ -0,0 +1,106 @@
+"""Plays one seed: callers, faults, and the check of the promises."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import curio
+
+from tests.soak.callers import CalledJob, Callers
+from tests.soak.deployment import Deployment
+from tests.soak.faults import FaultMaker
+
+JOB_EVERY_S = 0.12
+START_S = 2.5
+# After the last fault: a lease and a take-over, and the work that waits.
+FINISH_S = 40.0
+WATCH_PAUSE_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What a seed showed."""
+
+    seed: int
+    accepted: int
+    refused: int
+    completed: int
+    starts: int
+    broken: tuple[str, ...]
+    faults: tuple[str, ...]
+
+
+async def play(
+    seed: int, folder: Path, *, faults_s: float, entries: int = 3, agents: int = 4
+) -> Result:
+    """Play a seed."""
+    rng = random.Random(seed)
+    deployment = Deployment(entries, agents, folder, seed)
+    callers = Callers(deployment.list_fronts(), deployment.witness, rng)
+    maker = FaultMaker(deployment, random.Random(seed + 1))
+    try:
+        await deployment.start()
+        await curio.sleep(START_S)
+        ends_at = time.monotonic() + faults_s
+        calling = await curio.spawn(_submit_jobs, callers, ends_at)
+        watching = await curio.spawn(_watch_jobs, callers)
+        await maker.run(lambda: time.monotonic() > ends_at)
+        await maker.heal()
+        await calling.join()
+        await _wait_finished(callers)
+        await watching.cancel()
+        callers.check_end()
+    finally:
+        deployment.stop()
+    return _build_result(seed, callers, maker)
+
+
+async def _submit_jobs(callers: Callers, ends_at: float) -> None:
+    number = 1
+    async with curio.TaskGroup() as group:
+        while time.monotonic() < ends_at:
+            await group.spawn(callers.submit, number)
+            number += 1
+            await curio.sleep(JOB_EVERY_S)
+
+
+async def _watch_jobs(callers: Callers) -> None:
+    while True:
+        for job in list(callers.jobs.values()):
+            if job.accepted_at:
+                await callers.watch(job)
+        await curio.sleep(WATCH_PAUSE_S)
+
+
+async def _wait_finished(callers: Callers) -> None:
+    until = time.monotonic() + FINISH_S
+    left = _list_open(callers)
+    while left and time.monotonic() < until:
+        await curio.sleep(WATCH_PAUSE_S)
+        for job in left:
+            await callers.watch(job)
+        left = _list_open(callers)
+
+
+def _list_open(callers: Callers) -> list[CalledJob]:
+    return [
+        job
+        for job in callers.jobs.values()
+        if job.accepted_at and job.state not in ("completed", "failed", "cancelled")
+    ]
+
+
+def _build_result(seed: int, callers: Callers, maker: FaultMaker) -> Result:
+    jobs = callers.jobs.values()
+    return Result(
+        seed,
+        sum(1 for job in jobs if job.accepted_at),
+        sum(1 for job in jobs if job.refused),
+        sum(1 for job in jobs if job.state == "completed"),
+        sum(history.starts for history in callers.witness.tasks.values()),
+        (*callers.broken, *callers.witness.broken),
+        tuple(maker.log),
+    )
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,164 @@
+"""Faults of the soak: what may happen to processes, links, the store and runners."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from tests.soak.deployment import GRACE_S, Deployment, Node
+from tests.standins.job_runner import RunnerFaults
+from tests.standins.rows import StoreFaults
+
+Fault = Callable[[], Awaitable[None]]
+
+LONGEST_S = 4.0
+RESTART_S = 0.6
+RELAY_MODES = ("silent", "cut", "refuse")
+
+
+class FaultMaker:
+    """Makes one fault at a time of one kind; kinds overlap."""
+
+    def __init__(self, deployment: Deployment, rng: random.Random) -> None:
+        self._deployment = deployment
+        self._rng = rng
+        self._busy: set[str] = set()
+        self.log: list[str] = []
+
+    async def run(self, until: Callable[[], bool]) -> None:
+        """Make faults, a few of them overlapping, until told to end."""
+        async with curio.TaskGroup() as group:
+            while not until():
+                fault = self._rng.choice(self._list_kinds())
+                await group.spawn(fault)
+                await curio.sleep(self._rng.uniform(0.1, 1.5))
+
+    async def heal(self) -> None:
+        """End everything that goes on, and start what is down."""
+        state = self._deployment.state
+        state.faults = StoreFaults()
+        for runner in self._deployment.runners:
+            runner.faults = RunnerFaults()
+        for node in self._deployment.nodes:
+            for relay in node.relays:
+                await relay.set_mode("pass", existing_only=False)
+            if not node.up:
+                node.start()
+
+    def _list_kinds(self) -> list[Fault]:
+        return [
+            self._kill,
+            self._freeze,
+            self._terminate,
+            self._disturb_store,
+            self._disturb_link,
+            self._disturb_runner,
+            self._crash_runner,
+            self._change_configuration,
+        ]
+
+    def _pick_node(self) -> Node | None:
+        free = [
+            node
+            for node in self._deployment.nodes
+            if node.name not in self._busy and node.up
+        ]
+        return self._rng.choice(free) if free else None
+
+    async def _hold(self, name: str, what: str) -> None:
+        """Let a fault last."""
+        for_s = self._rng.uniform(0.3, LONGEST_S)
+        self.log.append(f"{what} {name} {for_s:.1f} s")
+        await curio.sleep(for_s)
+
+    async def _kill(self) -> None:
+        node = self._pick_node()
+        if node is None or node.process is None:
+            return
+        self._busy.add(node.name)
+        node.process.kill()
+        self.log.append(f"kill {node.name}")
+        await curio.sleep(self._rng.uniform(0.1, RESTART_S))
+        node.start()
+        self._busy.discard(node.name)
+
+    async def _freeze(self) -> None:
+        node = self._pick_node()
+        if node is None or node.process is None:
+            return
+        self._busy.add(node.name)
+        node.process.freeze()
+        await self._hold(node.name, "freeze")
+        node.process.thaw()
+        self._busy.discard(node.name)
+
+    async def _terminate(self) -> None:
+        node = self._pick_node()
+        if node is None or node.process is None:
+            return
+        self._busy.add(node.name)
+        self.log.append(f"terminate {node.name}")
+        node.process.terminate()
+        await curio.ignore_after(GRACE_S, _wait_down, node)
+        node.stop()
+        node.start()
+        self._busy.discard(node.name)
+
+    async def _disturb_store(self) -> None:
+        if "store" in self._busy:
+            return
+        self._busy.add("store")
+        kind, faults = self._rng.choice(
+            [
+                ("down", StoreFaults(down=True)),
+                ("silent", StoreFaults(silent=True)),
+                ("lost", StoreFaults(lost=0.3)),
+                ("late", StoreFaults(late=0.3, late_s=2.0)),
+                ("slow", StoreFaults(slow_s=0.25)),
+            ]
+        )
+        self._deployment.state.faults = faults
+        if self._rng.random() < 0.3:
+            self._deployment.state.drop_history()
+        await self._hold("store", kind)
+        self._deployment.state.faults = StoreFaults()
+        self._busy.discard("store")
+
+    async def _disturb_link(self) -> None:
+        node = self._rng.choice(self._deployment.nodes)
+        relay = self._rng.choice(node.relays)
+        name = f"relay {relay.port}"
+        if name in self._busy:
+            return
+        self._busy.add(name)
+        mode = self._rng.choice(RELAY_MODES)
+        await relay.set_mode(mode, existing_only=self._rng.random() < 0.5)
+        await self._hold(f"{node.name} {name}", mode)
+        await relay.set_mode("pass", existing_only=False)
+        self._busy.discard(name)
+
+    async def _disturb_runner(self) -> None:
+        runner = self._rng.choice(self._deployment.runners)
+        if runner.worker in self._busy:
+            return
+        runner.faults = self._rng.choice(
+            [RunnerFaults(late=0.3, late_s=2.0), RunnerFaults(lost=0.3)]
+        )
+        await self._hold(runner.worker, "orders late or lost")
+        runner.faults = RunnerFaults()
+
+    async def _crash_runner(self) -> None:
+        runner = self._rng.choice(self._deployment.runners)
+        self.log.append(f"crash {runner.worker}")
+        runner.crash()
+
+    async def _change_configuration(self) -> None:
+        self.log.append("configure")
+        self._deployment.configure()
+
+
+async def _wait_down(node: Node) -> None:
+    while node.up:
+        await curio.sleep(0.05)
--- /dev/null
+++ b/tests/soak/platform.py
@@ -0,0 +1,209 @@
+"""The platform over HTTP, inside the soak's own process: its store and its runners."""
+
+from __future__ import annotations
+
+import json
+import time
+from base64 import b64decode, b64encode
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+
+from pistachiodeal.exceptions import StoreUnavailableError, StoreUncertainError
+from pistachiodeal.jobs.runtime import CallResult, StartCall
+from pistachiodeal.store.row_store import (
+    HistoryLostError,
+    RowCondition,
+    RowWrite,
+    StoredRow,
+    Transaction,
+)
+from pistachiodeal.web.client import CallError, create_client
+from tests.standins import base
+from tests.standins.job_runner import MemoryRunner, Witness
+from tests.standins.rows import MemoryRows, RowsState
+
+BEAT_S = 0.3
+BEAT_TIMEOUT_S = 1.0
+ROOM = {"cpu": 16_000, "mem_mb": 64_000, "gpu": 0}
+REASONS = {
+    CallResult.FENCED: "fence",
+    CallResult.SUPERSEDED: "old",
+    CallResult.LATE: "late",
+    CallResult.NO_ROOM: "room",
+}
+
+
+@dataclass
+class TimedWitness(Witness):
+    """A witness that also knows when each task was started last."""
+
+    started_at: dict[str, float] = field(default_factory=dict)
+
+    def see_start(self, task: str, run: int, worker: str) -> None:
+        """Note that a runner began a run."""
+        super().see_start(task, run, worker)
+        self.started_at[task] = time.monotonic()
+
+
+class StoreServer(base.StandIn):
+    """The store's calls on rows in memory."""
+
+    def __init__(self, state: RowsState) -> None:
+        super().__init__()
+        self._rows = MemoryRows(state)
+        self._state = state
+
+    async def handle(self, operation: str, call: base.Call) -> base.Answer:
+        """Carry a call out."""
+        try:
+            if call.path == "/api/rows-tx":
+                return await self._commit(call.document())
+            if call.path == "/api/rows-get":
+                return await self._read(call.query)
+            if call.path == "/api/rows-feed":
+                return await self._follow(call.query)
+        except StoreUnavailableError:
+            return base.answer_error(503, "down")
+        except StoreUncertainError as error:
+            raise base.AnswerLostError from error
+        except HistoryLostError:
+            return base.answer_error(410, "gone")
+        return base.answer_error(404, "no_such_call")
+
+    async def _commit(self, document: dict[str, Any]) -> base.Answer:
+        conditions = tuple(
+            RowCondition(one["table"], one["key"], one["schema_version"])
+            for one in document.get("expected_rev", ())
+        )
+        writes = [
+            RowWrite(one["table"], one["key"], b64decode(one["value"]))
+            for one in document.get("writes", ())
+        ]
+        for one in document.get("remove", ()):
+            writes.append(RowWrite(one["table"], one["key"], None))
+        result = await self._rows.commit(Transaction(conditions, tuple(writes)))
+        if result.committed:
+            return base.answer_json({"schema_version": result.version})
+        rows = [
+            {"table": table, **_encode_row(row)}
+            for (table, _), row in result.found.items()
+        ]
+        return base.answer_json({"rows": rows}, 412)
+
+    async def _read(self, query: dict[str, str]) -> base.Answer:
+        page = await self._rows.read(
+            query["table"],
+            query.get("from", ""),
+            query.get("to", ""),
+            int(query.get("limit", "0")),
+        )
+        return self._answer_page(page.rows, page.version, page.truncated)
+
+    async def _follow(self, query: dict[str, str]) -> base.Answer:
+        wait_s = int(query["wait_ms"]) / 1000
+        after = int(query["start_after"])
+        page = await self._rows.follow(query["table"], after, wait_s)
+        return self._answer_page(page.rows, page.version, page.truncated)
+
+    def _answer_page(
+        self, rows: tuple[StoredRow, ...], version: int, truncated: bool
+    ) -> base.Answer:
+        listed = [_encode_row(row) for row in rows]
+        return base.answer_json(
+            {"rows": listed, "schema_version": version, "truncated": truncated}
+        )
+
+
+class RunnerServer(base.StandIn):
+    """One runner: its calls, and its heartbeats to the agent beside it."""
+
+    def __init__(self, runner: MemoryRunner, control: str) -> None:
+        super().__init__()
+        self.runner = runner
+        self._agent = create_client(control, connections=2)
+        self._sequence = 0
+
+    async def handle(self, operation: str, call: base.Call) -> base.Answer:
+        """Carry a call out."""
+        document = call.document()
+        worker = call.headers.get("expect-instance", "")
+        if call.path == "/api/hold":
+            return await self._hold_lease(worker, document)
+        task, run = document["task"], document["run_id"]
+        token = document["fencing_token"]
+        if call.path == "/api/run-start":
+            order = StartCall(
+                worker, token, task, run, document["spec"], document["until_ms"], "", ""
+            )
+            return self._answer(await self.runner.start(order))
+        if call.path == "/api/run-stop":
+            return self._answer(await self.runner.stop(worker, token, task, run))
+        percent = document["percent"]
+        return self._answer(await self.runner.pace(worker, token, task, run, percent))
+
+    async def beat(self) -> None:
+        """Send heartbeats for ever."""
+        while True:
+            self._sequence += 1
+            beat = self.runner.build_beat(self._sequence)
+            document = {
+                "service": beat.service,
+                "address": "",
+                "state": "draining" if beat.draining else "ready",
+                "remaining_ms": beat.leaving_ms,
+                "seq": beat.sequence,
+                "capacity": ROOM,
+                "labels": list(beat.labels),
+            }
+            try:
+                await self._agent.call(
+                    "POST",
+                    f"/api/Instances.Heartbeat/{beat.worker}",
+                    headers=(("content-type", "application/json"),),
+                    body=json.dumps(document).encode(),
+                    timeout=BEAT_TIMEOUT_S,
+                )
+            except CallError:
+                # An agent that is down or stopped hears the next one.
+                await self._agent.close()
+            await curio.sleep(BEAT_S)
+
+    async def _hold_lease(self, worker: str, document: dict[str, Any]) -> base.Answer:
+        listing = await self.runner.renew(
+            worker,
+            document["fencing_token"],
+            document["last_seen"],
+            document.get("until_ms", 0),
+            document.get("wait_ms", 0),
+        )
+        if listing.result is not CallResult.DONE:
+            return self._answer(listing.result)
+        running = [
+            [one.task, one.run, one.checkpoint, one.percent, one.figure]
+            for one in listing.running
+        ]
+        ended = [
+            [one.number, one.task, one.run, one.how, one.checkpoint]
+            for one in listing.ends
+        ]
+        return base.answer_json(
+            {"clock_ms": listing.clock_ms, "running": running, "ended_at": ended}
+        )
+
+    def _answer(self, result: CallResult) -> base.Answer:
+        if result is CallResult.UNKNOWN:
+            raise base.AnswerLostError
+        if result is CallResult.OTHER_INCARNATION:
+            return base.answer_json({}, 421)
+        if result is CallResult.DONE:
+            return base.answer_json({"clock_ms": 1})
+        return base.answer_json({"clock_ms": 1, "reason": REASONS[result]}, 409)
+
+
+def _encode_row(row: StoredRow) -> dict[str, Any]:
+    encoded: dict[str, Any] = {"key": row.key, "schema_version": row.version}
+    if row.removed:
+        return {**encoded, "removed": True}
+    return {**encoded, "value": b64encode(row.value).decode()}
--- a/tests/unit/test_job_cluster.py
+++ b/tests/unit/test_job_cluster.py
@@ -10,6 +10,7 @@
 
 from pistachiodeal.exceptions import RequestError
 from pistachiodeal.jobs.model import JobState
+from pistachiodeal.jobs.rows import build_cancel_key
 from pistachiodeal.store.row_store import (
     RowCondition,
     RowWrite,
@@ -74,6 +75,27 @@
     curio.run(main)
 
 
+def test_a_cancellation_that_an_entry_announces_counts_at_once():
+    """Symptom: a caller was told "cancelled", and then "active" by another entry.
+
+    Sequence: the cancellation is durable; one entry asks the store, the other the
+    leader, whose feed shows the row only later.
+    Cause: an announced cancellation waited for the feed.
+    """
+
+    async def main():
+        async with run_cluster(work_s=5.0) as cluster:
+            job = build_job(1)
+            await cluster.entries[0].submit(job)
+            await wait_until_begun(cluster)
+            leader = await wait_for(cluster.find_leader)
+            leadership = leader.seat.leadership
+            leadership.announce(build_cancel_key(job.job_id))
+            assert leadership.book.records[job.job_id].state is JobState.CANCELLED
+
+    curio.run(main)
+
+
 def test_a_dead_leader_is_replaced_and_no_task_runs_twice():
     """Symptom: a task runs in two places, or never again. Sequence: the leader is
     killed while its orders are at work. Cause: the successor took running tasks for
