--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.jobagent.ledger import LEASE_S, SLOWEST_CLOCK, Lease
 from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.moves import HELD_BACK_S, Mover
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.workers import Attachment, Fleet
 from pistachiodeal.scheduling.interference import InterferenceModel
@@ -128,6 +131,35 @@
     assert not worker.open
 
 
+def test_a_task_that_fails_everywhere_does_not_count_against_a_worker():
+    """Symptom: sound workers got nothing. Sequence: jobs that can never be done fail on
+    one worker after another. Cause: each of these failures counted as the worker's.
+    """
+    stage = Stage()
+    stage.task.failures = 1
+    stage.report(ends=[EndedTask(1, TASK, 1, "failed", "")])
+    assert stage.fleet.get("node").health.failures == 0
+
+
+def test_a_filling_task_without_a_pace_is_moved():
+    """Symptom: a filling task stands beside a busy neighbour until its job is late.
+    Sequence: its agent paces it to nothing; other workers have room. Cause: only tasks
+    that don't fill were watched for progress.
+    """
+    stage = Stage()
+    step = replace(stage.task.step, fills=True, checkpoints=True, image="f")
+    stage.task.step = step
+    mover = Mover(stage.book, stage.fleet, stage.reconciler)
+    now = read_boot_clock()
+    stage.report(running=[RunningTask(TASK, 1, "", 10, 0, 900)])
+    stage.task.slow_since = now
+    mover.move(now + HELD_BACK_S / 2)
+    assert not stage.task.stopping
+    mover.move(now + HELD_BACK_S * 2)
+    assert stage.task.stopping
+    assert "node" in stage.task.avoid
+
+
 def test_a_refused_task_is_held_for_a_moment():
     """Symptom: a task is ordered and refused hundreds of times a second. Sequence: a
     runner refuses what the leader thinks fits; the task waits again and is placed at
