--- a/pistachiodeal/exceptions.py
+++ b/pistachiodeal/exceptions.py
@@ -72,6 +72,12 @@
     code = "link_silent"
 
 
+class AdviceError(PistachiodealError):
+    """The service that chooses workers gave no answer that can be used."""
+
+    code = "advice"
+
+
 class StoreError(PistachiodealError):
     """Base of the errors of the platform's table and object store.
 
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -14,6 +14,7 @@
 from pistachiodeal.jobentry.states import JobStates
 from pistachiodeal.leader.election import Election, is_weak
 from pistachiodeal.peers import build_metrics, create_peer_context
+from pistachiodeal.platform.advice import create_advice
 from pistachiodeal.platform.rows import create_rows
 from pistachiodeal.reload import wait_for_stop
 from pistachiodeal.signals import SignalWatch
@@ -51,6 +52,7 @@
             peers,
             self._configuration.refresh,
             settings.limits.kept_s + KEPT_MARGIN_S,
+            create_advice(settings.advice) if settings.advice else None,
         )
         weak = is_weak(settings.processor.cores, settings.link_mbps)
         self._election = Election(store, peers, self._seat.lead, weak=weak)
--- a/pistachiodeal/jobentry/seat.py
+++ b/pistachiodeal/jobentry/seat.py
@@ -10,6 +10,7 @@
 
 from pistachiodeal.addresses import split_address
 from pistachiodeal.exceptions import FencedError, PistachiodealError
+from pistachiodeal.jobs.advice import Adviser
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.leader.commits import Authority
 from pistachiodeal.leader.leadership import Leadership
@@ -42,6 +43,7 @@
         peers: PeerContext,
         refresh_queue: Callable[[Queue], Queue],
         kept_s: float,
+        adviser: Adviser | None = None,
     ) -> None:
         self._store = store
         self._peers = peers
@@ -49,6 +51,7 @@
         self._address = peers.address
         self._refresh_queue = refresh_queue
         self._kept_s = kept_s
+        self._adviser = adviser
         self._events = peers.events
         self._leadership: Leadership | None = None
         self._links: set[Link] = set()
@@ -61,7 +64,12 @@
     async def lead(self, authority: Authority) -> None:
         """Lead under an authority until another process takes over."""
         self._leadership = Leadership(
-            self._store, authority, self._refresh_queue, self._kept_s, self._events
+            self._store,
+            authority,
+            self._refresh_queue,
+            self._kept_s,
+            self._events,
+            adviser=self._adviser,
         )
         try:
             await self._leadership.run()
--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -30,6 +30,7 @@
     :param placed_at: when the run was decided, seconds of the boot clock.
     :param stopping: why the run is being stopped, empty when it isn't.
     :param held_until: it gets no place before, seconds of the boot clock.
+    :param ticket: of the outside service for its newest run, or empty.
     :param avoid: nodes on which it failed or stood still.
     :param worked: pace of a filling task while its worker's figures were taken.
     :param slow_since: since when that pace is low, seconds of the boot clock.
@@ -51,6 +52,7 @@
     ready_at: float = 0.0
     stopping: str = ""
     held_until: float = 0.0
+    ticket: str = ""
     avoid: frozenset[str] = frozenset()
     worked: float = 0.0
     slow_since: float = 0.0
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -11,6 +11,7 @@
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import FencedError, ProtocolError, StoreError
+from pistachiodeal.jobs.advice import Adviser
 from pistachiodeal.jobs.model import JobState, Queue
 from pistachiodeal.jobs.record import apply_progress, build_record
 from pistachiodeal.jobs.rows import (
@@ -19,6 +20,7 @@
     decode_job,
     split_key,
 )
+from pistachiodeal.leader.advice import AdviceKeeper
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.commits import REMOVALS, Authority, CommitLog
 from pistachiodeal.leader.planner import Planner
@@ -64,6 +66,8 @@
         find_queue: Callable[[Queue], Queue],
         kept_s: float,
         events: EventLog,
+        *,
+        adviser: Adviser | None = None,
     ) -> None:
         self._store = store
         self._authority = authority
@@ -77,6 +81,9 @@
         self._commits = CommitLog(store, authority, events)
         interference = InterferenceModel()
         self._reconciler = Reconciler(self._book, self._fleet, interference, events)
+        self._advice = None
+        if adviser is not None:
+            self._advice = AdviceKeeper(adviser, events, self._changed.set)
         self._planner = Planner(
             self._book,
             self._fleet,
@@ -84,6 +91,7 @@
             interference,
             find_queue,
             events=events,
+            advice=self._advice,
         )
         self._sessions = AgentSessions(
             self._commits,
@@ -150,9 +158,15 @@
         :raises FencedError: another process leads now.
         """
         await self._load()
-        await run_until_one_ends(
-            self._follow_jobs, self._keep_writing, self._keep_planning, self._keep_right
-        )
+        keepers = [
+            self._follow_jobs,
+            self._keep_writing,
+            self._keep_planning,
+            self._keep_right,
+        ]
+        if self._advice is not None:
+            keepers.append(self._advice.run)
+        await run_until_one_ends(*keepers)
 
     async def _load(self) -> None:
         while not self._loaded:
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -10,10 +10,11 @@
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.jobs.record import JobRecord, StepRecord, Task
+from pistachiodeal.leader.advice import AdviceKeeper
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.moves import Mover
 from pistachiodeal.leader.reconcile import Reconciler
-from pistachiodeal.leader.workers import Fleet, WorkerState
+from pistachiodeal.leader.workers import Fleet, WorkerState, split_place
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.health import MOST_SUSPECTS
 from pistachiodeal.scheduling.interference import InterferenceModel
@@ -23,7 +24,12 @@
     compute_objective_s,
     rank_step,
 )
-from pistachiodeal.scheduling.placement import Request, choose_worker, find_obstacle
+from pistachiodeal.scheduling.placement import (
+    Request,
+    choose_worker,
+    find_obstacle,
+    score,
+)
 from pistachiodeal.scheduling.preemption import Victim, choose_victims
 from pistachiodeal.scheduling.views import StepKey, WorkerView, reserve_size
 
@@ -52,6 +58,7 @@
     """Places waiting tasks.
 
     :param find_queue: returns a queue as the newest configuration has it.
+    :param advice: answers of the outside service, where there is one.
     """
 
     def __init__(
@@ -63,6 +70,7 @@
         find_queue: FindQueue,
         *,
         events: EventLog,
+        advice: AdviceKeeper | None = None,
     ) -> None:
         self._interference = interference
         self._mover = Mover(book, fleet, reconciler)
@@ -72,6 +80,7 @@
         self._reconciler = reconciler
         self._find_queue = find_queue
         self._events = events
+        self._advice = advice
 
     def plan(self) -> None:
         """Do one round."""
@@ -135,10 +144,12 @@
             racks=self._list_racks(step, views),
             bold=self._is_starved(record, step),
         )
+        allowed = self._list_allowed(request, queue, views)
         for task in waiting:
             request = replace(request, avoid=task.avoid)
-            view = choose_worker(request, views, self._interference)
+            view = choose_worker(request, allowed, self._interference)
             if view is None:
+                self._want_advice(request, queue, views)
                 self._explain_wait(request, views)
                 self._preempt(this_round, task, queue, views)
                 return
@@ -162,11 +173,13 @@
             (record.job_id, step.occurrence, step.number),
             urgent=queue.priority == URGENT_PRIORITY,
         )
-        trial = [view.copy() for view in views]
+        allowed = self._list_allowed(request, queue, views)
+        trial = [view.copy() for view in allowed]
         chosen: list[str] = []
         for _ in waiting:
             view = choose_worker(request, trial, self._interference)
             if view is None:
+                self._want_advice(request, queue, views)
                 return
             view.take(request.key, step.step)
             request = replace(request, racks=request.racks | {view.rack})
@@ -178,6 +191,26 @@
             task.checkpoint = checkpoint
             self._place(task, run, request, by_place[place])
 
+    def _list_allowed(
+        self, request: Request, queue: Queue, views: list[WorkerView]
+    ) -> list[WorkerView]:
+        """Return the workers that the outside service allows, if it is asked at all."""
+        if not queue.advised or self._advice is None:
+            return views
+        find = self._advice.find_ticket
+        key = request.key
+        return [view for view in views if find(key, split_place(view.place)[1])]
+
+    def _want_advice(
+        self, request: Request, queue: Queue, views: list[WorkerView]
+    ) -> None:
+        if not queue.advised or self._advice is None:
+            return
+        model = self._interference
+        able = [view for view in views if not find_obstacle(request, view, model)]
+        able.sort(key=lambda view: score(request, view, model))
+        self._advice.want(request.key, (split_place(view.place)[1] for view in able))
+
     def _explain_wait(self, request: Request, views: list[WorkerView]) -> None:
         """Log why a step waits, now and then."""
         now = read_boot_clock()
@@ -208,6 +241,8 @@
     def _place(self, task: Task, run: int, request: Request, view: WorkerView) -> None:
         view.take(request.key, task.step)
         place = view.place
+        if self._advice is not None:
+            task.ticket = self._advice.find_ticket(request.key, split_place(place)[1])
         self._events.emit(
             "run.place",
             task=str(task.name),
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -236,7 +236,7 @@
         str(task.name),
         task.run,
         task.checkpoint,
-        "",
+        task.ticket,
         step.fills,
         step.serves_ms,
         step.image,
--- /dev/null
+++ b/pistachiodeal/platform/advice.py
@@ -0,0 +1,55 @@
+"""The platform's service that says which workers may run a step."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from pistachiodeal.exceptions import AdviceError
+from pistachiodeal.jobs.advice import Advice
+from pistachiodeal.web.client import CallError, WebClient, create_client
+
+OK = 200
+ADVISE_PATH = "/api/advise"
+# The service takes a time of its own for each worker named; 30 take up to a second on
+# the deployments we know, and calls of one VM wait for each other.
+CALL_TIMEOUT_S = 5.0
+CONNECTIONS = 2
+
+
+class PlatformAdvice:
+    """Calls to the service; see ``Adviser``."""
+
+    def __init__(self, client: WebClient) -> None:
+        self._client = client
+
+    async def advise(self, step: str, workers: tuple[str, ...]) -> Advice:
+        """Ask which of some workers may run a step; see ``Adviser``."""
+        body = orjson.dumps({"step": step, "workers": list(workers)})
+        headers = (("content-type", "application/json"),)
+        peer = self._client.address
+        try:
+            response = await self._client.call(
+                "POST", ADVISE_PATH, headers=headers, body=body, timeout=CALL_TIMEOUT_S
+            )
+        except CallError as error:
+            await self._client.close()
+            raise AdviceError(error.detail, step="advice.ask", peer=peer) from None
+        if response.status != OK:
+            detail = f"status {response.status}"
+            raise AdviceError(detail, step="advice.ask", peer=peer)
+        try:
+            return _decode(orjson.loads(response.body))
+        except (ValueError, KeyError, TypeError) as error:
+            raise AdviceError(repr(error), step="advice.decode", peer=peer) from None
+
+
+def create_advice(address: str) -> PlatformAdvice:
+    """Return a client of the service at ``ip:port``."""
+    return PlatformAdvice(create_client(address, connections=CONNECTIONS))
+
+
+def _decode(document: dict[str, Any]) -> Advice:
+    tickets = {str(worker): str(ticket) for worker, ticket in document["approved"]}
+    return Advice(tickets, float(document["valid_ms"]) / 1000)
