Split views of workers and sampling of figures out of two large modules

No change of behaviour; the rule that a third of the workers closes none has a test now, which failed with the rule out of action.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from pistachiodeal.events import EventLog
+from pistachiodeal.jobagent.figures import FigureSampler, RunKey
 from pistachiodeal.jobs.model import OrderState
 from pistachiodeal.jobs.runtime import Listing, WorkerBeat
 from pistachiodeal.scheduling.interference import Pair
-from pistachiodeal.scheduling.pacing import PaceHistory, TailFilter
 from pistachiodeal.wire.job_messages import (
     Directive,
     EndedTask,
@@ -20,8 +20,6 @@
     WorkerReport,
 )
 
-RunKey = tuple[str, int]
-
 # How long runs outlive their agent. A killed agent is back, attached and heard its
 # runner's heartbeat after 6 s; a runner that vanished without a trace holds its tasks
 # back for as long.
@@ -29,9 +27,6 @@
 # The runner's clock may be this much slower than ours.
 SLOWEST_CLOCK = 0.98
 TEXTS_KEPT = 400
-# Figures are read no closer than this: what a tail was in between is worked out from
-# the difference of two, which is noise when they are close.
-SAMPLE_S = 0.25
 # Pairs of images; a worker has a dozen of either kind at once.
 PRESSES_KEPT = 1_000
 
@@ -111,9 +106,7 @@
         self.described: dict[RunKey, RunOrder] = {}
         self.noted = 0
         self.presses: dict[Pair, float] = {}
-        self.histories: dict[RunKey, PaceHistory] = {}
-        self._tails: dict[RunKey, TailFilter] = {}
-        self._sampled_at = 0.0
+        self.figures = FigureSampler()
         self._listing_ms = 0
         self._texts: dict[str, str] = {}
         self._gone: set[str] = set()
@@ -163,8 +156,8 @@
         self.beat = None
         self.listed = False
         self.lease = Lease()
-        self.running, self.histories, self.ends = {}, {}, ()
-        self._tails = {}
+        self.running, self.ends = {}, ()
+        self.figures = FigureSampler()
         self.orders, self.described = {}, {}
         self.noted = self._listing_ms = 0
 
@@ -180,62 +173,13 @@
         news = not self.listed
         self.listed = True
         self._listing_ms = listing.clock_ms
-        self._take_running(listing, now)
+        listed = {(one.task, one.run): one for one in listing.running}
+        self.running = self.figures.sample(listed, self.described, self.orders, now)
         known = {end.number for end in self.ends}
         self.ends = tuple(end for end in listing.ends if end.number > self.noted)
         news |= any(end.number not in known for end in self.ends)
         return self._settle(sent_at) or news
 
-    def _take_running(self, listing: Listing, now: float) -> None:
-        before = self.running
-        self.running = {(one.task, one.run): one for one in listing.running}
-        due = now - self._sampled_at >= SAMPLE_S
-        histories, self.histories = self.histories, {}
-        tails, self._tails = self._tails, {}
-        for key, one in self.running.items():
-            described = self.described.get(key)
-            if described is None:
-                continue
-            last = before.get(key)
-            if described.fills:
-                history = histories.get(key)
-                if history is None:
-                    history = PaceHistory(now, fresh=key in self.orders)
-                self.histories[key] = history
-                self.running[key] = self._sample_worked(key, one, last, now, due)
-            elif described.serves_ms:
-                self._tails[key] = tails.get(key) or TailFilter()
-                self.running[key] = self._sample_tail(key, one, last, now, due)
-        if due:
-            self._sampled_at = now
-
-    def _sample_worked(
-        self,
-        key: RunKey,
-        one: RunningTask,
-        last: RunningTask | None,
-        now: float,
-        due: bool,
-    ) -> RunningTask:
-        worked_milli = last.worked_milli if last is not None else 0
-        if due:
-            worked = self.histories[key].average(self._sampled_at, now)
-            worked_milli = int(worked * 1000)
-        return replace(one, worked_milli=worked_milli)
-
-    def _sample_tail(
-        self,
-        key: RunKey,
-        one: RunningTask,
-        last: RunningTask | None,
-        now: float,
-        due: bool,
-    ) -> RunningTask:
-        figure = last.figure if last is not None else 0
-        if due:
-            figure = int(self._tails[key].estimate(one.figure, now))
-        return replace(one, figure=figure)
-
     def take_directive(self, directive: Directive, sent_at: float | None) -> bool:
         """Take in the leader's word; False for a leader that was replaced.
 
--- a/pistachiodeal/jobagent/paces.py
+++ b/pistachiodeal/jobagent/paces.py
@@ -6,7 +6,8 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
-from pistachiodeal.jobagent.ledger import AgentLedger, RunKey
+from pistachiodeal.jobagent.figures import RunKey
+from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobs.runtime import CallResult, Runtime
 from pistachiodeal.scheduling.interference import FIRST_PRESS
 from pistachiodeal.scheduling.pacing import FillingLoad, Pacer, ServingTail
@@ -35,7 +36,7 @@
         }
         if changed:
             self._events.emit("pace.changed", paces=changed)
-        for key, history in list(self._ledger.histories.items()):
+        for key, history in list(self._ledger.figures.histories.items()):
             percent = paces[self._ledger.described[key].image]
             if history.newest != percent:
                 history.note(percent, now)
@@ -53,7 +54,7 @@
 
     def _count_fills(self) -> dict[str, FillingLoad]:
         loads: dict[str, FillingLoad] = {}
-        for key in self._ledger.histories:
+        for key in self._ledger.figures.histories:
             load = loads.setdefault(self._ledger.described[key].image, FillingLoad())
             load.count += 1
             load.worked += self._ledger.running[key].worked_milli / 1000
@@ -70,4 +71,4 @@
         )
         if result is not CallResult.DONE:
             # What the runner does now is unknown; the next round tells it again.
-            ledger.histories.pop(key, None)
+            ledger.figures.histories.pop(key, None)
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -12,11 +12,11 @@
 from pistachiodeal.jobs.record import JobRecord, StepRecord, Task
 from pistachiodeal.leader.advice import AdviceKeeper
 from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.fleet_views import build_views
 from pistachiodeal.leader.moves import Mover
 from pistachiodeal.leader.reconcile import Reconciler
-from pistachiodeal.leader.workers import Fleet, WorkerState, split_place
+from pistachiodeal.leader.workers import Fleet, split_place
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.scheduling.health import MOST_SUSPECTS
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.scheduling.ordering import (
     Rank,
@@ -87,7 +87,7 @@
         now = read_boot_clock()
         self._open_due()
         self._mover.move(now)
-        this_round = _Round(self._build_views(now))
+        this_round = _Round(build_views(self._book, self._fleet, now))
         for _, _, record, step in self._order_ready():
             self._place_step(this_round, record, step)
 
@@ -312,43 +312,6 @@
             )
         return victims
 
-    def _build_views(self, now: float) -> dict[str, list[WorkerView]]:
-        views: dict[str, list[WorkerView]] = {}
-        for worker in self._fleet.workers.values():
-            if worker.open:
-                views.setdefault(worker.service, []).append(self._view(worker, now))
-        for those in views.values():
-            if sum(view.closed for view in those) > MOST_SUSPECTS * len(those):
-                for view in those:
-                    view.closed = view.probing = False
-        return views
-
-    def _view(self, worker: WorkerState, now: float) -> WorkerView:
-        view = WorkerView(
-            worker.place,
-            worker.node,
-            worker.rack,
-            frozenset(worker.labels),
-            worker.capacity,
-            alone=worker.alone,
-        )
-        for task in self._book.get_runs(worker.place).values():
-            self._take_room(view, task)
-        for text in worker.strays:
-            stray = self._book.find_task(text)
-            if stray is not None:
-                self._take_room(view, stray)
-        runs = self._book.get_runs(worker.place).values()
-        at_work = sum(1 for task in runs if not task.step.lasts)
-        view.closed = worker.health.is_closed(now, at_work=at_work)
-        view.probing = worker.health.suspect
-        return view
-
-    def _take_room(self, view: WorkerView, task: Task) -> None:
-        name = task.name
-        key = (name.job_id, name.occurrence, name.step)
-        view.take(key, task.step)
-
 
 def _sum_loss(victims: list[Victim]) -> float:
     return sum(victim.loss for victim in victims)
--- /dev/null
+++ b/tests/unit/test_leader_fleet_views.py
@@ -0,0 +1,39 @@
+"""Which workers a round of decisions may use."""
+
+from __future__ import annotations
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.fleet_views import build_views
+from pistachiodeal.leader.workers import Attachment, Fleet
+from tests.standins.job_cluster import create_quiet_log
+
+
+def build_fleet(workers: int, suspects: int) -> Fleet:
+    """Return workers of one service, some of which have failed two tasks."""
+    fleet = Fleet()
+    now = read_boot_clock()
+    for number in range(workers):
+        worker = fleet.get(f"n{number}")
+        worker.worker, worker.service, worker.listed = f"w{number}", "svc", True
+        worker.attachment = Attachment(worker.node, number)
+        if number < suspects:
+            worker.health.note_failure(now)
+            worker.health.note_failure(now)
+    return fleet
+
+
+def test_suspects_are_closed():
+    """The load: one worker of six fails what it starts."""
+    book = JobBook(create_quiet_log())
+    views = build_views(book, build_fleet(6, 1), read_boot_clock())["svc"]
+    assert [view.closed for view in views] == [True] + [False] * 5
+
+
+def test_jobs_that_can_never_be_done_close_no_worker():
+    """Symptom: nothing is placed for seconds. Sequence: many jobs come that fail
+    everywhere, so most workers see failures in a row. Cause: all became suspects.
+    """
+    book = JobBook(create_quiet_log())
+    views = build_views(book, build_fleet(6, 3), read_boot_clock())["svc"]
+    assert not any(view.closed or view.probing for view in views)
