Add 'pistachiodeal job': show, why, list, queues, from the store's rows

An operator could ask nothing about the jobs of the users' platform but by a caller's GET. What a job waits for is worked out from its rows without input or output (jobs/explain.py); the commands read the store themselves, so they also answer while no entry does.

--- a/pistachiodeal/commands/cli.py
+++ b/pistachiodeal/commands/cli.py
@@ -13,6 +13,7 @@
 from pistachiodeal import __version__, exit_codes
 from pistachiodeal.commands import (
     histograms,
+    job,
     profile,
     service,
     settings,
@@ -24,7 +25,7 @@
 from pistachiodeal.commands.output import format_error
 from pistachiodeal.exceptions import SettingsError
 
-COMMANDS = (profile, service, task, status, histograms, settings)
+COMMANDS = (profile, service, task, job, status, histograms, settings)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- /dev/null
+++ b/pistachiodeal/commands/job.py
@@ -0,0 +1,197 @@
+"""``pistachiodeal job``: what the rows say of jobs on the users' platform.
+
+The rows are read from the store itself, so a command also answers while no entry does.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import time
+from dataclasses import asdict, dataclass
+from typing import Any
+
+import orjson
+
+from pistachiodeal import exit_codes
+from pistachiodeal.addresses import is_address
+from pistachiodeal.commands.errors import CommandError, UsageError
+from pistachiodeal.commands.options import Context
+from pistachiodeal.commands.output import print_fields, print_json, print_table
+from pistachiodeal.commands.parsers import Subparsers, add_group, add_leaf
+from pistachiodeal.exceptions import ProtocolError, StoreError
+from pistachiodeal.jobs.explain import explain_job, report_steps
+from pistachiodeal.jobs.model import JobState
+from pistachiodeal.jobs.record import JobRecord, apply_progress, build_record
+from pistachiodeal.jobs.rows import (
+    JOBS_TABLE,
+    PROGRESS_TABLE,
+    RANGE_END,
+    build_cancel_key,
+    decode_job,
+    split_key,
+)
+from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
+from pistachiodeal.platform.rows import create_rows
+from pistachiodeal.store.row_store import RowStore, StoredRow, read_row, read_whole
+
+STORE_VARIABLE = "PISTACHIODEAL_STORE"
+
+
+@dataclass(frozen=True, slots=True)
+class FoundJob:
+    """A job as its rows have it."""
+
+    record: JobRecord
+    cancelled: bool
+
+    @property
+    def state(self) -> JobState:
+        """Return the state that callers are told."""
+        if self.cancelled and not self.record.state.final:
+            return JobState.CANCELLED
+        return self.record.state
+
+
+def add_commands(parsers: Subparsers, common: argparse.ArgumentParser) -> None:
+    """Add the commands to the parser."""
+    group = add_group(parsers, "job", "look at jobs on the users' platform")
+    show = add_leaf(group, common, "show", "show a job and its steps", run_show)
+    why = add_leaf(group, common, "why", "tell what a job waits for", run_why)
+    listing = add_leaf(group, common, "list", "list jobs", run_list)
+    listing.add_argument("--queue", default="", help="of this queue only")
+    listing.add_argument(
+        "--open", action="store_true", help="only those that are not final"
+    )
+    queues = add_leaf(group, common, "queues", "count jobs by queue", run_queues)
+    for leaf in (show, why):
+        leaf.add_argument("job_id")
+    for leaf in (show, why, listing, queues):
+        leaf.add_argument(
+            "--store",
+            metavar="IP:PORT",
+            default=os.environ.get(STORE_VARIABLE, ""),
+            help=f"the platform's store (default: {STORE_VARIABLE})",
+        )
+
+
+async def run_show(context: Context, args: argparse.Namespace) -> None:
+    """Print a job and its steps."""
+    found = await _read(_find_job, args)
+    steps = [asdict(step) for step in report_steps(found.record)]
+    document = {**_describe(found), "steps": steps}
+    if context.as_json:
+        print_json(document)
+    else:
+        print_fields(document)
+
+
+async def run_why(context: Context, args: argparse.Namespace) -> None:
+    """Print what a job waits for."""
+    found = await _read(_find_job, args)
+    leader = await _read(_find_leader, args)
+    why = explain_job(found.record, cancelled=found.cancelled, leader=leader)
+    document = {**_describe(found), "leader": leader, "why": why}
+    if context.as_json:
+        print_json(document)
+    else:
+        print_fields(document)
+
+
+async def run_list(context: Context, args: argparse.Namespace) -> None:
+    """Print one line for each job."""
+    rows = [
+        _describe(found)
+        for found in await _read(_read_jobs, args)
+        if not args.queue or found.record.job.queue.name == args.queue
+        if not args.open or not found.state.final
+    ]
+    if context.as_json:
+        print_json(rows)
+    else:
+        print_table(
+            ("job", "queue", "state", "age_s"), [list(row.values()) for row in rows]
+        )
+
+
+async def run_queues(context: Context, args: argparse.Namespace) -> None:
+    """Print how many jobs of each queue are in which state."""
+    counts: dict[str, dict[str, int]] = {}
+    for found in await _read(_read_jobs, args):
+        states = counts.setdefault(found.record.job.queue.name, {})
+        states[found.state.value] = states.get(found.state.value, 0) + 1
+    if context.as_json:
+        print_json(counts)
+        return
+    names = [state.value for state in JobState]
+    rows = [
+        [queue, *(states.get(name, 0) for name in names)]
+        for queue, states in sorted(counts.items())
+    ]
+    print_table(("queue", *names), rows)
+
+
+async def _read(read: Any, args: argparse.Namespace) -> Any:
+    """Read from the store; its errors end the command."""
+    if not is_address(args.store):
+        raise UsageError("no store: give --store ip:port")
+    try:
+        return await read(create_rows(args.store), args)
+    except StoreError as error:
+        raise CommandError(
+            error.detail,
+            exit_codes.UNREACHABLE,
+            code=error.code,
+            step=error.step,
+            peer=args.store,
+        ) from None
+    except ProtocolError as error:
+        raise CommandError(
+            error.detail, exit_codes.FAILURE, code=error.code, step=error.step
+        ) from None
+
+
+async def _find_job(store: RowStore, args: argparse.Namespace) -> FoundJob:
+    job_id = args.job_id
+    page = await store.read(JOBS_TABLE, job_id, job_id + RANGE_END, 2)
+    rows = {row.key: row for row in page.rows}
+    if job_id not in rows:
+        raise CommandError(f"no job {job_id}", exit_codes.NOT_FOUND, code="unknown_job")
+    progress = await read_row(store, PROGRESS_TABLE, job_id)
+    newest = progress.rows[0] if progress.rows else None
+    return _build(rows[job_id], newest, cancelled=build_cancel_key(job_id) in rows)
+
+
+async def _read_jobs(store: RowStore, _: argparse.Namespace) -> list[FoundJob]:
+    jobs = await read_whole(store, JOBS_TABLE)
+    progress = {row.key: row for row in (await read_whole(store, PROGRESS_TABLE)).rows}
+    keys = {row.key for row in jobs.rows}
+    return [
+        _build(row, progress.get(row.key), cancelled=build_cancel_key(row.key) in keys)
+        for row in jobs.rows
+        if not split_key(row.key)[1]
+    ]
+
+
+async def _find_leader(store: RowStore, _: argparse.Namespace) -> str:
+    page = await read_row(store, CONTROL_TABLE, LEADER_KEY)
+    return str(orjson.loads(page.rows[0].value)["node"]) if page.rows else ""
+
+
+def _build(row: StoredRow, progress: StoredRow | None, *, cancelled: bool) -> FoundJob:
+    record = build_record(decode_job(row.value))
+    if progress is not None:
+        apply_progress(record, progress.value, progress.version)
+    if not record.state.final:
+        record.open_due(time.time())
+    return FoundJob(record, cancelled)
+
+
+def _describe(found: FoundJob) -> dict[str, Any]:
+    job = found.record.job
+    return {
+        "job": job.job_id,
+        "queue": job.queue.name,
+        "state": found.state.value,
+        "age_s": round(time.time() - job.accepted_s, 1),
+    }
--- a/pistachiodeal/exit_codes.py
+++ b/pistachiodeal/exit_codes.py
@@ -16,6 +16,6 @@
     BAD_USAGE: "Wrong arguments or settings; nothing was started or sent.",
     UNREACHABLE: "No entry, or a part it needs, could be reached in time.",
     CONFLICT: "Somebody else changed it first, or it is still in use.",
-    NOT_FOUND: "No such profile, service or task.",
+    NOT_FOUND: "No such profile, service, task or job.",
     UNAUTHENTICATED: "The operators' token is missing or wrong.",
 }
