--- a/pistachiodeal/config/deployment.py
+++ b/pistachiodeal/config/deployment.py
@@ -34,7 +34,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreSettings:
-    """The platform's store: its address, and the largest row in bytes."""
+    """The platform's store.
+
+    :param address: ``ip:port``.
+    :param row_bytes: largest row that it takes.
+    """
 
     address: str
     row_bytes: int = 65_536
@@ -68,7 +72,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessorSettings:
-    """A share of a core, and how many times as fast as a usual core it is."""
+    """What the VM's processor gives one process.
+
+    :param share: of a core.
+    :param speed: how many times as fast as a usual core that core is.
+    """
 
     share: float = 1.0
     speed: float = 1.0
@@ -83,12 +91,15 @@
 class DeploymentSettings:
     """Settings of an entry or agent.
 
+    :param node: the VM's name.
     :param host: the VM's IP address.
+    :param data_centre: where it is.
     :param peer_ports: first and last port for links between our processes.
     :param seed_peers: addresses on VMs that may run an entry; only their hosts count.
     :param peer_secret: proves to each other that two processes belong together.
     :param runner: ``ip:port`` of the runner beside an agent.
     :param advice: ``ip:port`` of the service that chooses workers, or empty.
+    :param memory_mib: the process may not use more, MiB.
     :param processor: what the VM's processor gives this process.
     :param link_mbps: bandwidth of the VM's link, Mbit/s.
     """
--- a/pistachiodeal/config/reference.py
+++ b/pistachiodeal/config/reference.py
@@ -15,6 +15,7 @@
 
 from pistachiodeal.config.agent import AgentSettings
 from pistachiodeal.config.checks import CHECKS, Check
+from pistachiodeal.config.deployment_reference import describe_deployment
 from pistachiodeal.config.entry import EntrySettings
 from pistachiodeal.model.policies import Profile
 
@@ -64,6 +65,7 @@
         parts.extend(_describe_section(model, ""))
         parts.append("\n### Checked together\n\n")
         parts.extend(map(_describe_check, CHECKS[model]))
+    parts.extend(describe_deployment())
     return "".join(parts)
 
 
