--- a/pistachiodeal/config/deployment_reference.py
+++ b/pistachiodeal/config/deployment_reference.py
@@ -43,7 +43,7 @@
         if is_dataclass(hints[item.name]):
             yield from _describe(hints[item.name], name)
             continue
-        meaning = " ".join(meanings[item.name].split())
+        meaning = " ".join(meanings[item.name].replace("``", "`").split())
         kind = TYPE_NAMES[hints[item.name]]
         yield f"| `{name}` | {kind} | {_format_default(item)} | {meaning} |\n"
 
