Send no order to an agent that has not listed its worker

The agent drops orders for a worker that it doesn't know; the leader took the run for ordered and never settled it. Ruled out: a lost link (the agent stayed attached), a late start (the agent logs none). Change: such a run is given up before anybody was told, and placed again where a listing is there. The new test failed before.

--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -103,7 +103,9 @@
         worker = self._fleet.find_place(place)
         attachment = worker.attachment if worker else None
         record = self._book.records[task.name.job_id]
-        if task.stopping or worker is None or attachment is None or worker.draining:
+        # An agent that has not listed its worker on this link may not know it yet, and
+        # would drop the order in silence: its task would wait for ever.
+        if task.stopping or worker is None or attachment is None or not worker.open:
             # Nobody was ever told of this run, so it cannot come to life later.
             self._events.emit("run.unsent", task=str(task.name), run=run, place=place)
             self._book.requeue(task)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,8 @@
     # Six tasks ran twice: a relay refused connections to a runner that went on, which
     # no runner of the platform does; the soak cuts such links without refusing since.
     13,
+    # Four jobs stayed active: an order met a restarted agent that knew no worker yet.
+    52,
 )
 
 
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -160,6 +160,23 @@
     assert "node" in stage.task.avoid
 
 
+def test_no_order_goes_to_an_agent_that_has_not_listed_its_worker():
+    """Symptom: a job stays active for ever. Sequence: a run is decided; its agent is
+    restarted before the decision is durable; the order meets an agent that has heard
+    no heartbeat yet. Cause: the agent drops it, and the leader takes it for ordered.
+    """
+    stage = Stage()
+    stage.report()
+    stage.book.requeue(stage.task)
+    stage.book.place(stage.task, 2, "node/w1", lambda: None)
+    worker = stage.fleet.get("node")
+    attachment = Attachment("node", 2)
+    worker.attach(attachment)
+    stage.reconciler.send_order(stage.task, 2, "node/w1")
+    assert attachment.outbox.starts == []
+    assert stage.task.waits
+
+
 def test_a_refused_task_is_held_for_a_moment():
     """Symptom: a task is ordered and refused hundreds of times a second. Sequence: a
     runner refuses what the leader thinks fits; the task waits again and is placed at
