--- a/pistachiodeal/leader/advice.py
+++ b/pistachiodeal/leader/advice.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 
 import curio
-from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
@@ -19,8 +18,6 @@
 from pistachiodeal.jobs.advice import Advice, Adviser
 from pistachiodeal.scheduling.views import StepKey
 
-log = Logger("advice")
-
 # The objective of a job counts one call on this many workers for each step.
 WORKERS_A_CALL = 30
 # An order takes some ms to the runner; a ticket that ends sooner would be refused.
@@ -35,12 +32,11 @@
 class _StepAdvice:
     """What is known of one step.
 
-    :param tickets: by worker, with the end of each, boot clock.
+    :param tickets: of the workers that may run it, with the end of each, boot clock.
     :param refused: workers that never may run it.
     """
 
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
-    approved: set[str] = field(default_factory=set)
     refused: set[str] = field(default_factory=set)
 
 
@@ -70,7 +66,7 @@
         known = self._steps.get(key) or _StepAdvice()
         asked = [worker for worker in workers if worker not in known.refused]
         # Those that were approved before are approved again: nobody else is asked.
-        again = [worker for worker in asked if worker in known.approved]
+        again = [worker for worker in asked if worker in known.tickets]
         self._wanted[key] = tuple((again or asked)[:WORKERS_A_CALL])
 
     async def run(self) -> None:
@@ -113,5 +109,4 @@
             if ticket is None:
                 known.refused.add(worker)
             else:
-                known.approved.add(worker)
                 known.tickets[worker] = (ticket, until)
