Tell refused callers to come back after as long as the store has been away

Cause: callers try five times; told to come back each second, they have used up their tries 4 s into an outage, and outages of the store last 4 to 9 s.

--- a/pistachiodeal/jobentry/acceptance.py
+++ b/pistachiodeal/jobentry/acceptance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field
 
 import curio
@@ -16,6 +17,7 @@
     StoreUncertainError,
 )
 from pistachiodeal.jobs.rows import JOBS_TABLE
+from pistachiodeal.scheduling.comeback import choose_retry_after_s
 from pistachiodeal.store.row_store import (
     ABSENT,
     RowCondition,
@@ -31,7 +33,6 @@
 # Each insert is a condition and a write, and a transaction takes 100 entries.
 INSERTS_A_TRANSACTION = 40
 WRITERS = 2
-RETRY_AFTER_S = 1.0
 # Time kept for the answer's way back to the caller.
 ANSWER_MARGIN_S = 0.3
 # A store that is away is asked again this often, and first after a short while: one
@@ -77,6 +78,7 @@
         self._unsettled: list[_Insert] = []
         self._down_since = 0.0
         self._lost = curio.Event()
+        self._dice = random.Random()
 
     async def insert(self, key: str, value: bytes, budget_s: float) -> None:
         """Insert a row that may be there already; return when it is durable.
@@ -85,14 +87,16 @@
             and never will be, there; else ``unknown``.
         """
         if self._down_since:
-            raise _build_refusal("the store is away")
+            raise self._build_refusal("the store is away")
         insert = _Insert(key, value)
         await self._queue.put(insert)
         async with curio.ignore_after(max(0.0, budget_s - ANSWER_MARGIN_S)):
             await insert.done.wait()
         if not insert.done.is_set():
             insert.given_up = True
-            insert.error = _build_failure(insert, "the store gave no answer in time")
+            insert.error = self._build_failure(
+                insert, "the store gave no answer in time"
+            )
         if insert.error is not None:
             raise insert.error
 
@@ -159,7 +163,7 @@
             if insert.tries:
                 self._unsettled.append(insert)
             else:
-                insert.error = _build_failure(insert, detail)
+                insert.error = self._build_failure(insert, detail)
                 await insert.done.set()
 
     async def _keep_probing(self) -> None:
@@ -195,31 +199,30 @@
         self._events.emit("store.lost", cause=str(error))
         await self._lost.set()
 
+    def _build_failure(self, insert: _Insert, detail: str) -> RequestError:
+        if not insert.tries:
+            return self._build_refusal(detail)
+        # A try may still be carried out: "not accepted" would be untrue.
+        return RequestError(
+            detail,
+            code="store_uncertain",
+            status=504,
+            outcome=Outcome.UNKNOWN,
+            step="jobs.accept",
+        )
+
+    def _build_refusal(self, detail: str) -> RequestError:
+        away_s = read_boot_clock() - self._down_since if self._down_since else 0.0
+        return RequestError(
+            detail,
+            code="store_unavailable",
+            status=503,
+            retry_after=choose_retry_after_s(away_s, self._dice),
+            step="jobs.accept",
+        )
+
 
 def _build(batch: list[_Insert]) -> Transaction:
     conditions = tuple(RowCondition(JOBS_TABLE, one.key, ABSENT) for one in batch)
     writes = tuple(RowWrite(JOBS_TABLE, one.key, one.value) for one in batch)
     return Transaction(conditions, writes)
-
-
-def _build_failure(insert: _Insert, detail: str) -> RequestError:
-    if not insert.tries:
-        return _build_refusal(detail)
-    # A try may still be carried out: "not accepted" would be untrue.
-    return RequestError(
-        detail,
-        code="store_uncertain",
-        status=504,
-        outcome=Outcome.UNKNOWN,
-        step="jobs.accept",
-    )
-
-
-def _build_refusal(detail: str) -> RequestError:
-    return RequestError(
-        detail,
-        code="store_unavailable",
-        status=503,
-        retry_after=RETRY_AFTER_S,
-        step="jobs.accept",
-    )
