Close a link only after its reader has run again

Cause: curio keeps the descriptor of a task that it has just woken registered until that task waits again. A link that another task closed in that moment left a stale entry in the selector, and a new connection with the same number met it: FileNotFoundError or ReadResourceBusy in curio's kernel, which ends the process.

Ruled out: two readers of one link.

--- a/pistachiodeal/wire/link.py
+++ b/pistachiodeal/wire/link.py
@@ -72,6 +72,7 @@
         self._wake = curio.Event()
         self._room = curio.Event()
         self._closing = False
+        self._reading = False
         self._error: LinkClosedError | None = None
         self._heard_at = time.monotonic()
         self._sent_at = time.monotonic()
@@ -135,9 +136,14 @@
         while self._tasks:
             await self._tasks.pop().cancel()
         # Closing a descriptor takes it out of the selector without a word: a task
-        # that reads from it would wait for ever. The shutdown wakes it first.
+        # that reads from it would wait for ever. The shutdown wakes it first. Curio
+        # keeps the descriptor of a task that it has woken until that task waits again;
+        # a new connection that got the same number by then would end the process
+        # (FileNotFoundError in the selector). So the reader has to have run.
         await self._break()
         await curio.sleep(0)
+        while self._reading:
+            await curio.sleep(0)
         await self._sock.close()
 
     async def open(self, peer: Identity) -> None:
@@ -173,10 +179,13 @@
         return frame, packed
 
     async def _read(self) -> None:
+        self._reading = True
         try:
             data = await self._sock.recv(READ_BYTES)
         except OSError as error:
             raise self._fail(LinkClosedError(repr(error))) from None
+        finally:
+            self._reading = False
         if not data:
             raise self._fail(LinkClosedError("closed by the peer"))
         self._heard_at = time.monotonic()
--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -259,3 +259,31 @@
         listener.close()
 
     curio.run(main)
+
+
+def test_a_link_that_is_closed_under_its_reader_does_not_end_the_process():
+    """Symptom: a process ends with FileNotFoundError from the selector.
+
+    Sequence: one task reads from a link, another closes it, and a new connection gets
+    the number of its descriptor before the reader has run again. Cause: curio keeps
+    the descriptor of a task that it has just woken registered, and takes the new
+    connection for the old one.
+    """
+
+    async def read_until_closed(link):
+        with pytest.raises(LinkClosedError):
+            await link.receive()
+
+    async def main():
+        async with accepting() as acceptor:
+            async with dial_link(acceptor.address, AGENT, SECRET, PATIENT) as link:
+                reader = await curio.spawn(read_until_closed, link)
+                await curio.sleep(0)
+                await link.close()
+                ends = [Socket(end) for end in socket.socketpair()]
+                await curio.ignore_after(0.01, ends[0].recv, 1)
+                await reader.join()
+                for end in ends:
+                    await end.close()
+
+    curio.run(main)
