Let a leader that the store turns away step down; relay calls of the store

It kept its agents and a follower for seven more seconds, in which no task started on their workers; the follower had seen the changed row and took it for no news. Callers of an entry that the store refuses were turned away although the leader could have written their jobs.

Change: who takes the lead tells the other entries; a leader that hears of a higher epoch ends, and followers and agents leave it. An agent whose grant shrinks asks the other entries by itself. An entry that the store turns away reads and writes through the leader, within bounds.

Tests fail before: no task ran on the old leader's workers in time, an agent never left it; a relayed insert without an answer is 'unknown'.

--- a/pistachiodeal/jobagent/leader_link.py
+++ b/pistachiodeal/jobagent/leader_link.py
@@ -31,6 +31,11 @@
 # A leader that has just gone silent is asked last for this long: the handshake with it
 # would take 0.8 s each time, and its successor is known by the other entries.
 UNHEARD_S = 1.0
+# A leader grants 11 s from its last confirmed look at its row, and looks each 0.65 s.
+# Less than this means that the store turns it away; another may lead by now, whom
+# it does not hear of.
+LEAST_GRANT_MS = 8_500
+SUCCESSOR_S = 0.5
 
 
 class LeaderLink:
@@ -58,6 +63,7 @@
         self._looked_at = 0.0
         self._unheard = ""
         self._unheard_until = 0.0
+        self._grant_ms = 0
 
     async def run(self) -> None:
         """Stay attached for ever."""
@@ -118,11 +124,13 @@
         self._sent.clear()
         self._fenced.clear()
         self._ledger.forget_reports()
+        self._grant_ms = LEAST_GRANT_MS
         self._events.emit("leader.attached", peer=link.address)
         try:
             await run_until_one_ends(
                 lambda: self._send_reports(link),
                 lambda: self._receive(link),
+                self._watch_successor,
                 self._fenced.wait,
             )
         finally:
@@ -146,7 +154,37 @@
             if not self._ledger.take_directive(message, sent_at):
                 self._events.emit("leader.outdated", epoch=message.epoch)
                 return
+            self._grant_ms = message.grant_ms
             for beat in [beat for beat in self._sent if beat < message.beat]:
                 del self._sent[beat]
             await self._noted.set()
             await self._executor.carry_out(message)
+
+    async def _watch_successor(self) -> None:
+        """Return once another entry is known to lead.
+
+        A leader that is cut off from the store and from all other entries goes on, and
+        an agent that stayed with it would get no work until its grant has run out.
+        """
+        epoch = self._directory.epoch
+        while self._directory.epoch == epoch:
+            await curio.sleep(SUCCESSOR_S)
+            if self._grant_ms >= LEAST_GRANT_MS:
+                continue
+            for address in self._directory.list_others(self._directory.leader):
+                await self._ask(address)
+        self._events.emit("leader.superseded", epoch=epoch, by=self._directory.epoch)
+
+    async def _ask(self, address: str) -> None:
+        """Hear from an entry who leads."""
+        peers = self._peers
+        try:
+            async with dial_link(
+                address, peers.identity, peers.secret, peers.timings
+            ) as link:
+                notice = await link.receive()
+        except (PistachiodealError, OSError) as error:
+            log.debug("leader_link: {} does not say who leads: {}", address, error)
+            return
+        if isinstance(notice, LeaderNotice):
+            self._directory.take_notice(notice)
--- a/pistachiodeal/jobentry/acceptance.py
+++ b/pistachiodeal/jobentry/acceptance.py
@@ -16,7 +16,7 @@
     StoreError,
     StoreUncertainError,
 )
-from pistachiodeal.jobs.rows import JOBS_TABLE
+from pistachiodeal.jobs.rows import JOBS_TABLE, PROBE_KEY
 from pistachiodeal.scheduling.comeback import choose_retry_after_s
 from pistachiodeal.store.row_store import (
     ABSENT,
@@ -39,8 +39,6 @@
 # that refuses writes for their rate and answers reads would be written to in a loop.
 PROBE_S = 0.2
 FIRST_PROBE_S = 0.05
-# Asking for a row that never is there costs the store least.
-PROBE_KEY = "/probe"
 
 
 @dataclass(slots=True, eq=False)
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -10,6 +10,7 @@
 from pistachiodeal.jobentry.acceptance import Acceptance
 from pistachiodeal.jobentry.api import CallerApi
 from pistachiodeal.jobentry.configuration import ConfigurationKeeper
+from pistachiodeal.jobentry.relay import RelayedRows, build_dispatcher
 from pistachiodeal.jobentry.seat import Seat
 from pistachiodeal.jobentry.states import JobStates
 from pistachiodeal.leader.election import Election, is_weak
@@ -22,6 +23,7 @@
 from pistachiodeal.web.messages import WebLimits, WebRequest, WebResponse
 from pistachiodeal.web.server import Handler, WebServer, create_server
 from pistachiodeal.wire.identity import ENTRY_ROLE
+from pistachiodeal.wire.link import Link
 
 # The balancer asks for readiness once a second and takes two misses; until then it
 # goes on sending new connections, which a closed listener would turn away.
@@ -46,7 +48,8 @@
         store = create_rows(settings.store.address)
         peers = create_peer_context(settings, ENTRY_ROLE, events)
         peers.directory.note_entry(settings.peer_address)
-        self._configuration = ConfigurationKeeper(store, events)
+        relayed = RelayedRows(store, self._find_leader_link, events)
+        self._configuration = ConfigurationKeeper(relayed, events)
         self._seat = Seat(
             store,
             peers,
@@ -56,9 +59,9 @@
         )
         weak = is_weak(settings.processor.cores, settings.link_mbps)
         self._election = Election(store, peers, self._seat.lead, weak=weak)
-        self._acceptance = Acceptance(store, events)
-        states = JobStates(store, self._seat, self._election)
-        self._election.set_answer_handler(states.take_answer)
+        self._acceptance = Acceptance(relayed, events)
+        states = JobStates(relayed, self._seat, self._election)
+        self._election.set_answer_handler(build_dispatcher(relayed, states.take_answer))
         api = CallerApi(
             self._configuration,
             self._acceptance,
@@ -98,6 +101,9 @@
         await supervisor.stop()
         await running.join()
 
+    def _find_leader_link(self) -> Link | None:
+        return self._election.link
+
     async def _leave(self, electing: curio.Task) -> None:
         self._leaving = True
         self._events.emit("process.stopping")
--- a/pistachiodeal/jobentry/seat.py
+++ b/pistachiodeal/jobentry/seat.py
@@ -10,6 +10,7 @@
 
 from pistachiodeal.addresses import split_address
 from pistachiodeal.exceptions import FencedError, PistachiodealError
+from pistachiodeal.jobentry.relay import RelayServer
 from pistachiodeal.jobs.advice import Adviser
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.leader.commits import Authority
@@ -26,6 +27,7 @@
 )
 from pistachiodeal.wire.link import Link
 from pistachiodeal.wire.opening import accept_link
+from pistachiodeal.wire.relay_messages import RelayCommit, RelayRead
 
 log = Logger("seat")
 
@@ -54,6 +56,7 @@
         self._adviser = adviser
         self._events = peers.events
         self._leadership: Leadership | None = None
+        self._relay = RelayServer(store, peers.events)
         self._links: set[Link] = set()
 
     @property
@@ -122,6 +125,7 @@
     async def _serve_entry(self, link: Link) -> None:
         await link.send(self._build_notice())
         if self._leadership is None:
+            await self._take_news(link)
             return
         self._links.add(link)
         # The dialler's port is of its own choosing; its host is that of its entry.
@@ -132,14 +136,31 @@
         try:
             while True:
                 message = await link.receive()
-                if isinstance(message, JobQuery):
+                if isinstance(message, LeaderNotice):
+                    await self._take_notice(message)
+                elif isinstance(message, JobQuery):
                     await self._answer(link, message)
                 elif isinstance(message, JobNotice) and self._leadership is not None:
                     self._leadership.announce(message.key)
+                elif isinstance(message, RelayCommit | RelayRead):
+                    await self._relay.take(link, message)
         finally:
             self._links.discard(link)
             await notifier.cancel()
 
+    async def _take_news(self, link: Link) -> None:
+        """Hear who leads from an entry that has dialled; others only ask, and leave."""
+        while self._leadership is None:
+            message = await link.receive()
+            if isinstance(message, LeaderNotice):
+                await self._take_notice(message)
+
+    async def _take_notice(self, notice: LeaderNotice) -> None:
+        self._directory.take_notice(notice)
+        leadership = self._leadership
+        if leadership is not None and notice.epoch > leadership.epoch:
+            await leadership.step_down(notice.epoch)
+
     async def _notify(self, link: Link) -> None:
         try:
             while not link.closed:
--- a/pistachiodeal/jobs/rows.py
+++ b/pistachiodeal/jobs/rows.py
@@ -17,6 +17,8 @@
 
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
+# A row that never is there: asking for it shows whether the store answers.
+PROBE_KEY = "/probe"
 CANCEL_SUFFIX = "/cancel"
 CANCEL_VALUE = b"{}"
 # The row of a job's submission is followed by that of its cancellation; no other
--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -38,6 +38,7 @@
 from pistachiodeal.wire.job_messages import JobAnswer, LeaderNotice
 from pistachiodeal.wire.link import Link
 from pistachiodeal.wire.opening import dial_link
+from pistachiodeal.wire.relay_messages import RelayAnswer
 
 log = Logger("election")
 
@@ -74,9 +75,12 @@
     version: int
 
 
+# The version of a row that was heard of and not read.
+UNREAD = -1
 NOBODY = LeaderRow(0, "", "", 0, ABSENT)
 
 Lead = Callable[[Authority], Awaitable[None]]
+TakeAnswer = Callable[[JobAnswer | RelayAnswer], Awaitable[None]]
 
 
 class Election:
@@ -104,22 +108,24 @@
         self._weak = weak
         self._row = NOBODY
         self._link: Link | None = None
-        self._on_answer: Callable[[JobAnswer], Awaitable[None]] | None = None
+        self._on_answer: TakeAnswer | None = None
 
     @property
     def link(self) -> Link | None:
         """Return the link to the leader, None while there is none."""
         return self._link
 
-    def set_answer_handler(
-        self, handler: Callable[[JobAnswer], Awaitable[None]]
-    ) -> None:
-        """Set what takes the leader's answers to queries."""
+    def set_answer_handler(self, handler: TakeAnswer) -> None:
+        """Set what takes the leader's answers to queries and relayed calls."""
         self._on_answer = handler
 
     async def run(self) -> None:
         """Follow and lead by turns, for ever."""
         while True:
+            if self._directory.epoch > self._row.epoch:
+                # Another entry has said who leads. A store that turns us away would
+                # take a second to say nothing.
+                await self._follow(self._build_heard_row())
             row = await self._read_row()
             if row is not None:
                 self._row = row
@@ -169,6 +175,15 @@
             self._directory.note_leader(row.epoch, row.address)
         return row
 
+    def _build_heard_row(self) -> LeaderRow:
+        """Take what others say of the leader for its row.
+
+        Nobody can campaign against it: no condition on its version holds.
+        """
+        directory = self._directory
+        self._row = LeaderRow(directory.epoch, "", directory.leader, 0, UNREAD)
+        return self._row
+
     async def _follow(self, row: LeaderRow) -> None:
         """Keep a link to the leader until it ends or the leader lost the store."""
         try:
@@ -186,20 +201,25 @@
     async def _listen(self, link: Link) -> None:
         while True:
             message = await link.receive()
-            if isinstance(message, JobAnswer) and self._on_answer is not None:
+            if isinstance(message, JobAnswer | RelayAnswer) and self._on_answer:
                 await self._on_answer(message)
             if not isinstance(message, LeaderNotice):
                 continue
             self._directory.take_notice(message)
             if message.address != link.address:
                 raise LinkClosedError("it no longer leads", peer=link.address)
+            if self._directory.epoch > self._row.epoch:
+                raise LinkClosedError("another entry leads", peer=link.address)
             if message.store_age_ms < STORE_AGE_LIMIT_S * 1000:
                 continue
             if await self._outlasts_leader(link):
                 return
 
     async def _outlasts_leader(self, link: Link) -> bool:
-        """Tell whether our store works while the leader's goes on being refused."""
+        """Tell whether our store works while the leader's goes on being refused.
+
+        Also if another entry has already taken the row.
+        """
         if await self._read_row() is None:
             return False
         deadline = read_boot_clock() + SECOND_LOOK_S
@@ -209,8 +229,7 @@
                 continue
             if message.store_age_ms < STORE_AGE_LIMIT_S * 1000:
                 return False
-        row = await self._read_row()
-        return row is not None and row.version == self._row.version
+        return await self._read_row() is not None
 
     async def _consider(self) -> None:
         """Take the row over if the leader is gone for the other entries too."""
@@ -302,11 +321,21 @@
         authority = Authority(row.epoch, row.version, asked_at, read_boot_clock())
         self._events.emit("leader.taken", epoch=row.epoch, why=why)
         self._directory.note_leader(row.epoch, self._address)
+        for address in self._directory.list_others(self._address):
+            await curio.spawn(self._announce, address, daemon=True)
         try:
             await self._lead(authority)
         finally:
             self._events.emit("leader.ended", epoch=row.epoch)
 
+    async def _announce(self, address: str) -> None:
+        """Tell an entry who leads now; one that led until now may not know it."""
+        try:
+            async with self._dial(address) as link:
+                await link.send(self._directory.build_notice(0))
+        except (PistachiodealError, OSError) as error:
+            log.debug("election: cannot tell {} who leads: {}", address, error)
+
 
 def is_weak(cores: float, link_mbps: float) -> bool:
     """Tell whether a process had better leave the lead to others."""
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -76,6 +76,7 @@
         self._events = events
         self._changed = curio.Event()
         self._unsaved = curio.Event()
+        self._superseded = curio.Event()
         self._book = JobBook(events)
         self._fleet = Fleet()
         self._commits = CommitLog(store, authority, events)
@@ -152,11 +153,28 @@
             self._cancel(job_id)
         self._announced.setdefault(key, read_boot_clock())
 
+    async def step_down(self, epoch: int) -> None:
+        """End, since another process leads under a higher epoch.
+
+        A leader that the store turns away can't see for itself that it was replaced.
+        While it goes on, its agents and followers stay with it: for seven seconds they
+        got no work, although another entry led.
+        """
+        self._events.emit("leader.superseded", epoch=self.epoch, by=epoch)
+        await self._superseded.set()
+
     async def run(self) -> None:
         """Lead.
 
         :raises FencedError: another process leads now.
         """
+        await run_until_one_ends(self._lead, self._wait_superseded)
+
+    async def _wait_superseded(self) -> None:
+        await self._superseded.wait()
+        raise FencedError(step="leader.superseded")
+
+    async def _lead(self) -> None:
         await self._load()
         keepers = [
             self._follow_jobs,
--- a/pistachiodeal/wire/messages.py
+++ b/pistachiodeal/wire/messages.py
@@ -21,6 +21,7 @@
     LeaderNotice,
     WorkerReport,
 )
+from pistachiodeal.wire.relay_messages import RelayAnswer, RelayCommit, RelayRead
 from pistachiodeal.wire.task_messages import (
     Renew,
     Start,
@@ -230,4 +231,7 @@
     | JobQuery
     | JobAnswer
     | JobNotice
+    | RelayCommit
+    | RelayRead
+    | RelayAnswer
 )
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -309,6 +309,49 @@
   pending @2 :Int64;
 }
 
+struct RelayCondition {
+  table @0 :Text;
+  key @1 :Text;
+  version @2 :UInt64;
+}
+
+struct RelayWrite {
+  table @0 :Text;
+  key @1 :Text;
+  value @2 :Data;
+  removed @3 :Bool;
+}
+
+struct RelayRow {
+  table @0 :Text;
+  key @1 :Text;
+  value @2 :Data;
+  version @3 :UInt64;
+}
+
+struct RelayCommit {
+  requestId @0 :UInt64;
+  conditions @1 :List(RelayCondition);
+  writes @2 :List(RelayWrite);
+}
+
+struct RelayRead {
+  requestId @0 :UInt64;
+  table @1 :Text;
+  start @2 :Text;
+  end @3 :Text;
+  limit @4 :UInt32;
+}
+
+struct RelayAnswer {
+  requestId @0 :UInt64;
+  failure @1 :Text;
+  committed @2 :Bool;
+  version @3 :UInt64;
+  truncated @4 :Bool;
+  rows @5 :List(RelayRow);
+}
+
 struct Frame {
   union {
     challenge @0 :Challenge;
@@ -337,5 +380,8 @@
     jobQuery @23 :JobQuery;
     jobAnswer @24 :JobAnswer;
     jobNotice @25 :JobNotice;
+    relayCommit @26 :RelayCommit;
+    relayRead @27 :RelayRead;
+    relayAnswer @28 :RelayAnswer;
   }
 }
--- /dev/null
+++ b/tests/unit/test_jobentry_relay.py
@@ -0,0 +1,129 @@
+"""An entry that the store turns away works through the leader."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import curio
+import pytest
+
+from pistachiodeal.exceptions import Outcome, RequestError
+from pistachiodeal.jobentry.relay import MOST_RELAYED, RelayServer
+from pistachiodeal.jobs.model import JobState
+from pistachiodeal.jobs.rows import JOBS_TABLE, encode_job
+from pistachiodeal.wire.relay_messages import RelayRead
+from tests.standins.job_cluster import (
+    EntryProcess,
+    JobCluster,
+    build_job,
+    create_quiet_log,
+    run_cluster,
+)
+from tests.standins.rows import MemoryRows, RowsState
+
+
+@asynccontextmanager
+async def run_with_refused_entry() -> AsyncIterator[tuple[JobCluster, EntryProcess]]:
+    """Run a cluster with a follower of the leader that is cut from the store."""
+    async with run_cluster(entries=2, agents=2) as cluster:
+        while (leader := cluster.find_leader()) is None:
+            await curio.sleep(0.01)
+        [refused] = [entry for entry in cluster.entries if entry is not leader]
+        while refused.election.link is None:
+            await curio.sleep(0.01)
+        refused.store.cut = True
+        yield cluster, refused
+
+
+def test_a_job_is_accepted_by_an_entry_that_the_store_turns_away():
+    """Symptom: callers of one entry are refused for nine seconds, all others served.
+
+    Sequence: the store gives no answer to one entry; its callers hand a job in, ask for
+    it and cancel another. Cause: an entry had no other way to the store than its own.
+    """
+
+    async def main() -> float:
+        async with run_with_refused_entry() as (cluster, refused):
+            first, second = build_job(1), build_job(2, count=20)
+            began = time.monotonic()
+            await refused.submit(first)
+            took_s = time.monotonic() - began
+            assert await refused.states.exists(first.job_id)
+            await cluster.wait_for_state(first, JobState.COMPLETED)
+            await refused.submit(second)
+            await refused.cancel(second)
+            await cluster.wait_for_state(second, JobState.CANCELLED)
+            return took_s
+
+    # The stand-in's silence is noticed after 0.2 s; the rest is two relayed calls.
+    assert curio.run(main) < 1.0
+
+
+def test_nothing_is_relayed_once_the_store_answers_again():
+    """Cause to guard against: a detour that outlives the outage loads the leader."""
+
+    async def main() -> bool:
+        async with run_with_refused_entry() as (_, refused):
+            await refused.submit(build_job(1))
+            refused.store.cut = False
+            await curio.sleep(0.8)
+            link = refused.election.link
+            assert link is not None
+            await link.close()
+            await refused.acceptance.insert("0002", b"row", 1.0)
+            return (JOBS_TABLE, "0002") in refused.state.rows
+
+    assert curio.run(main)
+
+
+def test_a_relayed_insert_without_an_answer_is_not_called_not_run():
+    """Symptom: a job runs although its caller was told that it would not.
+
+    Sequence: an entry that is cut from the store relays an insert; the leader's own
+    call is done and not answered. Cause to guard against: the leader's uncertainty
+    becomes a refusal on its way back.
+    """
+
+    async def main() -> Outcome | None:
+        async with run_with_refused_entry() as (cluster, refused):
+            await refused.submit(build_job(1))
+            cluster.state.faults.lost = 1.0
+            job = build_job(2)
+            with pytest.raises(RequestError) as failure:
+                await refused.acceptance.insert(job.job_id, encode_job(job), 1.0)
+            return failure.value.outcome
+
+    assert curio.run(main) is Outcome.UNKNOWN
+
+
+def test_a_leader_makes_a_bounded_number_of_calls_for_others():
+    """Symptom: a leader stops leading while it works for other entries.
+
+    Sequence: an entry relays a burst while the store is slow. Cause to guard against:
+    each call is a task of the leader's, without a limit.
+    """
+
+    class Recorder:
+        address = "peer"
+
+        def __init__(self) -> None:
+            self.failures: list[str] = []
+
+        async def send(self, answer) -> None:
+            self.failures.append(answer.failure)
+
+    async def main() -> Recorder:
+        state = RowsState()
+        state.faults.slow_s = 0.2
+        server = RelayServer(MemoryRows(state), create_quiet_log())
+        link = Recorder()
+        for number in range(MOST_RELAYED + 5):
+            await server.take(link, RelayRead(number, JOBS_TABLE, "", "", 0))
+        await curio.sleep(0.4)
+        return link
+
+    failures = curio.run(main).failures
+    assert failures.count("refused") == 5
+    assert failures.count("") == MOST_RELAYED
--- a/tests/unit/test_leader_election.py
+++ b/tests/unit/test_leader_election.py
@@ -3,17 +3,39 @@
 from __future__ import annotations
 
 import time
+from contextlib import suppress
+from dataclasses import dataclass
 
 import curio
+from curio.io import Socket
 
+from pistachiodeal.addresses import split_address
+from pistachiodeal.exceptions import LinkClosedError
+from pistachiodeal.jobagent.leader_link import LEAST_GRANT_MS
+from pistachiodeal.jobs.model import JobState
 from pistachiodeal.leader.commits import Authority
 from pistachiodeal.leader.directory import HEARD_LIMIT_S, Directory, is_heard
 from pistachiodeal.leader.election import Election, is_weak
 from pistachiodeal.peers import PeerContext
+from pistachiodeal.web.server import bind_listener
 from pistachiodeal.wire.identity import ENTRY_ROLE, Identity
-from pistachiodeal.wire.job_messages import LeaderNotice
+from pistachiodeal.wire.job_messages import (
+    Directive,
+    Label,
+    LeaderNotice,
+    WorkerReport,
+)
+from pistachiodeal.wire.link import Link, LinkTimings
+from pistachiodeal.wire.opening import accept_link
 from tests.harness.ports import take_port
-from tests.standins.job_cluster import SECRET, create_quiet_log, run_cluster
+from tests.standins.job_cluster import (
+    SECRET,
+    AgentProcess,
+    build_job,
+    create_quiet_log,
+    run_cluster,
+)
+from tests.standins.job_runner import MemoryRunner, Witness
 from tests.standins.rows import MemoryRows, RowsState
 
 
@@ -149,3 +171,99 @@
     counts = dict(line.split(" ") for line in curio.run(main).splitlines())
     # The first link, and then one each 0.2 s.
     assert 2 <= int(counts["leader_followed"]) <= 1 + 1.0 / 0.2 + 1
+
+
+def test_a_leader_that_the_store_turns_away_makes_way_for_its_successor():
+    """Symptom: for seven seconds no task starts on most workers, although one leads.
+
+    Sequence: the store gives no answer to the leader, and serves the others; one of
+    them takes the row. Cause: the old leader could not see that, and kept the links of
+    agents and followers; a follower that saw the changed row took it for no news.
+    """
+
+    async def main() -> float:
+        async with run_cluster(entries=3, agents=2) as cluster:
+            while (old := cluster.find_leader()) is None:
+                await curio.sleep(0.01)
+            await curio.sleep(0.6)
+            old.store.cut = True
+            others = [entry for entry in cluster.entries if entry is not old]
+            while not any(entry.seat.leadership for entry in others):
+                await curio.sleep(0.01)
+            taken_at = time.monotonic()
+            job = build_job(1)
+            await old.submit(job)
+            await cluster.wait_for_state(job, JobState.COMPLETED)
+            assert old.seat.leadership is None
+            return time.monotonic() - taken_at
+
+    assert curio.run(main) < 4.0
+
+
+@dataclass
+class FakeLeader:
+    """An entry that says who leads, and answers reports with a small grant.
+
+    :ivar reports: how many it has answered.
+    """
+
+    epoch: int
+    address: str
+    entries: tuple[Label, ...] = ()
+    reports: int = 0
+
+    async def listen(self) -> None:
+        host, port = split_address(self.address)
+        async with Socket(bind_listener(host, port)) as listener:
+            while True:
+                sock, _ = await listener.accept()
+                await curio.spawn(self._serve, sock, daemon=True)
+
+    async def _serve(self, sock: Socket) -> None:
+        identity = Identity(ENTRY_ROLE, self.address, 1, "dc")
+        with suppress(LinkClosedError):
+            async with accept_link(sock, identity, SECRET, LinkTimings()) as link:
+                notice = LeaderNotice(self.epoch, self.address, 0, self.entries, 0)
+                await link.send(notice)
+                while True:
+                    await self._answer(link, await link.receive())
+
+    async def _answer(self, link: Link, message: object) -> None:
+        assert isinstance(message, WorkerReport)
+        self.reports += 1
+        beat = message.beat
+        await link.send(
+            Directive(self.epoch, beat, LEAST_GRANT_MS // 2, 9, "", 0, (), (), (), ())
+        )
+
+
+def test_an_agent_leaves_a_leader_that_nobody_else_reaches():
+    """Symptom: a worker gets no task for eleven seconds.
+
+    Sequence: the leader is cut off from the store and from the other entries, and not
+    from an agent; another entry takes the row. Cause: nothing told the agent, and the
+    old leader's link to it was well.
+    """
+
+    async def main() -> tuple[int, int]:
+        old, new = (FakeLeader(n, f"127.0.0.1:{take_port()}") for n in (1, 2))
+        old.entries = (Label(new.address),)
+        listeners = [await curio.spawn(one.listen, daemon=True) for one in (old, new)]
+        agent = AgentProcess(
+            "0", RowsState(), [old.address], MemoryRunner("w", Witness(), 0.1, 1)
+        )
+        await agent.boot()
+        await curio.ignore_after(3.0, wait_for_reports, new)
+        await agent.kill()
+        for listener in listeners:
+            await listener.cancel()
+        return old.reports, new.reports
+
+    old_reports, new_reports = curio.run(main)
+    assert old_reports
+    assert new_reports
+
+
+async def wait_for_reports(leader: FakeLeader) -> None:
+    while not leader.reports:
+        await curio.sleep(0.01)
