Count waiting from the take-over; measure the leader's rounds by workers

Cause: a new leader took each task it had read for one that waits since its VM's start: run.place logged waits of 23,866 s, and filling work counted as starved at once.

bench.slopes leader: a round that meets a burst takes 24.6, 56, 182 and 1029 ms of processor time at 74, 148, 296 and 592 workers, one in which nothing fits 8.8, 36, 107 and 527 ms (load average 14): it grows with workers times waiting steps, no line fits.

--- a/bench/slopes/__main__.py
+++ b/bench/slopes/__main__.py
@@ -14,7 +14,15 @@
 
 import xxhash
 
-from bench.slopes import agent, entry_links, entry_tasks, inner, journal, platform
+from bench.slopes import (
+    agent,
+    entry_links,
+    entry_tasks,
+    inner,
+    journal,
+    leader,
+    platform,
+)
 from bench.slopes.fitting import Slope
 from bench.slopes.probes import read_load
 
@@ -43,6 +51,7 @@
     "profiles": inner.measure_profiles,
     "claims": inner.measure_claims,
     "messages": inner.measure_messages,
+    "leader": leader.measure_rounds,
     "table": platform.measure_table,
     "takeover": platform.measure_takeover,
 }
--- a/pistachiodeal/leader/book.py
+++ b/pistachiodeal/leader/book.py
@@ -71,7 +71,10 @@
         self._records[record.job_id] = record
         if not record.state.final:
             self._open[record.job_id] = record
+        now = read_boot_clock()
         for task in record.iterate_tasks():
+            # How long a task has waited under an earlier leader isn't known.
+            task.ready_at = now
             if task.place:
                 self._runs.setdefault(task.place, {})[str(task.name)] = task
 
