--- a/tests/unit/test_jobentry_relay.py
+++ b/tests/unit/test_jobentry_relay.py
@@ -9,8 +9,13 @@
 import curio
 import pytest
 
-from pistachiodeal.exceptions import Outcome, RequestError
-from pistachiodeal.jobentry.relay import MOST_RELAYED, RelayServer
+from pistachiodeal.exceptions import Outcome, RequestError, StoreError
+from pistachiodeal.jobentry.relay import (
+    MOST_RELAYED,
+    PROBE_S,
+    RelayedRows,
+    RelayServer,
+)
 from pistachiodeal.jobs.model import JobState
 from pistachiodeal.jobs.rows import JOBS_TABLE, encode_job
 from pistachiodeal.wire.relay_messages import RelayRead
@@ -63,19 +68,24 @@
 
 def test_nothing_is_relayed_once_the_store_answers_again():
     """Cause to guard against: a detour that outlives the outage loads the leader."""
-
-    async def main() -> bool:
-        async with run_with_refused_entry() as (_, refused):
-            await refused.submit(build_job(1))
-            refused.store.cut = False
-            await curio.sleep(0.8)
-            link = refused.election.link
-            assert link is not None
-            await link.close()
-            await refused.acceptance.insert("0002", b"row", 1.0)
-            return (JOBS_TABLE, "0002") in refused.state.rows
-
-    assert curio.run(main)
+    detours: list[str] = []
+
+    def find_link() -> None:
+        detours.append("asked")
+
+    async def main() -> int:
+        store = MemoryRows(RowsState())
+        relayed = RelayedRows(store, find_link, create_quiet_log())
+        store.cut = True
+        with pytest.raises(StoreError):
+            await relayed.read(JOBS_TABLE)
+        store.cut = False
+        await curio.sleep(PROBE_S + 0.5)
+        while_away = len(detours)
+        await relayed.read(JOBS_TABLE)
+        return while_away
+
+    assert curio.run(main) == len(detours) > 0
 
 
 def test_a_relayed_insert_without_an_answer_is_not_called_not_run():
