--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -10,10 +10,8 @@
 import random
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager, suppress
-from dataclasses import dataclass
 
 import curio
-import orjson
 from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
@@ -25,14 +23,16 @@
 )
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY, Authority
 from pistachiodeal.leader.directory import is_heard
+from pistachiodeal.leader.leader_row import (
+    NOBODY,
+    UNREAD,
+    LeaderRow,
+    build_replacement,
+    decode_leader_row,
+)
 from pistachiodeal.peers import PeerContext
 from pistachiodeal.store.row_store import (
-    ABSENT,
-    RowCondition,
     RowStore,
-    RowWrite,
-    StoredRow,
-    Transaction,
     read_row,
 )
 from pistachiodeal.wire.job_messages import JobAnswer, LeaderNotice
@@ -61,24 +61,6 @@
 RETRY_S = 0.2
 
 
-@dataclass(frozen=True, slots=True)
-class LeaderRow:
-    """The row that names the leader.
-
-    :param nonce: of the process that wrote it, so that it recognises its own row.
-    """
-
-    epoch: int
-    node: str
-    address: str
-    nonce: int
-    version: int
-
-
-# The version of a row that was heard of and not read.
-UNREAD = -1
-NOBODY = LeaderRow(0, "", "", 0, ABSENT)
-
 Lead = Callable[[Authority], Awaitable[None]]
 TakeAnswer = Callable[[JobAnswer | RelayAnswer], Awaitable[None]]
 
@@ -146,12 +128,8 @@
     async def resign(self) -> None:
         """Leave the leader's row vacant, so that nobody has to wait for silence."""
         row = self._row
-        value = orjson.dumps(
-            {"epoch": row.epoch, "node": "", "address": "", "nonce": 0}
-        )
-        transaction = Transaction(
-            (RowCondition(CONTROL_TABLE, LEADER_KEY, row.version),),
-            (RowWrite(CONTROL_TABLE, LEADER_KEY, value),),
+        transaction = build_replacement(
+            row, epoch=row.epoch, node="", address="", nonce=0
         )
         try:
             await self._store.commit(transaction)
@@ -170,7 +148,7 @@
         except StoreError as error:
             log.debug("election: cannot read the leader's row: {}", error)
             return None
-        row = _decode_row(page.rows[0]) if page.rows else NOBODY
+        row = decode_leader_row(page.rows[0]) if page.rows else NOBODY
         if row.address:
             self._directory.note_leader(row.epoch, row.address)
         return row
@@ -274,17 +252,12 @@
             # Whoever takes the row meanwhile makes the condition below fail.
             await curio.sleep(HANDICAP_S)
         epoch = row.epoch + 1
-        value = orjson.dumps(
-            {
-                "epoch": epoch,
-                "node": self._identity.node,
-                "address": self._address,
-                "nonce": self._identity.incarnation,
-            }
-        )
-        transaction = Transaction(
-            (RowCondition(CONTROL_TABLE, LEADER_KEY, row.version),),
-            (RowWrite(CONTROL_TABLE, LEADER_KEY, value),),
+        transaction = build_replacement(
+            row,
+            epoch=epoch,
+            node=self._identity.node,
+            address=self._address,
+            nonce=self._identity.incarnation,
         )
         asked_at = read_boot_clock()
         try:
@@ -340,14 +313,3 @@
 def is_weak(cores: float, link_mbps: float) -> bool:
     """Tell whether a process had better leave the lead to others."""
     return cores < WEAK_CORES or link_mbps < WEAK_MBPS
-
-
-def _decode_row(row: StoredRow) -> LeaderRow:
-    document = orjson.loads(row.value)
-    return LeaderRow(
-        document["epoch"],
-        document["node"],
-        document["address"],
-        document["nonce"],
-        row.version,
-    )
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -23,16 +23,15 @@
 from pistachiodeal.leader.advice import AdviceKeeper
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.commits import REMOVALS, Authority, CommitLog
+from pistachiodeal.leader.feed import JobFeed
 from pistachiodeal.leader.planner import Planner
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.sessions import AgentSessions
 from pistachiodeal.leader.workers import Fleet
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.store.row_store import (
-    HistoryLostError,
     RowStore,
     StoredRow,
-    read_row,
     read_whole,
 )
 from pistachiodeal.task_groups import run_until_one_ends
@@ -45,11 +44,6 @@
 PLAN_PAUSE_S = 0.01
 PLAN_REST = 3.0
 TICK_S = 0.25
-# A poll whose connection lost its other end hears nothing until it is given up, and a
-# cancellation that nobody hears leaves tasks running. So polls are short.
-FEED_WAIT_S = 0.8
-# A job that an entry has announced is read by itself when the feed is this late.
-ANNOUNCED_S = 0.3
 RETRY_S = 0.2
 # Agents attach within a beat of a change of leader; decisions made before most of
 # them are there would crowd the first ones.
@@ -79,6 +73,7 @@
         self._superseded = curio.Event()
         self._book = JobBook(events)
         self._fleet = Fleet()
+        self._feed = JobFeed(store, self._book, events, self._cancel, self._touch)
         self._commits = CommitLog(store, authority, events)
         interference = InterferenceModel()
         self._reconciler = Reconciler(self._book, self._fleet, interference, events)
@@ -103,8 +98,6 @@
         )
         self._loaded = False
         self._loaded_at = 0.0
-        self._feed_version = 0
-        self._announced: dict[str, float] = {}
 
     @property
     def epoch(self) -> int:
@@ -142,16 +135,8 @@
         return record.shown if record is not None else None
 
     def announce(self, key: str) -> None:
-        """Note that a row of the jobs table is durable; the feed should show it.
-
-        A cancellation is taken in at once: an entry that asks the store tells callers
-        of it by now, and another, that asks here, would tell them that the job is
-        active again.
-        """
-        job_id, cancels = split_key(key)
-        if cancels:
-            self._cancel(job_id)
-        self._announced.setdefault(key, read_boot_clock())
+        """Note that a row of the jobs table is durable; see :class:`JobFeed`."""
+        self._feed.announce(key)
 
     async def step_down(self, epoch: int) -> None:
         """End, since another process leads under a higher epoch.
@@ -177,7 +162,7 @@
     async def _lead(self) -> None:
         await self._load()
         keepers = [
-            self._follow_jobs,
+            self._feed.follow,
             self._keep_writing,
             self._keep_planning,
             self._keep_right,
@@ -215,7 +200,7 @@
                 self._restore(row, values.get(job_id))
         for job_id in cancelled:
             self._cancel(job_id)
-        self._feed_version = jobs.version
+        self._feed.start_after(jobs.version)
         self._loaded = True
         await self._touch()
 
@@ -239,77 +224,6 @@
         for task in self._book.cancel(job_id):
             self._reconciler.stop(task, "its job is cancelled")
 
-    async def _follow_jobs(self) -> None:
-        while True:
-            try:
-                page = await self._store.follow(
-                    JOBS_TABLE, self._feed_version, FEED_WAIT_S
-                )
-            except HistoryLostError:
-                await self._reread()
-                continue
-            except StoreError as error:
-                log.debug("leader: cannot follow the jobs: {}", error)
-                await curio.sleep(RETRY_S)
-                continue
-            self._apply_rows(page.rows)
-            self._feed_version = max(self._feed_version, page.version)
-            if page.rows:
-                await self._touch()
-
-    async def _check_announced(self) -> None:
-        """Read what was announced and the feed has not shown.
-
-        The store may drop its history and let a feed go on as if nothing had changed;
-        an accepted job would then wait for the next leader.
-        """
-        now = read_boot_clock()
-        for key, announced_at in list(self._announced.items()):
-            if self._is_known(key):
-                del self._announced[key]
-            elif now - announced_at > ANNOUNCED_S:
-                await self._read_row(key)
-
-    def _is_known(self, key: str) -> bool:
-        job_id, cancels = split_key(key)
-        record = self._book.records.get(job_id)
-        return record is not None and (not cancels or record.state.final)
-
-    async def _read_row(self, key: str) -> None:
-        try:
-            page = await read_row(self._store, JOBS_TABLE, key)
-        except StoreError as error:
-            log.debug("leader: cannot read the announced job {}: {}", key, error)
-            return
-        self._events.emit("job.announced", key=key, found=len(page.rows))
-        self._announced.pop(key, None)
-        self._apply_rows(page.rows)
-        await self._touch()
-
-    async def _reread(self) -> None:
-        try:
-            page = await read_whole(self._store, JOBS_TABLE)
-        except StoreError as error:
-            log.info("leader: cannot read the jobs again: {}", error)
-            await curio.sleep(RETRY_S)
-            return
-        self._apply_rows(page.rows)
-        self._feed_version = page.version
-        await self._touch()
-
-    def _apply_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        for row in rows:
-            if row.removed:
-                continue
-            job_id, cancels = split_key(row.key)
-            if cancels:
-                self._cancel(job_id)
-                continue
-            try:
-                self._book.add(decode_job(row.value), time.time())
-            except ProtocolError as error:
-                log.error("leader: job {} can't be read: {}", row.key, error)
-
     async def _keep_writing(self) -> None:
         while True:
             await self._unsaved.wait()
@@ -340,7 +254,7 @@
                 if self._sessions.is_lost(self._took_at, place):
                     self._reconciler.lose(place, "its leases have run out")
                     await self._touch()
-            await self._check_announced()
+            await self._feed.check_announced()
             await self._remove_old()
 
     async def _remove_old(self) -> None:
