Read rows and heartbeats of another writer field by field

Cause, by reading and a hypothesis test: data classes check no types, so a row with the right names and a count that is a text was decoded without a word and failed in the leader's round; its successor reads the same row and fails too. A leader's row that can't be read ended the election, a value that is no base64 hid the whole page, and a heartbeat with a worker's id and another service took the worker out of the leader's sight.

Change: one check of fields for jobs, queues, progress, the leader's row, configuration and heartbeats. What can't be read names no worker and is counted by one event (row.unreadable, heartbeat.unreadable, heartbeat.foreign). A leader's row that is spoilt counts as vacant, with the highest epoch heard of.

--- a/pistachiodeal/commands/job.py
+++ b/pistachiodeal/commands/job.py
@@ -179,7 +179,7 @@
 
 
 def _build(row: StoredRow, progress: StoredRow | None, *, cancelled: bool) -> FoundJob:
-    record = build_record(decode_job(row.value))
+    record = build_record(decode_job(row.key, row.value))
     if progress is not None:
         apply_progress(record, progress.value, progress.version)
     if not record.state.final:
--- a/pistachiodeal/jobagent/heartbeats.py
+++ b/pistachiodeal/jobagent/heartbeats.py
@@ -42,6 +42,9 @@
         try:
             beat = decode_beat(request.path, request.body)
         except ProtocolError as error:
+            self._events.emit(
+                "heartbeat.unreadable", path=request.path, cause=str(error)
+            )
             raise RequestError(
                 str(error), code="malformed_request", status=400
             ) from None
--- a/pistachiodeal/jobagent/leader_link.py
+++ b/pistachiodeal/jobagent/leader_link.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import curio
-import orjson
 from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.exceptions import PistachiodealError, StoreError
+from pistachiodeal.exceptions import PistachiodealError, ProtocolError, StoreError
 from pistachiodeal.jobagent.executor import Executor
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.signals import AgentSignals
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
 from pistachiodeal.leader.directory import is_heard
+from pistachiodeal.leader.leader_row import decode_leader_row
 from pistachiodeal.peers import PeerContext
 from pistachiodeal.store.row_store import RowStore, read_row
 from pistachiodeal.task_groups import run_until_one_ends
@@ -94,8 +94,14 @@
             log.debug("leader_link: cannot look the leader up: {}", error)
             return
         for row in page.rows:
-            document = orjson.loads(row.value)
-            self._directory.note_leader(document["epoch"], document["address"])
+            try:
+                leader = decode_leader_row(row)
+            except ProtocolError as error:
+                self._events.emit(
+                    "row.unreadable", table=CONTROL_TABLE, key=row.key, cause=str(error)
+                )
+                continue
+            self._directory.note_leader(leader.epoch, leader.address)
 
     async def _attach(self, address: str) -> bool:
         """Try one address; tell whether a leader was there, or is known by now."""
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -108,6 +108,7 @@
         self.presses: dict[Pair, float] = {}
         self.figures = FigureSampler()
         self._listing_ms = 0
+        self._other_service = ""
         self._texts: dict[str, str] = {}
         self._gone: set[str] = set()
 
@@ -140,6 +141,16 @@
         known = self.beat
         if known is None or beat.sequence <= known.sequence:
             return False
+        if beat.service not in (known.service, self._other_service):
+            # A runner stays with its service for its whole life. Another writer may
+            # use its id; taken at its word, it would hide the worker from the leader.
+            # Said twice in a row, the first heartbeat was the foreign one.
+            self._other_service = beat.service
+            self._events.emit(
+                "heartbeat.foreign", worker=beat.worker, service=beat.service
+            )
+            return False
+        self._other_service = ""
         self.beat = beat
         return beat.draining != known.draining
 
--- /dev/null
+++ b/pistachiodeal/jobs/checks.py
@@ -0,0 +1,80 @@
+"""Whether a job that was read from outside makes sense, field by field.
+
+What can go wrong: a row or a request of another writer has the right names and other
+types, a negative size, or a step that comes after itself. Taken in as it is, it raises
+in the middle of a round of decisions, and the leader that reads the same rows again
+fails again, for ever.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import fields
+from functools import lru_cache
+from typing import Any, get_type_hints
+
+from pistachiodeal.jobs.model import Job, Step
+
+MAX_TEXT_BYTES = 4_000
+MAX_STEPS = 100
+MAX_TASKS = 10_000
+PLAIN_TYPES = (int, float, str, bool)
+
+
+def check_fields(instance: Any) -> None:
+    """Check a data class's plain fields against their annotations.
+
+    :raises TypeError: a field holds another type, or a number that is not finite.
+    """
+    for name, kind in _list_plain_fields(instance.__class__):
+        value = getattr(instance, name)
+        allowed = (int, float) if kind is float else (kind,)
+        # A bool is an int to Python, and no number to whoever wrote the field.
+        if type(value) not in allowed:
+            raise TypeError(f"{name} is {type(value).__name__}, not {kind.__name__}")
+        if kind is float and not math.isfinite(value):
+            raise TypeError(f"{name} is not finite")
+
+
+def check_job(job: Job) -> None:
+    """Check a job and all that it holds.
+
+    :raises TypeError: a field holds another type.
+    :raises ValueError: the fields contradict each other, or are out of bounds.
+    """
+    check_fields(job)
+    check_fields(job.queue)
+    if len(job.text.encode()) > MAX_TEXT_BYTES:
+        raise ValueError(f"the text has more than {MAX_TEXT_BYTES} bytes")
+    if min(job.repeats, job.interval_s) < 0:
+        raise ValueError("a count or a time is negative")
+    if not 0 < len(job.steps) <= MAX_STEPS:
+        raise ValueError(f"a job has 1 to {MAX_STEPS} steps")
+    for number, step in enumerate(job.steps):
+        _check_step(number, step)
+    if sum(step.count for step in job.steps) > MAX_TASKS:
+        raise ValueError("the job has too many tasks")
+
+
+def _check_step(number: int, step: Step) -> None:
+    check_fields(step)
+    check_fields(step.size)
+    if step.count < 1:
+        raise ValueError(f"step {number} has no task")
+    sizes = (step.size.cpu_milli, step.size.memory_mib, step.size.accelerators)
+    others = (step.estimate_s, step.spread, step.serves_ms, step.may_be_away)
+    if min(*sizes, *others) < 0:
+        raise ValueError(f"step {number} has a negative figure")
+    for earlier in step.after:
+        if type(earlier) is not int or not 0 <= earlier < number:
+            raise ValueError(f"step {number} comes after a step that is not earlier")
+
+
+@lru_cache(maxsize=32)
+def _list_plain_fields(kind: type) -> tuple[tuple[str, type], ...]:
+    hints = get_type_hints(kind)
+    return tuple(
+        (field.name, hints[field.name])
+        for field in fields(kind)
+        if hints[field.name] in PLAIN_TYPES
+    )
--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -10,6 +10,7 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.exceptions import ProtocolError
+from pistachiodeal.jobs.checks import check_fields
 from pistachiodeal.jobs.model import Job, JobState, Step, compute_chain_s
 from pistachiodeal.jobs.names import TaskName
 
@@ -232,11 +233,11 @@
         document = orjson.loads(value)
         record.state = record.shown = JobState(document["state"])
         record.begun = bool(document["begun"])
-        record.completed = set(document["completed"])
+        record.completed = {int(number) for number in document["completed"]}
         record.row_version = version
         for key, fields in document["tasks"].items():
             _apply_task(record, key, fields)
-    except (ValueError, KeyError, TypeError, IndexError) as error:
+    except (ValueError, KeyError, TypeError, IndexError, AttributeError) as error:
         raise ProtocolError(repr(error), step="jobs.decode_progress") from error
 
 
@@ -253,10 +254,13 @@
 
 def _apply_task(record: JobRecord, key: str, fields: list[Any]) -> None:
     occurrence, step, index = (int(part) for part in key.split("."))
+    if min(occurrence, step, index) < 0:
+        raise ValueError("a number in a task's name is negative")
     if occurrence not in record.occurrences:
         record.occurrences[occurrence] = _build_steps(record.job, occurrence)
     task = record.occurrences[occurrence][step].tasks[index]
     task.run, task.place, done, task.failures, task.checkpoint = fields
+    check_fields(task)
     if done:
         record.find_step(task.name).mark_done(task)
     task.moved_at = task.placed_at = read_boot_clock()
--- a/pistachiodeal/jobs/rows.py
+++ b/pistachiodeal/jobs/rows.py
@@ -12,6 +12,7 @@
 import orjson
 
 from pistachiodeal.exceptions import ProtocolError
+from pistachiodeal.jobs.checks import check_job
 from pistachiodeal.jobs.model import Job, Queue, Step
 from pistachiodeal.model.resources import Resources
 
@@ -45,18 +46,23 @@
     return orjson.dumps(document)
 
 
-def decode_job(value: bytes) -> Job:
+def decode_job(key: str, value: bytes) -> Job:
     """Return the job of a row.
 
-    :raises ProtocolError: the value was not written by this project.
+    :param key: of the row, which is the job's id.
+    :raises ProtocolError: the row was not written by this project.
     """
     try:
         document = orjson.loads(value)
         steps = tuple(_build_step(step) for step in document["steps"])
         queue = Queue(**document["queue"])
-        return Job(**{**document, "steps": steps, "queue": queue})
+        job = Job(**{**document, "steps": steps, "queue": queue})
+        check_job(job)
+        if job.job_id != key:
+            raise ValueError("the row has the key of another job")
     except (ValueError, KeyError, TypeError) as error:
         raise ProtocolError(repr(error), step="jobs.decode_row") from error
+    return job
 
 
 def _build_step(document: dict[str, Any]) -> Step:
--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -18,6 +18,7 @@
 from pistachiodeal.exceptions import (
     LinkClosedError,
     PistachiodealError,
+    ProtocolError,
     StoreError,
     StoreUncertainError,
 )
@@ -33,6 +34,7 @@
 from pistachiodeal.peers import PeerContext
 from pistachiodeal.store.row_store import (
     RowStore,
+    StoredRow,
     read_row,
 )
 from pistachiodeal.wire.job_messages import JobAnswer, LeaderNotice
@@ -148,11 +150,28 @@
         except StoreError as error:
             log.debug("election: cannot read the leader's row: {}", error)
             return None
-        row = decode_leader_row(page.rows[0]) if page.rows else NOBODY
+        if not page.rows:
+            return NOBODY
+        try:
+            row = decode_leader_row(page.rows[0])
+        except ProtocolError as error:
+            return self._build_unreadable_row(page.rows[0], error)
         if row.address:
             self._directory.note_leader(row.epoch, row.address)
         return row
 
+    def _build_unreadable_row(self, row: StoredRow, error: Exception) -> LeaderRow:
+        """Take a row that another writer has spoilt for a vacant one.
+
+        Left as it is, nobody could ever take the lead again. The epoch goes on from
+        the highest one heard of, so that runners obey whoever takes it.
+        """
+        self._events.emit(
+            "row.unreadable", table=CONTROL_TABLE, key=row.key, cause=str(error)
+        )
+        epoch = max(self._directory.epoch, self._row.epoch)
+        return LeaderRow(epoch, "", "", 0, row.version)
+
     def _build_heard_row(self) -> LeaderRow:
         """Take what others say of the leader for its row.
 
--- a/pistachiodeal/leader/feed.py
+++ b/pistachiodeal/leader/feed.py
@@ -138,6 +138,8 @@
                 self._cancel(job_id)
                 continue
             try:
-                self._book.add(decode_job(row.value), time.time())
+                self._book.add(decode_job(row.key, row.value), time.time())
             except ProtocolError as error:
-                log.error("leader: job {} can't be read: {}", row.key, error)
+                self._events.emit(
+                    "row.unreadable", table=JOBS_TABLE, key=row.key, cause=str(error)
+                )
--- a/pistachiodeal/leader/leader_row.py
+++ b/pistachiodeal/leader/leader_row.py
@@ -6,6 +6,8 @@
 
 import orjson
 
+from pistachiodeal.exceptions import ProtocolError
+from pistachiodeal.jobs.checks import check_fields
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
 from pistachiodeal.store.row_store import (
     ABSENT,
@@ -50,12 +52,20 @@
 
 
 def decode_leader_row(row: StoredRow) -> LeaderRow:
-    """Return what the store has."""
-    document = orjson.loads(row.value)
-    return LeaderRow(
-        document["epoch"],
-        document["node"],
-        document["address"],
-        document["nonce"],
-        row.version,
-    )
+    """Return what the store has.
+
+    :raises ProtocolError: the value was not written by this project.
+    """
+    try:
+        document = orjson.loads(row.value)
+        found = LeaderRow(
+            document["epoch"],
+            document["node"],
+            document["address"],
+            document["nonce"],
+            row.version,
+        )
+        check_fields(found)
+    except (ValueError, KeyError, TypeError) as error:
+        raise ProtocolError(repr(error), step="leader.decode_row") from error
+    return found
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -208,11 +208,13 @@
         if row.key in self._book.records:
             return
         try:
-            record = build_record(decode_job(row.value))
+            record = build_record(decode_job(row.key, row.value))
             if progress is not None:
                 apply_progress(record, progress.value, progress.version)
         except ProtocolError as error:
-            log.error("leader: job {} can't be read: {}", row.key, error)
+            self._events.emit(
+                "row.unreadable", table=JOBS_TABLE, key=row.key, cause=str(error)
+            )
             return
         if record.state.final:
             record.finished_at = read_boot_clock()
--- a/pistachiodeal/platform/callers.py
+++ b/pistachiodeal/platform/callers.py
@@ -9,6 +9,7 @@
 import orjson
 
 from pistachiodeal.exceptions import RequestError
+from pistachiodeal.jobs.checks import check_job
 from pistachiodeal.jobs.model import Job, JobState, Queue, Step
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.web.messages import WebRequest, WebResponse, build_json
@@ -17,9 +18,6 @@
 DEADLINE_HEADER = "deadline-ms"
 DEFAULT_DEADLINE_S = 3.0
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
-MAX_TEXT_BYTES = 4_000
-MAX_STEPS = 100
-MAX_TASKS = 10_000
 
 
 def read_budget_s(request: WebRequest) -> float:
@@ -46,16 +44,16 @@
         job = Job(
             job_id,
             queue,
-            _parse_text(document.get("spec", "")),
+            document.get("spec", ""),
             steps,
             time.time(),
             int(document.get("repeat_count", 0)),
             float(document.get("first_run_ms", 0)) / 1000,
             float(document.get("interval_ms", 0)) / 1000,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        check_job(job)
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
         raise _refuse(repr(error)) from None
-    _check(job)
     return job
 
 
@@ -69,12 +67,6 @@
     return build_json(200, {"pending_jobs": count})
 
 
-def _parse_text(text: Any) -> str:
-    if not isinstance(text, str) or len(text.encode()) > MAX_TEXT_BYTES:
-        raise ValueError(f"the text is none of at most {MAX_TEXT_BYTES} bytes")
-    return text
-
-
 def _parse_step(step: dict[str, Any]) -> Step:
     size = Resources(
         int(step.get("cpu", 0)), int(step.get("mem_mb", 0)), int(step.get("gpu", 0))
@@ -106,17 +98,5 @@
     return str(value)
 
 
-def _check(job: Job) -> None:
-    if not 0 < len(job.steps) <= MAX_STEPS:
-        raise _refuse("a job has 1 to 100 steps")
-    if sum(step.count for step in job.steps) > MAX_TASKS:
-        raise _refuse("the job has too many tasks")
-    for number, step in enumerate(job.steps):
-        if step.count < 1:
-            raise _refuse(f"step {number} has no task")
-        if any(not 0 <= earlier < number for earlier in step.after):
-            raise _refuse(f"step {number} comes after a step that is not earlier")
-
-
 def _refuse(detail: str) -> RequestError:
     return RequestError(detail, code="malformed_job", status=400, step="jobs.parse")
--- a/pistachiodeal/platform/configuration.py
+++ b/pistachiodeal/platform/configuration.py
@@ -8,6 +8,7 @@
 import orjson
 
 from pistachiodeal.exceptions import ProtocolError
+from pistachiodeal.jobs.checks import check_fields
 from pistachiodeal.jobs.model import Queue
 
 CONFIG_TABLE = "op"
@@ -37,13 +38,15 @@
     try:
         document = orjson.loads(value)
         queues = tuple(_decode_queue(route) for route in document["routes"])
+        for queue in queues:
+            check_fields(queue)
         limits = document.get("limits", {})
         return Configuration(
             int(document["version"]),
             queues,
             int(limits.get("max_body_bytes", 262_144)),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise ProtocolError(repr(error), step="configuration.decode") from None
 
 
--- a/pistachiodeal/platform/rows.py
+++ b/pistachiodeal/platform/rows.py
@@ -168,9 +168,10 @@
 
 
 def _decode_row(row: dict[str, Any]) -> StoredRow:
-    return StoredRow(
-        row["key"],
-        b64decode(row.get("value", "")),
-        row["schema_version"],
-        bool(row.get("removed")),
-    )
+    try:
+        value = b64decode(row.get("value", ""))
+    except (ValueError, TypeError):
+        # One row of another writer must not hide the others; its reader says that it
+        # can't read it.
+        value = b""
+    return StoredRow(row["key"], value, row["schema_version"], bool(row.get("removed")))
--- a/pistachiodeal/platform/runner.py
+++ b/pistachiodeal/platform/runner.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import astuple
 from typing import Any
 
 import orjson
 
 from pistachiodeal.exceptions import Outcome, ProtocolError
+from pistachiodeal.jobs.checks import check_fields
 from pistachiodeal.jobs.runtime import (
     CallResult,
     Listing,
@@ -20,6 +22,7 @@
 BEAT_PATH = "/api/Instances.Heartbeat/"
 LEAVE_PATH = "/api/Instances.Deregister/"
 DRAINING = "draining"
+STATES = ("ready", DRAINING)
 OK = 200
 CONFLICT = 409
 OTHER_INCARNATION = 421
@@ -141,20 +144,27 @@
     try:
         document = orjson.loads(body)
         room = document.get("capacity", {})
-        return WorkerBeat(
+        state = document["state"]
+        labels = tuple(document.get("labels", ()))
+        beat = WorkerBeat(
             path.removeprefix(BEAT_PATH),
             document["service"],
             document["address"],
-            document.get("state") == DRAINING,
-            int(document.get("remaining_ms", 0)),
-            int(document.get("seq", 0)),
-            Resources(
-                int(room.get("cpu", 0)),
-                int(room.get("mem_mb", 0)),
-                int(room.get("gpu", 0)),
-            ),
-            tuple(str(label) for label in document.get("labels", ())),
+            state == DRAINING,
+            document.get("remaining_ms", 0),
+            document.get("seq", 0),
+            Resources(room.get("cpu", 0), room.get("mem_mb", 0), room.get("gpu", 0)),
+            labels,
         )
+        check_fields(beat)
+        check_fields(beat.capacity)
+        if state not in STATES or not beat.worker or not beat.service:
+            raise ValueError("its state is unknown, or it doesn't say who sent it")
+        if any(type(label) is not str for label in labels):
+            raise ValueError("a label is no text")
+        if min(beat.leaving_ms, beat.sequence, *astuple(beat.capacity)) < 0:
+            raise ValueError("a figure is negative")
+        return beat
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise ProtocolError(repr(error), step="heartbeat.decode") from None
 
--- /dev/null
+++ b/tests/unit/test_foreign_writers.py
@@ -0,0 +1,190 @@
+"""Rows and heartbeats of another writer: they name no worker, and the others hold."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pistachiodeal.exceptions import ProtocolError
+from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobs.checks import check_job
+from pistachiodeal.jobs.record import apply_progress, build_record, encode_progress
+from pistachiodeal.jobs.rows import decode_job, encode_job
+from pistachiodeal.jobs.runtime import WorkerBeat
+from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.feed import JobFeed
+from pistachiodeal.leader.leader_row import decode_leader_row
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.platform.configuration import decode_configuration
+from pistachiodeal.platform.rows import _decode_row
+from pistachiodeal.platform.runner import BEAT_PATH, decode_beat
+from pistachiodeal.store.row_store import StoredRow
+from tests.standins.job_cluster import build_job, create_quiet_log
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**40), 2**40) | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+BEAT = {
+    "service": "desk",
+    "address": "10.0.0.1:80",
+    "state": "ready",
+    "seq": 4,
+    "capacity": {"cpu": 16_000, "mem_mb": 64_000},
+    "labels": ["a", "r1"],
+}
+LEADER = {"epoch": 3, "node": "e1", "address": "10.0.0.2:7", "nonce": 9}
+ROUTE = {"name": "q", "host": "h", "path_prefix": "/p/", "service": "desk"}
+CONFIGURATION = {"version": 7, "routes": [ROUTE], "limits": {}}
+
+
+def list_paths(document, path=()):
+    """Return the paths of all values in a document."""
+    yield path
+    if isinstance(document, dict):
+        for key, value in document.items():
+            yield from list_paths(value, (*path, key))
+    elif isinstance(document, list):
+        for number, value in enumerate(document):
+            yield from list_paths(value, (*path, number))
+
+
+def spoil(document, path, value):
+    """Return a copy of a document with another value at a path."""
+    if not path:
+        return value
+    copy = dict(document) if isinstance(document, dict) else list(document)
+    copy[path[0]] = spoil(document[path[0]], path[1:], value)
+    return copy
+
+
+@st.composite
+def spoilt(draw, document):
+    """Return a document's bytes with one value replaced, or no JSON at all."""
+    if draw(st.booleans()):
+        return draw(st.binary(max_size=40))
+    path = draw(st.sampled_from(sorted(list_paths(document), key=repr)))
+    return orjson.dumps(spoil(document, path, draw(JSON)))
+
+
+def read_job_row(value: bytes) -> None:
+    """Take a row in as the leader does."""
+    job = decode_job(build_job(1).job_id, value)
+    record = build_record(job)
+    record.open_due(0.0)
+
+
+def read_progress_row(value: bytes) -> None:
+    """Take a progress row in as a new leader does, and write it again."""
+    record = build_record(build_job(1))
+    apply_progress(record, value, 1)
+    encode_progress(record)
+    for task in record.iterate_tasks():
+        assert task.run + task.failures >= 0
+
+
+def build_progress() -> dict:
+    """Return the progress of a job with one run at work."""
+    record = build_record(build_job(1))
+    record.open_due(0.0)
+    task = next(record.iterate_tasks())
+    task.run, task.place = 1, "node/w1"
+    return orjson.loads(encode_progress(record))
+
+
+READERS = [
+    (orjson.loads(encode_job(build_job(1))), read_job_row),
+    (build_progress(), read_progress_row),
+    (LEADER, lambda value: decode_leader_row(StoredRow("leader", value, 1))),
+    (CONFIGURATION, decode_configuration),
+    (BEAT, lambda value: decode_beat(BEAT_PATH + "i-1", value)),
+]
+
+
+@pytest.mark.parametrize("document, read", READERS)
+@given(data=st.data())
+def test_a_reader_takes_what_makes_sense_or_says_that_it_cannot(document, read, data):
+    """Symptom: a leader ends in a round of decisions, and its successor ends too.
+
+    Sequence: another writer leaves a row whose fields have other types; it is decoded
+    without a word, and fails where it is used. Cause: data classes check no types.
+    """
+    value = data.draw(spoilt(document))
+    with suppress(ProtocolError):
+        read(value)
+
+
+@pytest.mark.parametrize("document, read", READERS)
+def test_the_unspoilt_document_is_read(document, read):
+    read(orjson.dumps(document))
+
+
+def test_a_row_of_another_writer_hides_no_other():
+    """Symptom: no job is known after a foreign row came.
+
+    Sequence: a page of the feed holds a row that can't be read before one that can.
+    Cause: an error that ended the reading of the page.
+    """
+    book = JobBook(create_quiet_log())
+    feed = JobFeed(None, book, create_quiet_log(), lambda job: None, None)
+    job = build_job(2)
+    sized = orjson.loads(encode_job(build_job(3)))
+    sized["steps"][0]["count"] = "many"
+    feed._apply_rows(
+        (
+            StoredRow("x", b"\xff\x00", 1),
+            StoredRow(build_job(3).job_id, orjson.dumps(sized), 2),
+            StoredRow("other", encode_job(job), 3),
+            StoredRow(job.job_id, encode_job(job), 4),
+        )
+    )
+    assert list(book.records) == [job.job_id]
+
+
+def test_a_value_that_is_no_base64_is_an_empty_row():
+    row = _decode_row({"key": "k", "value": "a", "schema_version": 3})
+    assert row == StoredRow("k", b"", 3)
+    with pytest.raises(ProtocolError):
+        decode_job("k", row.value)
+
+
+def build_beat(sequence: int, service: str) -> WorkerBeat:
+    """Return a heartbeat of the worker under test."""
+    room = Resources(16_000, 64_000, 0)
+    return WorkerBeat("w1", service, "10.0.0.1:80", False, 0, sequence, room, ("a",))
+
+
+def test_a_heartbeat_of_another_writer_does_not_hide_the_worker():
+    """Symptom: a worker gets no task for one heartbeat's time and more.
+
+    Sequence: a heartbeat with the worker's id names another service. Cause: it was
+    taken for the worker's own, and no queue sends work to that service.
+    """
+    ledger = AgentLedger(create_quiet_log())
+    ledger.adopt(build_beat(1, "desk"))
+    ledger.update(build_beat(900, "elsewhere"))
+    assert ledger.build_report(1).service == "desk"
+    ledger.update(build_beat(2, "desk"))
+    assert ledger.build_report(2).service == "desk"
+
+
+def test_a_foreign_heartbeat_that_came_first_is_put_right():
+    ledger = AgentLedger(create_quiet_log())
+    ledger.adopt(build_beat(1, "elsewhere"))
+    ledger.update(build_beat(2, "desk"))
+    ledger.update(build_beat(3, "desk"))
+    assert ledger.build_report(1).service == "desk"
+
+
+def test_a_job_that_was_accepted_is_read_back_as_it_was():
+    job = build_job(1)
+    check_job(job)
+    assert decode_job(job.job_id, encode_job(job)) == job
