--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -85,7 +85,7 @@
     """The filling tasks of one image on a worker.
 
     :param count: how many there are.
-    :param worked: how many were at work while the figures were taken, by their pace.
+    :param worked: how many were at work while the figures were taken, by their effort.
     """
 
     count: int = 0
@@ -179,7 +179,7 @@
         if self._is_guarded(tails, now):
             self.paces = dict.fromkeys(fills, 0)
             return self.paces
-        self._suspect(tails, fills, now)
+        self._suspect(tails, fills, find_press, now)
 
         def find_feared(filling: str, serving: str) -> float:
             press = find_press(filling, serving)
@@ -212,14 +212,27 @@
         return kept
 
     def _suspect(
-        self, tails: list[ServingTail], fills: dict[str, FillingLoad], now: float
+        self,
+        tails: list[ServingTail],
+        fills: dict[str, FillingLoad],
+        find_press: FindPress,
+        now: float,
     ) -> None:
+        """Suspect whatever may have driven a tail up.
+
+        Images that are known to press nothing are left out while another may have
+        done it: suspected with the rest, they worked at 0.7 of their speed on two
+        days on eleven workers.
+        """
         for tail in tails:
             if tail.strain <= ALARM_STRAIN:
                 continue
-            for image, load in fills.items():
-                if load.worked >= LEAST_SUSPECT:
-                    self.suspects[image, tail.image] = now + SUSPECT_S
+            at_work = [
+                image for image, load in fills.items() if load.worked >= LEAST_SUSPECT
+            ]
+            pressing = [one for one in at_work if find_press(one, tail.image) > 0]
+            for image in pressing or at_work:
+                self.suspects[image, tail.image] = now + SUSPECT_S
         for pair in [one for one, until in self.suspects.items() if until <= now]:
             del self.suspects[pair]
 
