Keep a suspicion for 1.5 s in place of 5

The leader learns a pair from the same report that raises the alarm, so the suspicion only has to bridge that.

--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -32,7 +32,7 @@
 # changes within seconds, sooner than the leader learns it.
 ALARM_STRAIN = 0.95
 SUSPECT_PRESS = 0.5
-SUSPECT_S = 5.0
+SUSPECT_S = 1.5
 LEAST_SUSPECT = 0.2
 # Paces are set in steps: a smaller change than this isn't worth a call.
 STEP = 10
