Ask an entry who leads in one place

No behaviour: the election and the agent's link each had an asker of their own, and three copies of the arguments of a dial.

--- a/pistachiodeal/jobagent/leader_link.py
+++ b/pistachiodeal/jobagent/leader_link.py
@@ -13,12 +13,11 @@
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
 from pistachiodeal.leader.directory import is_heard
 from pistachiodeal.leader.leader_row import decode_leader_row
-from pistachiodeal.peers import PeerContext
+from pistachiodeal.peers import PeerContext, ask_who_leads, dial_peer
 from pistachiodeal.store.row_store import RowStore, read_row
 from pistachiodeal.task_groups import run_until_one_ends
 from pistachiodeal.wire.job_messages import Directive, LeaderNotice
 from pistachiodeal.wire.link import Link
-from pistachiodeal.wire.opening import dial_link
 
 log = Logger("leader_link")
 
@@ -106,9 +105,7 @@
     async def _attach(self, address: str) -> bool:
         """Try one address; tell whether a leader was there, or is known by now."""
         try:
-            async with dial_link(
-                address, self._peers.identity, self._peers.secret, self._peers.timings
-            ) as link:
+            async with dial_peer(self._peers, address) as link:
                 notice = await link.receive()
                 if isinstance(notice, LeaderNotice):
                     self._directory.take_notice(notice)
@@ -178,19 +175,7 @@
             if self._grant_ms >= LEAST_GRANT_MS:
                 continue
             for address in self._directory.list_others(self._directory.leader):
-                await self._ask(address)
+                notice = await ask_who_leads(self._peers, address)
+                if notice is not None:
+                    self._directory.take_notice(notice)
         self._events.emit("leader.superseded", epoch=epoch, by=self._directory.epoch)
-
-    async def _ask(self, address: str) -> None:
-        """Hear from an entry who leads."""
-        peers = self._peers
-        try:
-            async with dial_link(
-                address, peers.identity, peers.secret, peers.timings
-            ) as link:
-                notice = await link.receive()
-        except (PistachiodealError, OSError) as error:
-            log.debug("leader_link: {} does not say who leads: {}", address, error)
-            return
-        if isinstance(notice, LeaderNotice):
-            self._directory.take_notice(notice)
--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -9,7 +9,6 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from contextlib import AbstractAsyncContextManager, suppress
 
 import curio
 from logbook import Logger
@@ -32,7 +31,7 @@
     build_replacement,
     decode_leader_row,
 )
-from pistachiodeal.peers import PeerContext
+from pistachiodeal.peers import PeerContext, ask_who_leads, dial_peer
 from pistachiodeal.store.row_store import (
     RowStore,
     StoredRow,
@@ -40,7 +39,6 @@
 )
 from pistachiodeal.wire.job_messages import JobAnswer, LeaderNotice
 from pistachiodeal.wire.link import Link
-from pistachiodeal.wire.opening import dial_link
 from pistachiodeal.wire.relay_messages import RelayAnswer
 
 log = Logger("election")
@@ -189,7 +187,7 @@
         """
         refused = False
         try:
-            async with self._dial(row.address) as link:
+            async with dial_peer(self._peers, row.address) as link:
                 self._link = link
                 self._events.emit("leader.followed", epoch=row.epoch, peer=row.address)
                 await self._listen(link)
@@ -266,21 +264,15 @@
         """Tell whether another entry hears the leader; None if none answers."""
         answered = None
         for address in self._directory.list_others(self._address, row.address):
-            with suppress(PistachiodealError, OSError):
-                async with self._dial(address) as link:
-                    message = await link.receive()
-                    if not isinstance(message, LeaderNotice):
-                        continue
-                    answered = False
-                    fresh = message.store_age_ms < STORE_AGE_LIMIT_S * 1000
-                    if message.epoch >= row.epoch and is_heard(message) and fresh:
-                        return True
+            notice = await ask_who_leads(self._peers, address)
+            if notice is None:
+                continue
+            answered = False
+            fresh = notice.store_age_ms < STORE_AGE_LIMIT_S * 1000
+            if notice.epoch >= row.epoch and is_heard(notice) and fresh:
+                return True
         return answered
 
-    def _dial(self, address: str) -> AbstractAsyncContextManager[Link]:
-        peers = self._peers
-        return dial_link(address, peers.identity, peers.secret, peers.timings)
-
     async def _campaign(self, why: str) -> None:
         row = self._row
         if self._weak:
@@ -339,7 +331,7 @@
     async def _announce(self, address: str) -> None:
         """Tell an entry who leads now; one that led until now may not know it."""
         try:
-            async with self._dial(address) as link:
+            async with dial_peer(self._peers, address) as link:
                 await link.send(self._directory.build_notice(0))
         except (PistachiodealError, OSError) as error:
             log.debug("election: cannot tell {} who leads: {}", address, error)
--- a/pistachiodeal/peers.py
+++ b/pistachiodeal/peers.py
@@ -3,15 +3,23 @@
 from __future__ import annotations
 
 import random
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 
+from logbook import Logger
+
 from pistachiodeal.config.deployment import DeploymentSettings
 from pistachiodeal.events import EventLog
+from pistachiodeal.exceptions import PistachiodealError
 from pistachiodeal.leader.directory import Directory
 from pistachiodeal.stats import Stats
 from pistachiodeal.web.messages import WebResponse
 from pistachiodeal.wire.identity import Identity
-from pistachiodeal.wire.link import LinkTimings
+from pistachiodeal.wire.job_messages import LeaderNotice
+from pistachiodeal.wire.link import Link, LinkTimings
+from pistachiodeal.wire.opening import dial_link
+
+log = Logger("peers")
 
 # A peer that is silent for this long is slow by a factor of several hundred, frozen,
 # or gone; a leader that is replaced too early costs a second of placements.
@@ -56,6 +64,22 @@
     return tuple(f"{host}:{port}" for host in hosts if host)
 
 
+def dial_peer(peers: PeerContext, address: str) -> AbstractAsyncContextManager[Link]:
+    """Open a link to a peer; see :func:`dial_link`."""
+    return dial_link(address, peers.identity, peers.secret, peers.timings)
+
+
+async def ask_who_leads(peers: PeerContext, address: str) -> LeaderNotice | None:
+    """Hear from an entry who leads; None if it gives no answer."""
+    try:
+        async with dial_peer(peers, address) as link:
+            notice = await link.receive()
+    except (PistachiodealError, OSError) as error:
+        log.debug("peers: {} does not say who leads: {}", address, error)
+        return None
+    return notice if isinstance(notice, LeaderNotice) else None
+
+
 def build_metrics(stats: Stats) -> WebResponse:
     """Return a process's measurements as text."""
     headers = (("content-type", "text/plain; charset=utf-8"),)
