Notice a hanging worker by its filling tasks too, and after 1.5 s

The limit was 2.5 s of any silence, also of an agent that listed nothing, and a tenth of the declared time, which is off by ten. The same declared time decided what must leave a draining worker.

Change: progress is judged by listings only, for 1.5 s, and by expected times; a filling task counts while it works at half of its speed or more.

--- a/pistachiodeal/leader/book.py
+++ b/pistachiodeal/leader/book.py
@@ -119,6 +119,11 @@
                 one.expected_s = self._durations.expect_s(queue, declared_s)
         record.take_expectations(steps)
 
+    def get_expected_s(self, task: Task) -> float:
+        """Return the time that a task is expected to take at full speed."""
+        record = self._records[task.name.job_id]
+        return record.find_step(task.name).expected_s
+
     def note_took(self, task: Task, took_s: float) -> None:
         """Learn from a task that was done how long its like take."""
         record = self._records[task.name.job_id]
--- a/pistachiodeal/leader/moves.py
+++ b/pistachiodeal/leader/moves.py
@@ -7,9 +7,15 @@
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.workers import Fleet
 
-# A run that shows no progress for this long is given to another worker. Progress is
-# listed in hundredths twice a second, so a task of half a minute still moves.
-STALL_S = 2.5
+# A run that is listed without progress for this long is given to another worker.
+# Progress is listed in hundredths twice a second, so a task of half a minute still
+# moves. Time in which nothing is listed doesn't count: an agent that stands still says
+# nothing of its runner.
+STALL_S = 1.5
+# Of a longer task a hundredth takes longer: this part of its expected time.
+STALL_SHARE = 1 / 20
+# A filling task that works at less than this pace may well show no progress.
+STALL_PACE = 0.5
 # A task that can't end before its worker leaves is moved; this is kept for the stop.
 LEAVE_MARGIN_S = 0.6
 # The pace comes back with the swing of the serving tasks' own load within a few
@@ -47,16 +53,20 @@
             if not worker.listed or worker.attachment is None:
                 continue
             for task in list(self._book.get_runs(worker.place).values()):
-                if not self._is_stalled(task, now):
+                if not self._is_stalled(task):
                     continue
                 worker.health.note_stall(now)
                 task.avoid |= {worker.node}
                 self._reconciler.stop(task, "it stands still")
 
-    def _is_stalled(self, task: Task, now: float) -> bool:
-        if not task.running or task.stopping or task.step.lasts or task.step.fills:
+    def _is_stalled(self, task: Task) -> bool:
+        if not task.running or task.stopping or task.step.lasts:
             return False
-        return now - task.moved_at > max(STALL_S, task.step.estimate_s / 10)
+        if task.step.fills and task.worked < STALL_PACE:
+            task.moved_at = task.seen_at
+            return False
+        expected_s = self._book.get_expected_s(task)
+        return task.seen_at - task.moved_at > max(STALL_S, expected_s * STALL_SHARE)
 
     def _leave_draining(self, now: float) -> None:
         for worker in self._fleet.workers.values():
@@ -92,5 +102,5 @@
     def _must_leave(self, task: Task, left_s: float) -> bool:
         if task.step.lasts:
             return True
-        rest = task.step.estimate_s * (100 - task.percent) / 100
-        return rest > left_s
+        rest_s = self._book.get_expected_s(task) * (100 - task.percent) / 100
+        return rest_s > left_s
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -7,7 +7,7 @@
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.jobagent.ledger import LEASE_S, SLOWEST_CLOCK, Lease
 from pistachiodeal.leader.book import JobBook
-from pistachiodeal.leader.moves import HELD_BACK_S, Mover
+from pistachiodeal.leader.moves import HELD_BACK_S, STALL_S, Mover
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.workers import Attachment, Fleet
 from pistachiodeal.scheduling.interference import InterferenceModel
@@ -160,6 +160,43 @@
     assert "node" in stage.task.avoid
 
 
+def play_listings(*, fills: bool, pace_milli: int, listed_s: float) -> str:
+    """Return why a task is stopped that shows no progress while it is listed."""
+    stage = Stage()
+    stage.task.step = replace(stage.task.step, fills=fills, image="f")
+    mover = Mover(stage.book, stage.fleet, stage.reconciler)
+    stage.report(running=[RunningTask(TASK, 1, "", 10, 0, pace_milli)])
+    stage.task.moved_at -= listed_s
+    # Held back by its pace is another reason, which has a test of its own.
+    stage.task.slow_since = read_boot_clock()
+    mover.move(read_boot_clock())
+    return stage.task.stopping
+
+
+def test_a_filling_task_on_a_worker_that_hangs_is_moved():
+    """Symptom: a filling job waits for the end of its worker's trouble.
+
+    Sequence: all tasks on a worker stand still for five seconds. Cause: tasks that fill
+    were not watched for progress, since they may be paced to nothing.
+    """
+    assert play_listings(fills=True, pace_milli=1000, listed_s=STALL_S + 0.1)
+    assert not play_listings(fills=True, pace_milli=100, listed_s=STALL_S + 0.1)
+    assert not play_listings(fills=True, pace_milli=1000, listed_s=STALL_S - 0.5)
+
+
+def test_a_task_whose_agent_says_nothing_has_not_stalled():
+    """Symptom: tasks of a VM that stood still run twice their time.
+
+    Sequence: an agent is frozen for three seconds and its runner works on. Cause to
+    guard against: the time without a listing counted as time without progress.
+    """
+    stage = Stage()
+    mover = Mover(stage.book, stage.fleet, stage.reconciler)
+    stage.report(running=[RunningTask(TASK, 1, "", 10, 0, 1000)])
+    mover.move(read_boot_clock() + STALL_S + 3.0)
+    assert not stage.task.stopping
+
+
 def test_no_order_goes_to_an_agent_that_has_not_listed_its_worker():
     """Symptom: a job stays active for ever. Sequence: a run is decided; its agent is
     restarted before the decision is durable; the order meets an agent that has heard
