Count waiting from a step's turn, and place by the slack of now

Change: a step's tasks wait from its turn; a filling task takes no more than the slack that its neighbours have to spare now, and 0.1.

--- a/pistachiodeal/leader/book.py
+++ b/pistachiodeal/leader/book.py
@@ -255,6 +255,8 @@
     def _note_done(self, record: JobRecord, task: Task) -> None:
         step = record.find_step(task.name)
         step.mark_done(task)
+        if step.done:
+            self._open_turns(record, task.name.occurrence, step.number)
         if not task.step.gang:
             return
         # One end stands for all members of a gang, which end together; the listed
@@ -264,6 +266,18 @@
                 self._release(member, "")
                 step.mark_done(member)
 
+    def _open_turns(self, record: JobRecord, occurrence: int, done: int) -> None:
+        """Let the steps that come after one that is done wait from now on.
+
+        Counted from the job's acceptance, each later step of a filling job was starved
+        as soon as its turn came, and went beside whomever it disturbed.
+        """
+        now = read_boot_clock()
+        for step in record.occurrences[occurrence]:
+            if done in step.step.after:
+                for task in step.tasks:
+                    task.ready_at = now
+
     def _finish(self, record: JobRecord, state: JobState) -> list[Task]:
         record.state = state
         self._close(record)
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -41,6 +41,9 @@
 OTHER_IMAGE_COST = 2.0
 # What a worker without serving tasks costs other reserved work, for the same reason.
 UNSHARED_COST = 0.3
+# Slack that a filling task may take beyond what its neighbours have to spare now, as
+# figures are off by about as much.
+SPARE_MARGIN = 0.1
 # How a rack other than that of the data counts against load (1.0 is a full worker).
 REMOTE_COST = 0.5
 # What each task of the same step on a worker costs: a worker that fails all it starts
@@ -234,7 +237,10 @@
     """Return by how much a worker's filling tasks, with one more, take too much slack.
 
     Half of what they may take is what the serving tasks have to spare now: filling
-    tasks last for about half of a swing, so they go where a swing is at its low.
+    tasks last for about half of a swing, so they go where a swing is at its low. And it
+    is never much more than what they have to spare now: their agent would pace the
+    newcomer down at once. On one day 253 of 425 moved tasks had been placed less than
+    2 s before, and each lost 2 s; with this limit 102 of 284.
     """
     image = request.step.image
     if view.pressed is None:
@@ -245,7 +251,8 @@
     for serving in view.serving:
         limit = PRESS_LIMIT
         if serving in view.alone:
-            limit = (PRESS_LIMIT + view.alone[serving] - KEPT_SLACK) / 2
+            spare = view.alone[serving] - KEPT_SLACK
+            limit = min((PRESS_LIMIT + spare) / 2, spare + SPARE_MARGIN)
         press = view.pressed[serving] + model.get_press(image, serving)
         worst = max(worst, press - limit)
     return worst
--- a/tests/unit/test_scheduling_load.py
+++ b/tests/unit/test_scheduling_load.py
@@ -689,3 +689,21 @@
 
 def test_a_first_declaration_is_taken_at_its_word():
     assert DurationModel().expect_s("q", 4.0) == 4.0
+
+
+def test_a_filling_task_waits_rather_than_be_paced_to_nothing():
+    """Symptom: filling tasks are moved again within 2 s, and lose 2 s each time.
+
+    The load: serving tasks at the peak of their swing have nothing to spare. Cause:
+    half of the limit went by the average of the swing, so a task was let in that its
+    worker's agent had to hold back at once.
+    """
+    model = InterferenceModel()
+    learn(model, {"light": 0.1}, until=8.0)
+    assert 0.15 < model.get_press("light", "s") < 0.8
+    peak, low = build_view("peak"), build_view("low")
+    for view, alone in ((peak, 1.4), (low, 3.0)):
+        view.take(KEY, build_serving("s"))
+        view.alone = {"s": alone}
+    assert place(build_filling("light"), [peak], model) is None
+    assert place(build_filling("light"), [low], model) == "low"
