--- a/pistachiodeal/jobentry/acceptance.py
+++ b/pistachiodeal/jobentry/acceptance.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 import curio
-from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
@@ -16,7 +15,8 @@
     StoreError,
     StoreUncertainError,
 )
-from pistachiodeal.jobs.rows import JOBS_TABLE, PROBE_KEY
+from pistachiodeal.jobentry.probe import probe_store
+from pistachiodeal.jobs.rows import JOBS_TABLE
 from pistachiodeal.scheduling.comeback import choose_retry_after_s
 from pistachiodeal.store.row_store import (
     ABSENT,
@@ -25,11 +25,8 @@
     RowWrite,
     Transaction,
     TransactionResult,
-    read_row,
 )
 
-log = Logger("acceptance")
-
 # Each insert is a condition and a write, and a transaction takes 100 entries.
 INSERTS_A_TRANSACTION = 40
 WRITERS = 2
@@ -169,7 +166,7 @@
         while True:
             await self._lost.wait()
             await curio.sleep(FIRST_PROBE_S)
-            if not await self._is_back():
+            if not await probe_store(self._store):
                 await curio.sleep(PROBE_S)
                 continue
             away_s = read_boot_clock() - self._down_since
@@ -182,14 +179,6 @@
             for insert in unsettled:
                 await self._queue.put(insert)
 
-    async def _is_back(self) -> bool:
-        try:
-            await read_row(self._store, JOBS_TABLE, PROBE_KEY)
-        except StoreError as error:
-            log.debug("acceptance: the store is still away: {}", error)
-            return False
-        return True
-
     async def _note_down(self, error: StoreError) -> None:
         if self._down_since:
             return
--- a/pistachiodeal/jobentry/relay.py
+++ b/pistachiodeal/jobentry/relay.py
@@ -24,7 +24,7 @@
     StoreUnavailableError,
     StoreUncertainError,
 )
-from pistachiodeal.jobs.rows import JOBS_TABLE, PROBE_KEY
+from pistachiodeal.jobentry.probe import probe_store
 from pistachiodeal.store.row_store import (
     RowCondition,
     RowPage,
@@ -33,7 +33,6 @@
     StoredRow,
     Transaction,
     TransactionResult,
-    read_row,
 )
 from pistachiodeal.wire.link import Link
 from pistachiodeal.wire.relay_messages import (
@@ -215,10 +214,7 @@
         """Ask the store itself until it answers."""
         while True:
             await curio.sleep(PROBE_S)
-            try:
-                await read_row(self._store, JOBS_TABLE, PROBE_KEY)
-            except StoreError as error:
-                log.debug("relay: the store still gives no answer: {}", error)
+            if not await probe_store(self._store):
                 continue
             away_s = read_boot_clock() - self._away_since
             self._away_since = 0.0
--- /dev/null
+++ b/pistachiodeal/leader/neighbours.py
@@ -0,0 +1,90 @@
+"""Learns from what an agent lists which of its worker's tasks disturb each other."""
+
+from __future__ import annotations
+
+from pistachiodeal.events import EventLog
+from pistachiodeal.jobs.record import Task
+from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.workers import Attachment, WorkerState
+from pistachiodeal.scheduling.interference import (
+    InterferenceModel,
+    ServingSample,
+    compute_effort,
+)
+from pistachiodeal.scheduling.pacing import FIRST_STRAIN
+
+
+class NeighbourWatch:
+    """Shows figures to the interference model, and tells agents what it knows."""
+
+    def __init__(
+        self, book: JobBook, interference: InterferenceModel, events: EventLog
+    ) -> None:
+        self._book = book
+        self._interference = interference
+        self._events = events
+
+    def learn(self, worker: WorkerState, attachment: Attachment, now: float) -> None:
+        """Take in a worker's newest figures, and tell its agent what they taught."""
+        runs = [
+            task
+            for task in self._book.get_runs(worker.place).values()
+            if task.step.fills or task.step.serves_ms
+        ]
+        self._observe(worker, runs, _sum_efforts(runs), now)
+        for (filling, serving), press in self._interference.take_changes().items():
+            self._events.emit(
+                "interference.learnt",
+                filling=filling,
+                serving=serving,
+                press=press,
+                place=worker.place,
+            )
+        self._tell_presses(attachment, runs)
+
+    def _observe(
+        self, worker: WorkerState, runs: list[Task], mix: dict[str, float], now: float
+    ) -> None:
+        """Show the model each serving task's figure and its company."""
+        worker.alone = {}
+        for task in runs:
+            if not task.running or not task.step.serves_ms:
+                continue
+            if task.figure >= FIRST_STRAIN * task.step.serves_ms:
+                sample = _build_sample(task, mix, now)
+                self._interference.observe(sample)
+                alone = sample.slack + self._interference.weigh((sample.image,), mix)
+                known = worker.alone.get(sample.image, alone)
+                worker.alone[sample.image] = min(alone, known)
+
+    def _tell_presses(self, attachment: Attachment, runs: list[Task]) -> None:
+        fillings = {task.step.image for task in runs if task.step.fills}
+        servings = {task.step.image for task in runs if task.step.serves_ms}
+        for filling in fillings:
+            for serving in servings:
+                press = self._interference.get_press(filling, serving)
+                attachment.tell_press((filling, serving), press)
+
+
+def _sum_efforts(runs: list[Task]) -> dict[str, float]:
+    """Return the effort of the filling tasks at work, by image."""
+    mix: dict[str, float] = {}
+    for task in runs:
+        if task.running and task.step.fills:
+            image = task.step.image
+            asked_milli = task.step.size.cpu_milli
+            effort = compute_effort(task.worked, task.figure, asked_milli)
+            mix[image] = mix.get(image, 0.0) + effort
+    return mix
+
+
+def _build_sample(task: Task, mix: dict[str, float], now: float) -> ServingSample:
+    name = task.name
+    return ServingSample(
+        (name.job_id, name.occurrence, name.step),
+        str(name),
+        task.step.image,
+        task.figure / task.step.serves_ms,
+        mix,
+        now,
+    )
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -9,6 +9,7 @@
 from pistachiodeal.jobs.model import EndKind, OrderState
 from pistachiodeal.jobs.record import Task
 from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.neighbours import NeighbourWatch
 from pistachiodeal.leader.workers import (
     PLACE_SEPARATOR,
     Attachment,
@@ -16,12 +17,7 @@
     WorkerState,
     build_order,
 )
-from pistachiodeal.scheduling.interference import (
-    InterferenceModel,
-    ServingSample,
-    compute_effort,
-)
-from pistachiodeal.scheduling.pacing import FIRST_STRAIN
+from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.wire.job_messages import (
     EndedTask,
     OrderOutcome,
@@ -58,7 +54,7 @@
     ) -> None:
         self._book = book
         self._fleet = fleet
-        self._interference = interference
+        self._neighbours = NeighbourWatch(book, interference, events)
         self._events = events
 
     def apply(self, attachment: Attachment, report: WorkerReport) -> None:
@@ -82,7 +78,7 @@
         self._apply_runs(worker, attachment, listed, now)
         self._apply_ends(worker, attachment, report)
         self._stop_strays(worker, attachment, listed)
-        self._learn(worker, attachment, now)
+        self._neighbours.learn(worker, attachment, now)
 
     def stop(self, task: Task, why: str) -> None:
         """Ask for the stop of a task's newest run."""
@@ -278,60 +274,6 @@
             worker.strays[name] = run
             attachment.order_stop(name, run)
 
-    def _learn(self, worker: WorkerState, attachment: Attachment, now: float) -> None:
-        """Show the interference model each serving task's figure and its company."""
-        runs = [
-            task
-            for task in self._book.get_runs(worker.place).values()
-            if task.step.fills or task.step.serves_ms
-        ]
-        mix: dict[str, float] = {}
-        for task in runs:
-            if task.running and task.step.fills:
-                image = task.step.image
-                asked_milli = task.step.size.cpu_milli
-                effort = compute_effort(task.worked, task.figure, asked_milli)
-                mix[image] = mix.get(image, 0.0) + effort
-        worker.alone = {}
-        for task in runs:
-            if not task.running or not task.step.serves_ms:
-                continue
-            if task.figure >= FIRST_STRAIN * task.step.serves_ms:
-                sample = _build_sample(task, mix, now)
-                self._interference.observe(sample)
-                alone = sample.slack + self._interference.weigh((sample.image,), mix)
-                known = worker.alone.get(sample.image, alone)
-                worker.alone[sample.image] = min(alone, known)
-        for (filling, serving), press in self._interference.take_changes().items():
-            self._events.emit(
-                "interference.learnt",
-                filling=filling,
-                serving=serving,
-                press=press,
-                place=worker.place,
-            )
-        self._tell_presses(attachment, runs)
-
-    def _tell_presses(self, attachment: Attachment, runs: list[Task]) -> None:
-        fillings = {task.step.image for task in runs if task.step.fills}
-        servings = {task.step.image for task in runs if task.step.serves_ms}
-        for filling in fillings:
-            for serving in servings:
-                press = self._interference.get_press(filling, serving)
-                attachment.tell_press((filling, serving), press)
-
-
-def _build_sample(task: Task, mix: dict[str, float], now: float) -> ServingSample:
-    name = task.name
-    return ServingSample(
-        (name.job_id, name.occurrence, name.step),
-        str(name),
-        task.step.image,
-        task.figure / task.step.serves_ms,
-        mix,
-        now,
-    )
-
 
 def _index(report: WorkerReport) -> _Listed:
     return _Listed(
