--- a/tests/unit/test_foreign_writers.py
+++ b/tests/unit/test_foreign_writers.py
@@ -4,6 +4,7 @@
 
 from contextlib import suppress
 
+import curio
 import orjson
 import pytest
 from hypothesis import given, settings
@@ -16,14 +17,20 @@
 from pistachiodeal.jobs.rows import decode_job, encode_job
 from pistachiodeal.jobs.runtime import WorkerBeat
 from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY, Authority
+from pistachiodeal.leader.directory import Directory
+from pistachiodeal.leader.election import Election
 from pistachiodeal.leader.feed import JobFeed
 from pistachiodeal.leader.leader_row import decode_leader_row
 from pistachiodeal.model.resources import Resources
+from pistachiodeal.peers import PeerContext
 from pistachiodeal.platform.configuration import decode_configuration
 from pistachiodeal.platform.rows import _decode_row
 from pistachiodeal.platform.runner import BEAT_PATH, decode_beat
-from pistachiodeal.store.row_store import StoredRow
-from tests.standins.job_cluster import build_job, create_quiet_log
+from pistachiodeal.store.row_store import RowWrite, StoredRow, Transaction
+from pistachiodeal.wire.identity import ENTRY_ROLE, Identity
+from tests.standins.job_cluster import SECRET, build_job, create_quiet_log
+from tests.standins.rows import MemoryRows, RowsState
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**40), 2**40) | st.floats() | st.text(),
@@ -150,6 +157,39 @@
     assert list(book.records) == [job.job_id]
 
 
+def test_a_row_under_another_jobs_key_is_no_job():
+    with pytest.raises(ProtocolError):
+        decode_job(build_job(1).job_id, encode_job(build_job(2)))
+
+
+def test_a_spoilt_leaders_row_can_be_taken_over():
+    """Symptom: nobody leads for ever.
+
+    Sequence: another writer puts bytes into the leader's row. Cause to guard against:
+    reading it ends the election, each time.
+    """
+    state = RowsState()
+    write = RowWrite(CONTROL_TABLE, LEADER_KEY, b"\xff")
+    state.apply(Transaction((), (write,)))
+    taken: list[Authority] = []
+
+    async def lead(authority: Authority) -> None:
+        taken.append(authority)
+        await curio.sleep(60)
+
+    async def main() -> None:
+        identity = Identity(ENTRY_ROLE, "entry", 1, "dc")
+        events = create_quiet_log()
+        peers = PeerContext(identity, "127.0.0.1:1", SECRET, Directory(()), events)
+        election = Election(MemoryRows(state), peers, lead)
+        task = await curio.spawn(election.run, daemon=True)
+        await curio.sleep(0.5)
+        await task.cancel()
+
+    curio.run(main)
+    assert [authority.epoch for authority in taken] == [1]
+
+
 def test_a_value_that_is_no_base64_is_an_empty_row():
     row = _decode_row({"key": "k", "value": "a", "schema_version": 3})
     assert row == StoredRow("k", b"", 3)
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -6,6 +6,7 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.jobagent.ledger import LEASE_S, SLOWEST_CLOCK, Lease
+from pistachiodeal.jobs.model import EndKind
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.moves import HELD_BACK_S, STALL_S, Mover
 from pistachiodeal.leader.reconcile import Reconciler
@@ -223,3 +224,19 @@
     stage.report(outcomes=[OrderOutcome(TASK, 1, "refused", "no_room")])
     assert stage.task.waits
     assert stage.task.held_until > read_boot_clock()
+
+
+def test_a_later_step_waits_from_its_turn():
+    """Symptom: each later step of a filling job goes beside tasks that it disturbs.
+
+    Sequence: the first step takes seconds; the second one's turn comes. Cause: its
+    tasks had waited since the job was accepted, and counted as starved at once.
+    """
+    book = JobBook(create_quiet_log())
+    book.add(build_job(1, count=1, steps=2), 0.0)
+    record = book.records[build_job(1).job_id]
+    first, second = record.iterate_tasks()
+    second.ready_at -= 60.0
+    book.place(first, 1, "node/w1", lambda: None)
+    book.end_run(first, EndKind.DONE, "", lambda: None)
+    assert read_boot_clock() - second.ready_at < 1.0
--- a/tests/unit/test_scheduling_load.py
+++ b/tests/unit/test_scheduling_load.py
@@ -707,3 +707,22 @@
         view.alone = {"s": alone}
     assert place(build_filling("light"), [peak], model) is None
     assert place(build_filling("light"), [low], model) == "low"
+
+
+def test_a_harmless_image_is_no_suspect_while_another_may_have_pressed():
+    """Symptom: work that harms nobody gets 0.6 of its speed beside serving tasks.
+
+    Sequence: a harmful image drives a tail over its aim; for seconds, all images
+    beside it are held back. Cause: all were suspected alike.
+    """
+    pacer = Pacer()
+    presses = {"calm": 0.0, "harsh": 1.2}
+
+    def decide(strain: float, harsh_at_work: float, now: float) -> dict[str, int]:
+        fills = {"calm": FillingLoad(2, 2.0), "harsh": FillingLoad(1, harsh_at_work)}
+        tails = [ServingTail("s", int(strain * 1_000), 1_000)]
+        return pacer.decide(tails, fills, lambda filling, _: presses[filling], now)
+
+    assert decide(1.2, 1.0, 10.0)["calm"] == 100
+    paces = decide(0.9, 0.0, 10.4)
+    assert paces == {"calm": 100, "harsh": 0}
