--- a/pistachiodeal/jobs/model.py
+++ b/pistachiodeal/jobs/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -130,12 +131,12 @@
     interval_s: float = 0.0
 
 
-def compute_chain_s(steps: tuple[Step, ...]) -> float:
-    """Return the longest chain of estimated task times, seconds."""
+def compute_chain_s(steps: Iterable[Step], times_s: Iterable[float]) -> float:
+    """Return the longest chain of steps whose tasks take these times, seconds."""
     ends: list[float] = []
-    for step in steps:
+    for step, time_s in zip(steps, times_s, strict=True):
         begin = max((ends[number] for number in step.after), default=0.0)
-        ends.append(begin + step.estimate_s)
+        ends.append(begin + time_s)
     return max(ends, default=0.0)
 
 
--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -191,13 +191,16 @@
 
     def compute_left_s(self, steps: list[StepRecord]) -> float:
         """Return the longest chain of expected time that is left, seconds."""
-        return _compute_chain_s(
-            steps, [0.0 if one.done else one.expected_s for one in steps]
+        return compute_chain_s(
+            (one.step for one in steps),
+            (0.0 if one.done else one.expected_s for one in steps),
         )
 
     def take_expectations(self, steps: list[StepRecord]) -> None:
         """Work out chain and work of an occurrence from the expected times."""
-        self.chain_s = _compute_chain_s(steps, [one.expected_s for one in steps])
+        self.chain_s = compute_chain_s(
+            (one.step for one in steps), (one.expected_s for one in steps)
+        )
         self.work = sum(one.whole_work for one in steps)
 
     def close_done(self) -> None:
@@ -223,7 +226,8 @@
 
 def build_record(job: Job) -> JobRecord:
     """Return the record of a job of which nothing has run yet."""
-    return JobRecord(job, chain_s=compute_chain_s(job.steps))
+    declared = (step.estimate_s for step in job.steps)
+    return JobRecord(job, chain_s=compute_chain_s(job.steps, declared))
 
 
 def encode_progress(record: JobRecord) -> bytes:
@@ -309,12 +313,3 @@
             StepRecord(number, occurrence, step, tasks, len(tasks), step.estimate_s)
         )
     return records
-
-
-def _compute_chain_s(steps: list[StepRecord], times_s: list[float]) -> float:
-    """Return the longest chain of steps that take these times, seconds."""
-    ends: list[float] = []
-    for record, time_s in zip(steps, times_s, strict=True):
-        begin = max((ends[number] for number in record.step.after), default=0.0)
-        ends.append(begin + time_s)
-    return max(ends, default=0.0)
--- a/pistachiodeal/leader/book.py
+++ b/pistachiodeal/leader/book.py
@@ -103,8 +103,8 @@
         record = build_record(job)
         self.restore(record)
         self.open_due(record, time_of_day_s)
-        for steps in list(record.occurrences.values())[:1]:
-            self.expect(record, steps)
+        if record.occurrences:
+            self.expect(record, next(iter(record.occurrences.values())))
             self._note_work(record)
         self._events.emit("job.known", job=job.job_id, queue=job.queue.name)
 
