The leader itself writes its successor into the row, and tells everybody

Cause: a leader that was stopped left its row vacant and closed its links. Followers asked each other whether it lives, read the row and campaigned; agents searched.

Change: entries tell the leader how fit they are, 0 once they are stopping. A leader that stops names the fittest in the row, and passes the news to agents and entries once that one leads. A weak leader makes way in the same way in a calm moment. How fit the last leader was stands in the row: where all entries are small, none waits a second for a strong one that isn't there. A live leader is not replaced because the store is slow: its age is judged by what an own look takes. Asked as witnesses are five entries, not all, and the list of entries goes out when it has changed: both grew with the square of their number. A new leader settles once no further worker has come for 0.15 s. The drain of callers' connections no longer waits for the store.

--- a/pistachiodeal/jobagent/leader_link.py
+++ b/pistachiodeal/jobagent/leader_link.py
@@ -6,15 +6,14 @@
 from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.exceptions import PistachiodealError, ProtocolError, StoreError
+from pistachiodeal.exceptions import PistachiodealError
 from pistachiodeal.jobagent.executor import Executor
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.signals import AgentSignals
-from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
 from pistachiodeal.leader.directory import is_heard
-from pistachiodeal.leader.leader_row import decode_leader_row
+from pistachiodeal.leader.leader_row import LeaderRows
 from pistachiodeal.peers import PeerContext, ask_who_leads, dial_peer
-from pistachiodeal.store.row_store import RowStore, read_row
+from pistachiodeal.store.row_store import RowStore
 from pistachiodeal.task_groups import run_until_one_ends
 from pistachiodeal.wire.job_messages import Directive, LeaderNotice
 from pistachiodeal.wire.link import Link
@@ -48,7 +47,7 @@
         executor: Executor,
         signals: AgentSignals,
     ) -> None:
-        self._store = store
+        self._rows = LeaderRows(store, peers.directory, peers.events)
         self._peers = peers
         self._directory = peers.directory
         self._ledger = ledger
@@ -63,6 +62,7 @@
         self._unheard = ""
         self._unheard_until = 0.0
         self._grant_ms = 0
+        self._told = False
 
     async def run(self) -> None:
         """Stay attached for ever."""
@@ -70,14 +70,19 @@
             for address in await self._list_candidates():
                 if await self._attach(address):
                     break
-            await curio.sleep(RETRY_S)
+            if not self._told:
+                await curio.sleep(RETRY_S)
 
     async def _list_candidates(self) -> list[str]:
         """Return where the leader may be, the likeliest address first."""
         now = read_boot_clock()
-        if now - self._looked_at >= LOOK_S:
+        if self._told:
+            # The last leader has said who follows it. Asked by hundreds of agents at
+            # once the store would only say the same, and a slow one 0.4 s later.
+            self._told = False
+        elif now - self._looked_at >= LOOK_S:
             self._looked_at = now
-            await self._look_up()
+            await self._rows.read()
         leader = self._directory.leader
         others = self._directory.list_others(leader)
         if not leader:
@@ -86,22 +91,6 @@
             return [*others, leader]
         return [leader, *others]
 
-    async def _look_up(self) -> None:
-        try:
-            page = await read_row(self._store, CONTROL_TABLE, LEADER_KEY)
-        except StoreError as error:
-            log.debug("leader_link: cannot look the leader up: {}", error)
-            return
-        for row in page.rows:
-            try:
-                leader = decode_leader_row(row)
-            except ProtocolError as error:
-                self._events.emit(
-                    "row.unreadable", table=CONTROL_TABLE, key=row.key, cause=str(error)
-                )
-                continue
-            self._directory.note_leader(leader.epoch, leader.address)
-
     async def _attach(self, address: str) -> bool:
         """Try one address; tell whether a leader was there, or is known by now."""
         try:
@@ -149,8 +138,14 @@
             await curio.ignore_after(REPORT_S, self._report.wait)
 
     async def _receive(self, link: Link) -> None:
+        epoch = self._directory.epoch
         while True:
             message = await link.receive()
+            if isinstance(message, LeaderNotice):
+                self._directory.take_notice(message)
+                self._told = self._directory.epoch > epoch
+                if self._told:
+                    return
             if not isinstance(message, Directive):
                 continue
             sent_at = self._sent.get(message.beat)
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -10,11 +10,13 @@
 from pistachiodeal.jobentry.acceptance import Acceptance
 from pistachiodeal.jobentry.api import CallerApi
 from pistachiodeal.jobentry.configuration import ConfigurationKeeper
+from pistachiodeal.jobentry.handover import HandOver
 from pistachiodeal.jobentry.relay import RelayedRows, build_dispatcher
 from pistachiodeal.jobentry.seat import Seat
 from pistachiodeal.jobentry.states import JobStates
 from pistachiodeal.jobs.rows import find_partition
-from pistachiodeal.leader.election import Election, is_weak
+from pistachiodeal.leader.election import Election
+from pistachiodeal.leader.fitness import compute_fitness
 from pistachiodeal.peers import build_metrics, create_peer_context
 from pistachiodeal.platform.advice import create_advice
 from pistachiodeal.platform.rows import create_rows
@@ -29,9 +31,10 @@
 # The balancer asks for readiness once a second and takes two misses; until then it
 # goes on sending new connections, which a closed listener would turn away.
 LEAVE_ROTATION_S = 2.4
-# What is left of the grace period (6 s) for open connections, less a margin for the
-# end of the process itself on a VM with a third of a core.
-DRAIN_S = 3.1
+# Kept of the grace period for the end of the process itself, on a VM with a third of a
+# core.
+END_S = 0.5
+LEAST_DRAIN_S = 1.0
 # Requests of callers arrive within milliseconds of each other; the configuration's own
 # limit is applied when a body is parsed.
 BODY_BYTES = 262_144
@@ -58,8 +61,9 @@
             settings.limits.kept_s + KEPT_MARGIN_S,
             create_advice(settings.advice) if settings.advice else None,
         )
-        weak = is_weak(settings.processor.cores, settings.link_mbps)
-        self._election = Election(store, peers, self._seat.lead, weak=weak)
+        fitness = compute_fitness(settings.processor.cores, settings.link_mbps)
+        self._election = Election(store, peers, self._seat.lead, fitness=fitness)
+        self._handover = HandOver(self._seat, self._election, events, fitness)
         self._acceptance = Acceptance(relayed, events)
         states = JobStates(relayed, self._seat, self._election)
         self._election.set_answer_handler(build_dispatcher(relayed, states.take_answer))
@@ -82,6 +86,8 @@
             WebLimits(),
         )
         self._leaving = False
+        left_s = settings.limits.grace_s - LEAVE_ROTATION_S - END_S
+        self._drain_s = max(LEAST_DRAIN_S, left_s)
 
     async def run(self, signals: SignalWatch) -> None:
         """Serve until a signal to stop."""
@@ -93,6 +99,7 @@
         supervisor.add("readiness", self._readiness.run)
         supervisor.add("metrics", self._metrics.run)
         supervisor.add("callers", self._callers.run)
+        supervisor.add("handover", self._handover.run)
         election = Supervisor("election")
         election.add("election", self._election.run)
         running = await curio.spawn(supervisor.run)
@@ -108,14 +115,20 @@
     async def _leave(self, electing: curio.Task) -> None:
         self._leaving = True
         self._events.emit("process.stopping")
-        leads = self._seat.leadership is not None
-        await electing.cancel()
-        if leads:
-            await self._election.resign()
+        # Callers' connections drain meanwhile: a store that is slow holds up only the
+        # lead, and the process still ends within its grace period.
+        giving = await curio.spawn(self._give_lead, electing)
         await curio.sleep(LEAVE_ROTATION_S)
-        drained = await self._callers.drain(DRAIN_S)
+        drained = await self._callers.drain(self._drain_s)
+        await giving.cancel()
+        await electing.cancel()
         self._events.emit("process.stopped", drained=drained)
 
+    async def _give_lead(self, electing: curio.Task) -> None:
+        if not await self._handover.leave():
+            await electing.cancel()
+            await self._election.resign()
+
     async def _answer_ready(self, request: WebRequest) -> WebResponse:
         ready = not self._leaving and self._configuration.current is not None
         return WebResponse(200 if ready else 503)
--- a/pistachiodeal/jobentry/seat.py
+++ b/pistachiodeal/jobentry/seat.py
@@ -2,24 +2,32 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
 
 import curio
 from curio.io import Socket
 from logbook import Logger
 
 from pistachiodeal.addresses import split_address
-from pistachiodeal.exceptions import FencedError, PistachiodealError
+from pistachiodeal.exceptions import (
+    FencedError,
+    LinkClosedError,
+    PistachiodealError,
+)
 from pistachiodeal.jobentry.relay import RelayServer
 from pistachiodeal.jobs.advice import Adviser
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.leader.commits import Authority
+from pistachiodeal.leader.leader_row import Holder
 from pistachiodeal.leader.leadership import Leadership
 from pistachiodeal.peers import PeerContext
 from pistachiodeal.store.row_store import RowStore
 from pistachiodeal.web.server import bind_listener
 from pistachiodeal.wire.identity import AGENT_ROLE
 from pistachiodeal.wire.job_messages import (
+    Appointment,
+    EntryState,
     JobAnswer,
     JobNotice,
     JobQuery,
@@ -32,10 +40,20 @@
 log = Logger("seat")
 
 NOTICE_S = 0.25
+# Nobody waits longer for a link that takes no more bytes when the lead goes over.
+TELL_S = 0.2
 LOAD_POLL_S = 0.03
 LOAD_WAIT_S = 3.0
 
 
+@dataclass(frozen=True, slots=True)
+class Follower:
+    """An entry that follows this one, and could lead in its place."""
+
+    link: Link
+    holder: Holder
+
+
 class Seat:
     """Leads while this process holds the leader's row, and accepts links."""
 
@@ -58,12 +76,39 @@
         self._leadership: Leadership | None = None
         self._relay = RelayServer(store, peers.events)
         self._links: set[Link] = set()
+        self._followers: dict[Link, Follower] = {}
 
     @property
     def leadership(self) -> Leadership | None:
         """Return what this process leads, None while it doesn't."""
         return self._leadership
 
+    @property
+    def followers(self) -> Collection[Follower]:
+        """Return the entries that follow; the fitness of one that is stopping is 0."""
+        return self._followers.values()
+
+    def find_fittest(self) -> Follower | None:
+        """Return the fittest entry that follows; none that is stopping."""
+        fit = [one for one in self._followers.values() if one.holder.fitness]
+        return max(fit, key=lambda one: one.holder.fitness, default=None)
+
+    async def appoint(self, follower: Follower, epoch: int) -> None:
+        """Tell a follower that the leader's row names it."""
+        try:
+            await follower.link.send(Appointment(epoch))
+        except LinkClosedError as error:
+            # It, or another entry, finds out by the row.
+            log.info("seat: a successor is gone: {}", error)
+
+    async def make_way(self, epoch: int) -> None:
+        """End leading, since another process leads under a higher epoch."""
+        leadership = self._leadership
+        if leadership is None:
+            return
+        await self._tell_all()
+        await leadership.step_down(epoch)
+
     async def lead(self, authority: Authority) -> None:
         """Lead under an authority until another process takes over."""
         self._leadership = Leadership(
@@ -128,16 +173,14 @@
             await self._take_news(link)
             return
         self._links.add(link)
-        # The dialler's port is of its own choosing; its host is that of its entry.
-        peer_host = link.address.rpartition(":")[0]
-        own_port = self._address.rpartition(":")[2]
-        self._directory.note_entry(f"{peer_host}:{own_port}")
         notifier = await curio.spawn(self._notify, link, daemon=True)
         try:
             while True:
                 message = await link.receive()
                 if isinstance(message, LeaderNotice):
                     await self._take_notice(message)
+                elif isinstance(message, EntryState):
+                    self._take_state(link, message)
                 elif isinstance(message, JobQuery):
                     await self._answer(link, message)
                 elif isinstance(message, JobNotice) and self._leadership is not None:
@@ -146,6 +189,7 @@
                     await self._relay.take(link, message)
         finally:
             self._links.discard(link)
+            self._followers.pop(link, None)
             await notifier.cancel()
 
     async def _take_news(self, link: Link) -> None:
@@ -159,21 +203,54 @@
         self._directory.take_notice(notice)
         leadership = self._leadership
         if leadership is not None and notice.epoch > leadership.epoch:
-            await leadership.step_down(notice.epoch)
+            await self.make_way(notice.epoch)
+
+    def _take_state(self, link: Link, state: EntryState) -> None:
+        peer = link.peer
+        self._directory.note_entry(state.address)
+        self._followers[link] = Follower(
+            link,
+            Holder(
+                peer.node,
+                state.address,
+                peer.incarnation,
+                state.fitness_milli / 1000,
+            ),
+        )
+
+    async def _tell_all(self) -> None:
+        """Tell agents and entries who leads now, so that nobody has to search."""
+        notice = self._directory.build_notice()
+
+        async def tell(link: Link) -> None:
+            try:
+                await link.send(notice)
+            except PistachiodealError as error:
+                log.debug("seat: a link ended: {}", error)
+
+        async with curio.ignore_after(TELL_S), curio.TaskGroup(wait=all) as group:
+            for link in list(self._links):
+                await group.spawn(tell, link)
 
     async def _notify(self, link: Link) -> None:
+        told = 0
         try:
             while not link.closed:
-                await link.send(self._build_notice())
+                # The list of entries goes out when it has changed. With each notice,
+                # the bytes would grow by the square of the number of entries.
+                news = self._directory.revision != told
+                told = self._directory.revision
+                await link.send(self._build_notice(with_entries=news))
                 await curio.sleep(NOTICE_S)
         except PistachiodealError as error:
             log.debug("seat: a link ended: {}", error)
 
-    def _build_notice(self) -> LeaderNotice:
+    def _build_notice(self, *, with_entries: bool = True) -> LeaderNotice:
         leadership = self._leadership
-        if leadership is None:
-            return self._directory.build_notice()
-        return self._directory.build_notice(int(leadership.store_age_s * 1000))
+        age_ms = None
+        if leadership is not None:
+            age_ms = int(leadership.store_age_s * 1000)
+        return self._directory.build_notice(age_ms, with_entries=with_entries)
 
     async def _answer(self, link: Link, query: JobQuery) -> None:
         leadership = self._leadership
--- a/pistachiodeal/leader/directory.py
+++ b/pistachiodeal/leader/directory.py
@@ -8,9 +8,9 @@
 # A leader sends a notice every 0.25 s; a process that heard none for this long has
 # likely lost it too, and is no witness that it lives.
 HEARD_LIMIT_S = 0.8
-# Addresses kept: far more entries than a deployment has, bounded all the same, as
-# VMs are replaced for years.
-MOST_ENTRIES = 64
+# Addresses kept: more entries than a deployment of 28,000 workers has, bounded all the
+# same, as VMs are replaced for years.
+MOST_ENTRIES = 512
 
 
 class Directory:
@@ -25,6 +25,12 @@
         self._leader = ""
         self._store_seen_at = 0.0
         self._heard_at = 0.0
+        self._revision = 1
+
+    @property
+    def revision(self) -> int:
+        """Return a number that rises with each change of the list of entries."""
+        return self._revision
 
     @property
     def epoch(self) -> int:
@@ -48,7 +54,8 @@
         """Take in that an entry was heard of."""
         if not address:
             return
-        self._entries.pop(address, None)
+        if self._entries.pop(address, None) is None:
+            self._revision += 1
         self._entries[address] = read_boot_clock()
         while len(self._entries) > MOST_ENTRIES:
             del self._entries[next(iter(self._entries))]
@@ -75,7 +82,9 @@
         """Return the other entries, the one heard of last first."""
         return [one for one in reversed(self._entries) if one not in without]
 
-    def build_notice(self, store_age_ms: int | None = None) -> LeaderNotice:
+    def build_notice(
+        self, store_age_ms: int | None = None, *, with_entries: bool = True
+    ) -> LeaderNotice:
         """Return what to tell a process that asks.
 
         :param store_age_ms: the leader's, if this process leads; else what was heard
@@ -86,7 +95,7 @@
             now = read_boot_clock()
             heard_ms = int((now - self._heard_at) * 1000)
             store_age_ms = int((now - self._store_seen_at) * 1000)
-        entries = tuple(Label(address) for address in self._entries)
+        entries = tuple(Label(one) for one in self._entries) if with_entries else ()
         return LeaderNotice(self._epoch, self._leader, store_age_ms, entries, heard_ms)
 
 
--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -18,34 +18,33 @@
     LinkClosedError,
     LinkRefusedError,
     PistachiodealError,
-    ProtocolError,
     StoreError,
     StoreUncertainError,
 )
-from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY, Authority
+from pistachiodeal.leader.commits import Authority
 from pistachiodeal.leader.directory import is_heard
-from pistachiodeal.leader.leader_row import (
-    NOBODY,
-    UNREAD,
-    LeaderRow,
-    build_replacement,
-    decode_leader_row,
-)
+from pistachiodeal.leader.fitness import may_wait_for_fitter
+from pistachiodeal.leader.leader_row import Holder, LeaderRow, LeaderRows
 from pistachiodeal.peers import PeerContext, ask_who_leads, dial_peer
-from pistachiodeal.store.row_store import (
-    RowStore,
-    StoredRow,
-    read_row,
+from pistachiodeal.store.row_store import RowStore
+from pistachiodeal.wire.job_messages import (
+    Appointment,
+    EntryState,
+    JobAnswer,
+    LeaderNotice,
 )
-from pistachiodeal.wire.job_messages import JobAnswer, LeaderNotice
 from pistachiodeal.wire.link import Link
 from pistachiodeal.wire.relay_messages import RelayAnswer
 
 log = Logger("election")
 
-# A leader writes or looks at its row every 0.65 s at most, and an answer of a slow
-# store takes 0.3 s: an age above this means that the store refuses the leader.
+# A leader writes or looks at its row every 0.65 s at most: an age above this means that
+# the store refuses the leader, or that its answers take long.
 STORE_AGE_LIMIT_S = 1.4
+# A leader that is refused is told from a store that is slow by an own look at the row:
+# the leader may take this many times as long. A look waits for nobody, and the leader
+# has writes and looks on their way at once.
+SLOW_FACTOR = 4.0
 # After an outage of the store for everybody, the leader has this long to come back
 # before a follower whose store works again takes over.
 SECOND_LOOK_S = 0.6
@@ -53,12 +52,12 @@
 # before it takes the row from a leader whom the others may still hear.
 ALONE_S = 3.0
 STAGGER_S = 0.2
-# A leader of 74 workers uses up to 0.55 of a core and 5 Mbit/s. On 0.3 of a core, with
-# 10 Mbit/s, short jobs that take 2 s took 20. Entries below these limits let the others
-# go first for a second, which is how far apart entries suspect a leader.
-WEAK_CORES = 0.35
-WEAK_MBPS = 50.0
+# Entries that are far from fit let the others go first for a second, which is how far
+# apart entries suspect a leader.
 HANDICAP_S = 1.0
+# So many entries are asked whether they hear the leader. With all of them asked, its
+# loss would cost calls by the square of their number: over a thousand for 35 entries.
+WITNESSES = 5
 RETRY_S = 0.2
 
 
@@ -70,7 +69,7 @@
     """Follows the leader, or becomes it.
 
     :param lead: leads under an authority until fenced.
-    :param weak: whether other entries had better lead.
+    :param fitness: of this process, see :mod:`pistachiodeal.leader.fitness`.
     """
 
     def __init__(
@@ -79,17 +78,19 @@
         peers: PeerContext,
         lead: Lead,
         *,
-        weak: bool = False,
+        fitness: float = 1.0,
     ) -> None:
-        self._store = store
+        self._rows = LeaderRows(store, peers.directory, peers.events)
         self._peers = peers
-        self._identity = peers.identity
+        self._holder = Holder(
+            peers.identity.node, peers.address, peers.identity.incarnation, fitness
+        )
         self._address = peers.address
         self._directory = peers.directory
         self._events = peers.events
         self._lead = lead
-        self._weak = weak
-        self._row = NOBODY
+        self._retired = False
+        self._appointed = 0
         self._link: Link | None = None
         self._on_answer: TakeAnswer | None = None
 
@@ -105,81 +106,77 @@
     async def run(self) -> None:
         """Follow and lead by turns, for ever."""
         while True:
-            if self._directory.epoch > self._row.epoch:
+            if self._appointed > self._rows.row.epoch:
+                await self._settle(self._appointed, "the last leader has handed over")
+                # Asked for once: what became of it shows in the row.
+                self._appointed = 0
+                continue
+            if self._directory.epoch > self._rows.row.epoch:
                 # Another entry has said who leads. A store that turns us away would
                 # take a second to say nothing.
-                await self._follow(self._build_heard_row())
-            row = await self._read_row()
-            if row is not None:
-                self._row = row
-            if row is not None and self._is_vacant(row):
-                await self._campaign("nobody leads")
-                continue
-            if not self._row.address or self._row.address == self._address:
-                await curio.sleep(RETRY_S)
+                await self._follow(self._rows.build_heard_row())
                 continue
-            began_at = read_boot_clock()
-            refused = await self._follow(self._row)
+            await self._go_by_row()
+
+    async def _go_by_row(self) -> None:
+        row = await self._rows.read()
+        if row is not None:
+            self._rows.row = row
+        if row is not None and self._is_vacant(row) and not self._retired:
+            await self._campaign("nobody leads")
+            return
+        known = self._rows.row
+        if not known.address or known.address == self._address:
+            await curio.sleep(RETRY_S)
+            return
+        began_at = read_boot_clock()
+        refused = await self._follow(known)
+        if self._appointed:
+            return
+        if not self._retired:
             await self._consider(gone=refused)
-            if read_boot_clock() - began_at < RETRY_S:
-                # While the store is away, a row that names a process which leads no
-                # more would be followed again at once: 70 links a second were seen.
-                await curio.sleep(RETRY_S)
+        if read_boot_clock() - began_at < RETRY_S:
+            # While the store is away, a row that names a process which leads no
+            # more would be followed again at once: 70 links a second were seen.
+            await curio.sleep(RETRY_S)
+
+    async def retire(self) -> None:
+        """Follow from now on, and never lead again: this process is stopping."""
+        self._retired = True
+        if self._link is not None:
+            await self._tell_state(self._link)
+
+    async def hand_over(self, holder: Holder) -> int:
+        """Name another process in the row that names this one.
+
+        :return: the epoch under which it leads; 0 when it surely or likely doesn't.
+        """
+        epoch = self._rows.row.epoch + 1
+        try:
+            result = await self._rows.appoint(holder)
+        except StoreUncertainError as error:
+            log.debug("election: no answer to a hand-over: {}", error)
+            row = await self._rows.read()
+            named = row is not None and (row.nonce, row.epoch) == (holder.nonce, epoch)
+            return epoch if named else 0
+        except StoreError as error:
+            log.info("election: cannot hand over: {}", error)
+            return 0
+        return epoch if result.committed else 0
 
     async def resign(self) -> None:
         """Leave the leader's row vacant, so that nobody has to wait for silence."""
-        row = self._row
-        transaction = build_replacement(
-            row, epoch=row.epoch, node="", address="", nonce=0
-        )
         try:
-            await self._store.commit(transaction)
+            await self._rows.vacate()
         except StoreError as error:
             log.info("election: cannot resign: {}", error)
-        self._events.emit("leader.resigned", epoch=row.epoch)
+        self._events.emit("leader.resigned", epoch=self._rows.row.epoch)
 
     def _is_vacant(self, row: LeaderRow) -> bool:
         # A row of our address that this loop sees is of an earlier life of this
         # process, or of a campaign that was carried out after it had been given up.
         return not row.address or row.address == self._address
 
-    async def _read_row(self) -> LeaderRow | None:
-        try:
-            page = await read_row(self._store, CONTROL_TABLE, LEADER_KEY)
-        except StoreError as error:
-            log.debug("election: cannot read the leader's row: {}", error)
-            return None
-        if not page.rows:
-            return NOBODY
-        try:
-            row = decode_leader_row(page.rows[0])
-        except ProtocolError as error:
-            return self._build_unreadable_row(page.rows[0], error)
-        if row.address:
-            self._directory.note_leader(row.epoch, row.address)
-        return row
-
-    def _build_unreadable_row(self, row: StoredRow, error: Exception) -> LeaderRow:
-        """Take a row that another writer has spoilt for a vacant one.
-
-        Left as it is, nobody could ever take the lead again. The epoch goes on from
-        the highest one heard of, so that runners obey whoever takes it.
-        """
-        self._events.emit(
-            "row.unreadable", table=CONTROL_TABLE, key=row.key, cause=str(error)
-        )
-        epoch = max(self._directory.epoch, self._row.epoch)
-        return LeaderRow(epoch, "", "", 0, row.version)
-
-    def _build_heard_row(self) -> LeaderRow:
-        """Take what others say of the leader for its row.
-
-        Nobody can campaign against it: no condition on its version holds.
-        """
-        directory = self._directory
-        self._row = LeaderRow(directory.epoch, "", directory.leader, 0, UNREAD)
-        return self._row
-
     async def _follow(self, row: LeaderRow) -> bool:
         """Keep a link to the leader until it ends or the leader lost the store.
 
@@ -190,6 +187,7 @@
             async with dial_peer(self._peers, row.address) as link:
                 self._link = link
                 self._events.emit("leader.followed", epoch=row.epoch, peer=row.address)
+                await self._tell_state(link)
                 await self._listen(link)
         except (PistachiodealError, OSError) as error:
             if self._link is None:
@@ -200,19 +198,30 @@
             self._link = None
         return refused
 
+    async def _tell_state(self, link: Link) -> None:
+        """Tell the leader how fit this process is to succeed it."""
+        fitness = 0.0 if self._retired else self._holder.fitness
+        try:
+            await link.send(EntryState(self._address, int(fitness * 1000)))
+        except LinkClosedError as error:
+            log.debug("election: the leader is gone: {}", error)
+
     async def _listen(self, link: Link) -> None:
         while True:
             message = await link.receive()
             if isinstance(message, JobAnswer | RelayAnswer) and self._on_answer:
                 await self._on_answer(message)
+            if isinstance(message, Appointment):
+                self._appointed = message.epoch
+                return
             if not isinstance(message, LeaderNotice):
                 continue
             self._directory.take_notice(message)
             if message.address != link.address:
                 raise LinkClosedError("it no longer leads", peer=link.address)
-            if self._directory.epoch > self._row.epoch:
+            if self._directory.epoch > self._rows.row.epoch:
                 raise LinkClosedError("another entry leads", peer=link.address)
-            if message.store_age_ms < STORE_AGE_LIMIT_S * 1000:
+            if message.store_age_ms < STORE_AGE_LIMIT_S * 1000 or self._retired:
                 continue
             if await self._outlasts_leader(link):
                 return
@@ -220,18 +229,23 @@
     async def _outlasts_leader(self, link: Link) -> bool:
         """Tell whether our store works while the leader's goes on being refused.
 
-        Also if another entry has already taken the row.
+        Also if another entry has already taken the row. On a store that was a hundred
+        times slower, a leader that went on writing was replaced, and 160 agents moved.
         """
-        if await self._read_row() is None:
+        if await self._rows.read() is None:
             return False
+        limit_s = STORE_AGE_LIMIT_S + SLOW_FACTOR * self._rows.read_s
         deadline = read_boot_clock() + SECOND_LOOK_S
         while read_boot_clock() < deadline:
             message = await link.receive()
+            if isinstance(message, Appointment):
+                self._appointed = message.epoch
+                return True
             if not isinstance(message, LeaderNotice):
                 continue
-            if message.store_age_ms < STORE_AGE_LIMIT_S * 1000:
+            if message.store_age_ms < limit_s * 1000:
                 return False
-        return await self._read_row() is not None
+        return await self._rows.read() is not None
 
     async def _consider(self, *, gone: bool) -> None:
         """Take the row over if the leader is gone for the other entries too.
@@ -240,8 +254,8 @@
             there as a witness: after everything was down the first one to start would
             wait 0.45 s for the others, and all tasks with it.
         """
-        row = await self._read_row()
-        if row is None or row.version != self._row.version:
+        row = await self._rows.read()
+        if row is None or row.version != self._rows.row.version:
             return
         suspected_at = read_boot_clock()
         while read_boot_clock() - suspected_at < ALONE_S:
@@ -263,61 +277,56 @@
     async def _ask_entries(self, row: LeaderRow) -> bool | None:
         """Tell whether another entry hears the leader; None if none answers."""
         answered = None
-        for address in self._directory.list_others(self._address, row.address):
+        others = self._directory.list_others(self._address, row.address)
+        random.shuffle(others)
+        witnesses = 0
+        for address in others:
             notice = await ask_who_leads(self._peers, address)
             if notice is None:
                 continue
             answered = False
+            witnesses += 1
             fresh = notice.store_age_ms < STORE_AGE_LIMIT_S * 1000
             if notice.epoch >= row.epoch and is_heard(notice) and fresh:
                 return True
+            if witnesses >= WITNESSES:
+                break
         return answered
 
     async def _campaign(self, why: str) -> None:
-        row = self._row
-        if self._weak:
+        row = self._rows.row
+        if may_wait_for_fitter(self._holder.fitness, row.fitness):
             # Whoever takes the row meanwhile makes the condition below fail.
             await curio.sleep(HANDICAP_S)
         epoch = row.epoch + 1
-        transaction = build_replacement(
-            row,
-            epoch=epoch,
-            node=self._identity.node,
-            address=self._address,
-            nonce=self._identity.incarnation,
-        )
         asked_at = read_boot_clock()
         try:
-            result = await self._store.commit(transaction)
+            result = await self._rows.appoint(self._holder)
         except StoreUncertainError:
-            await self._settle(epoch)
+            await self._settle(epoch, "the row was written without an answer")
             return
         except StoreError as error:
             log.debug("election: cannot campaign: {}", error)
             await curio.sleep(RETRY_S)
             return
-        if not result.committed:
-            return
-        self._row = LeaderRow(
-            epoch,
-            self._identity.node,
-            self._address,
-            self._identity.incarnation,
-            result.version,
-        )
-        await self._take_office(asked_at, why)
+        if result.committed:
+            await self._take_office(asked_at, why)
 
-    async def _settle(self, epoch: int) -> None:
-        """Find out whether a campaign without an answer has won."""
+    async def _settle(self, epoch: int, why: str) -> None:
+        """Lead if the row names this process under an epoch."""
         asked_at = read_boot_clock()
-        row = await self._read_row()
-        if row is None or row.nonce != self._identity.incarnation or row.epoch != epoch:
+        row = await self._rows.read()
+        if row is None or row.nonce != self._holder.nonce or row.epoch != epoch:
             return
-        self._row = row
-        await self._take_office(asked_at, "the row was written without an answer")
+        self._rows.row = row
+        await self._take_office(asked_at, why)
 
     async def _take_office(self, asked_at: float, why: str) -> None:
-        row = self._row
+        if self._retired:
+            # The stop came while the row was being written.
+            await self.resign()
+            return
+        row = self._rows.row
         authority = Authority(row.epoch, row.version, asked_at, read_boot_clock())
         self._events.emit("leader.taken", epoch=row.epoch, why=why)
         self._directory.note_leader(row.epoch, self._address)
@@ -335,8 +344,3 @@
                 await link.send(self._directory.build_notice(0))
         except (PistachiodealError, OSError) as error:
             log.debug("election: cannot tell {} who leads: {}", address, error)
-
-
-def is_weak(cores: float, link_mbps: float) -> bool:
-    """Tell whether a process had better leave the lead to others."""
-    return cores < WEAK_CORES or link_mbps < WEAK_MBPS
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -50,10 +50,14 @@
 # A write that takes longer than this is of a slow store; usual are 4 to 10 ms.
 SLOW_WRITE_S = 0.06
 # Decisions made before most agents are there would crowd the first workers. So a new
-# leader waits until all workers that have runs are listed, and no longer than this: it
-# is what agents take to attach after everything was down. Waiting for it each time, the
-# first task started 0.35 s later than ten of eleven workers were listed.
+# leader waits until all workers that have runs are listed, or no further one has come
+# for a moment, and no longer than this: it is what agents take to attach after
+# everything was down. Waiting for it each time, the first task started 0.35 s later
+# than ten of eleven workers were listed.
 SETTLE_S = 0.6
+QUIET_S = 0.15
+# A leader that has led for less, or whose store is away, has enough to do.
+CALM_S = 2.0
 
 
 class Leadership:
@@ -108,7 +112,10 @@
         self._loaded = False
         self._loaded_at = 0.0
         self._awaited: set[str] = set()
+        self._listed = 0
+        self._listed_at = 0.0
         self._settled = False
+        self._paused = False
 
     @property
     def epoch(self) -> int:
@@ -149,6 +156,26 @@
         """Note that a row of the jobs table is durable; see :class:`JobFeed`."""
         self._feed.announce(key)
 
+    @property
+    def calm(self) -> bool:
+        """Tell whether a change of the leader would disturb little now."""
+        lasted_s = read_boot_clock() - self._loaded_at
+        return (
+            self._settled
+            and lasted_s > CALM_S
+            and self._commits.last_write_s < SLOW_WRITE_S
+            and self.store_age_s < CALM_S
+        )
+
+    def pause(self) -> None:
+        """Decide and write nothing more, since the lead is being handed over."""
+        self._paused = True
+
+    async def go_on(self) -> None:
+        """Decide again: nobody has taken the lead over."""
+        self._paused = False
+        await self._touch()
+
     async def step_down(self, epoch: int) -> None:
         """End, since another process leads under a higher epoch.
 
@@ -258,7 +285,7 @@
             self._unsaved.clear()
             if number:
                 await curio.sleep(number * SLOW_WRITE_S)
-            while self._book.has_writable:
+            while self._book.has_writable and not self._paused:
                 await self._commits.write(self._book)
                 await self._sessions.send_orders()
                 await self._changed.set()
@@ -270,7 +297,7 @@
             await curio.ignore_after(TICK_S, self._changed.wait)
             self._changed.clear()
             began_at = read_boot_clock()
-            if self._is_settled(began_at):
+            if self._is_settled(began_at) and not self._paused:
                 self._planner.plan()
             took_s = read_boot_clock() - began_at
             await self._sessions.send_orders()
@@ -282,9 +309,17 @@
         """Tell whether enough workers are known for decisions."""
         if not self._settled:
             waited = now - self._loaded_at > SETTLE_S
-            self._settled = waited or self._are_listed(self._awaited)
+            quiet = self._have_all_come(now)
+            self._settled = waited or quiet or self._are_listed(self._awaited)
         return self._settled
 
+    def _have_all_come(self, now: float) -> bool:
+        """Tell whether workers are listed, and no further one for a moment."""
+        listed = sum(worker.open for worker in self._fleet.workers.values())
+        if listed != self._listed:
+            self._listed, self._listed_at = listed, now
+        return listed > 0 and now - self._listed_at > QUIET_S
+
     def _are_listed(self, nodes: set[str]) -> bool:
         if not nodes:
             return False
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -185,6 +185,29 @@
     heard_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class EntryState:
+    """Entry to leader: how fit it is to lead.
+
+    :param address: where it accepts links, ``ip:port``.
+    :param fitness_milli: in thousandths of the least that a leader needs; 0 once the
+        entry is stopping.
+    """
+
+    address: str
+    fitness_milli: int
+
+
+@dataclass(frozen=True, slots=True)
+class Appointment:
+    """Leader to an entry: the leader's row names you from now on.
+
+    :param epoch: of that row.
+    """
+
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class JobNotice:
     """Entry to leader: a row of the jobs table is durable.
--- a/pistachiodeal/wire/messages.py
+++ b/pistachiodeal/wire/messages.py
@@ -14,7 +14,9 @@
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.handshake_messages import Challenge, Hello, Welcome
 from pistachiodeal.wire.job_messages import (
+    Appointment,
     Directive,
+    EntryState,
     JobAnswer,
     JobNotice,
     JobQuery,
@@ -231,6 +233,8 @@
     | JobQuery
     | JobAnswer
     | JobNotice
+    | EntryState
+    | Appointment
     | RelayCommit
     | RelayRead
     | RelayAnswer
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -294,6 +294,15 @@
   heardMs @4 :Int64;
 }
 
+struct EntryState {
+  address @0 :Text;
+  fitnessMilli @1 :Int64;
+}
+
+struct Appointment {
+  epoch @0 :UInt64;
+}
+
 struct JobNotice {
   key @0 :Text;
 }
@@ -385,5 +394,7 @@
     relayCommit @26 :RelayCommit;
     relayRead @27 :RelayRead;
     relayAnswer @28 :RelayAnswer;
+    entryState @29 :EntryState;
+    appointment @30 :Appointment;
   }
 }
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -23,6 +23,7 @@
 from pistachiodeal.jobagent.renewal import Renewal
 from pistachiodeal.jobagent.signals import AgentSignals
 from pistachiodeal.jobentry.acceptance import Acceptance
+from pistachiodeal.jobentry.handover import HandOver
 from pistachiodeal.jobentry.relay import RelayedRows, build_dispatcher
 from pistachiodeal.jobentry.seat import Seat
 from pistachiodeal.jobentry.states import JobStates
@@ -78,6 +79,7 @@
         self.addresses = addresses
         self.address = addresses[int(name)]
         self.lives = 0
+        self.fitness = 1.0
 
     async def boot(self) -> None:
         """Start a new life."""
@@ -92,7 +94,10 @@
             events,
         )
         self.seat = Seat(self.store, peers, lambda queue: queue, 100.0)
-        self.election = Election(self.store, peers, self.seat.lead)
+        self.election = Election(
+            self.store, peers, self.seat.lead, fitness=self.fitness
+        )
+        self.handover = HandOver(self.seat, self.election, events, self.fitness)
         election = self.election
         relayed = RelayedRows(self.store, lambda: election.link, events)
         self.acceptance = Acceptance(relayed, events)
@@ -100,7 +105,12 @@
         self.election.set_answer_handler(
             build_dispatcher(relayed, self.states.take_answer)
         )
-        await self.start(self.seat.listen, self.election.run, self.acceptance.run)
+        await self.start(
+            self.seat.listen,
+            self.election.run,
+            self.acceptance.run,
+            self.handover.run,
+        )
 
     async def submit(self, job: Job) -> None:
         """Accept a job."""
--- a/tests/unit/test_leader_election.py
+++ b/tests/unit/test_leader_election.py
@@ -15,7 +15,8 @@
 from pistachiodeal.jobs.model import JobState
 from pistachiodeal.leader.commits import Authority
 from pistachiodeal.leader.directory import HEARD_LIMIT_S, Directory, is_heard
-from pistachiodeal.leader.election import Election, is_weak
+from pistachiodeal.leader.election import Election
+from pistachiodeal.leader.fitness import compute_fitness
 from pistachiodeal.peers import PeerContext
 from pistachiodeal.web.server import bind_listener
 from pistachiodeal.wire.identity import ENTRY_ROLE, Identity
@@ -65,9 +66,8 @@
             peers = PeerContext(
                 identity, address, SECRET, Directory(()), create_quiet_log()
             )
-            election = Election(
-                MemoryRows(state), peers, lead, weak=is_weak(cores, link_mbps)
-            )
+            fitness = compute_fitness(cores, link_mbps)
+            election = Election(MemoryRows(state), peers, lead, fitness=fitness)
             elections.append(await curio.spawn(election.run, daemon=True))
             await curio.sleep(0.2)
         await curio.sleep(1.2)
@@ -92,7 +92,7 @@
         peers = PeerContext(
             identity, address, SECRET, Directory(()), create_quiet_log()
         )
-        election = Election(MemoryRows(RowsState()), peers, lead, weak=True)
+        election = Election(MemoryRows(RowsState()), peers, lead, fitness=0.2)
         task = await curio.spawn(election.run, daemon=True)
         await curio.sleep(1.6)
         await task.cancel()
