--- a/tests/unit/test_leader_planner.py
+++ b/tests/unit/test_leader_planner.py
@@ -83,6 +83,7 @@
     """
     cluster = Cluster()
     cluster.add(1, WORKERS, 16_000)
+    cluster.plan_all()
     for number in range(50):
         cluster.add(2 + number, 5, 8_000)
     # What was placed in one round is looked at once more in the next.
