Tests of the job path's checks: directives, listings, orders, ends

Cause: putting one check at a time out of action showed that two of the first three tried were noticed by no test: a directive for another incarnation, and a listing that was asked for before the stop that it should settle.

Change: tests for these and for the other checks of the agent's ledger and executor and of the leader's reconciliation; no code.

--- a/tests/unit/test_jobagent_ledger.py
+++ b/tests/unit/test_jobagent_ledger.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from pistachiodeal.events import EventLog
-from pistachiodeal.jobagent.ledger import AgentLedger, Order
+from pistachiodeal.jobagent.ledger import SLOWEST_CLOCK, AgentLedger, Lease, Order
 from pistachiodeal.jobs.model import OrderState
 from pistachiodeal.jobs.runtime import CallResult, Listing, WorkerBeat
 from pistachiodeal.model.resources import Resources
@@ -111,3 +111,59 @@
     assert [one.task for one in ledger.build_report(2).outcomes] == [task]
     ledger.take_directive(replace(build_directive("w"), beat=2), 0.0)
     assert ledger.build_report(3).outcomes == ()
+
+
+def test_a_directive_for_another_incarnation_acknowledges_nothing():
+    """Symptom: ends that nobody has seen are acknowledged, and their tasks run again.
+
+    Sequence: the worker is reborn; a directive for its last incarnation arrives late,
+    with that one's number. Cause: numbers count from one in each incarnation.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("new"))
+    ledger.take_directive(build_directive("old", noted=40), 0.0)
+    assert ledger.noted == 0
+
+
+def test_a_listing_that_was_asked_for_before_the_stop_settles_nothing():
+    """Symptom: a task runs twice.
+
+    Sequence: a start gets no answer; a listing is asked for, which doesn't show it; the
+    start is carried out; a stop is answered. Cause: the listing of before the stop was
+    taken as a proof that the run isn't there, while the stop has yet to end it.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    task = "0123456789abcdef.0.0.0"
+    ledger.orders[task, 1] = Order(task, 1, settled_at=5.0)
+    ledger.take_listing(Listing(CallResult.DONE, 100), 4.0, 5.1)
+    assert ledger.orders[task, 1].state is OrderState.PENDING
+    ledger.take_listing(Listing(CallResult.DONE, 200), 5.2, 5.3)
+    assert ledger.orders[task, 1].state is OrderState.VOID
+
+
+def test_an_outcome_is_kept_until_its_own_report_is_answered():
+    """Symptom: a job stays active for ever. Sequence: an outcome leaves in the third
+    report; the answer to the second one arrives. Cause: any answer counted.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    ledger.take_listing(Listing(CallResult.DONE, 100), 1.0, 1.0)
+    task = "0123456789abcdef.0.0.0"
+    ledger.orders[task, 1] = Order(task, 1, OrderState.REFUSED, "no lease")
+    ledger.build_report(3)
+    ledger.take_directive(replace(build_directive("w"), beat=2), 0.0)
+    assert ledger.orders
+    ledger.take_directive(replace(build_directive("w"), beat=3), 0.0)
+    assert not ledger.orders
+
+
+def test_a_lease_never_outlives_the_grant():
+    """Symptom: a task runs twice. Sequence: the leader's grant ends in a second; the
+    agent renews for eight. Cause: the successor waits for the grant alone.
+    """
+    lease = Lease()
+    lease.sample(1_000, 10.0)
+    assert lease.extend(10.0, 11.0) == 1_000 + int(1_000 * SLOWEST_CLOCK)
+    assert lease.until == 11.0
+    assert lease.extend(11.0, 11.0) == 0
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -240,3 +240,88 @@
     book.place(first, 1, "node/w1", lambda: None)
     book.end_run(first, EndKind.DONE, "", lambda: None)
     assert read_boot_clock() - second.ready_at < 1.0
+
+
+def test_an_end_of_an_earlier_run_is_not_that_of_the_newest():
+    """Symptom: a task counts as done though its run goes on, or fails twice for one.
+
+    Sequence: a run is stopped and the task placed again on the same worker; the end of
+    the first run is listed after that. Cause: only the task's name was compared.
+    """
+    stage = Stage()
+    stage.book.requeue(stage.task)
+    stage.book.place(stage.task, 2, "node/w1", lambda: None)
+    stage.write()
+    stage.report(ends=[EndedTask(1, TASK, 1, "done", "")])
+    assert not stage.task.done
+    assert stage.task.place == "node/w1"
+
+
+def test_an_end_on_a_worker_that_the_run_has_left_is_not_its_end():
+    """Symptom: a task that is at work is placed once more. Sequence: the same run
+    number was given on another worker under an earlier leader. Cause: the place was
+    not compared.
+    """
+    stage = Stage()
+    stage.book.requeue(stage.task)
+    stage.book.place(stage.task, 1, "other/w9", lambda: None)
+    stage.write()
+    stage.report(ends=[EndedTask(1, TASK, 1, "stopped", "")])
+    assert stage.task.place == "other/w9"
+
+
+def test_a_decision_that_is_not_durable_is_not_stopped():
+    """Symptom: a run is stopped before its order has left.
+
+    Sequence: a run is decided; before its row is written the agent reports, without
+    it. Cause: it was taken for one whose order had been lost.
+    """
+    stage = Stage()
+    stage.book.requeue(stage.task)
+    stage.write()
+    stage.book.place(stage.task, 2, "node/w1", lambda: None)
+    stage.report()
+    assert stage.attachment.outbox.stops == []
+
+
+def test_an_order_whose_task_was_placed_elsewhere_meanwhile_is_not_sent():
+    """Symptom: two runs of one task. Sequence: a decision waits for its row; its worker
+    is lost and the task placed again; the first row is answered. Cause: the order went
+    out for a run that had been given up.
+    """
+    stage = Stage()
+    stage.report(running=[RunningTask(TASK, 1, "", 5, 0)])
+    stage.book.requeue(stage.task)
+    stage.book.place(stage.task, 2, "other/w9", lambda: None)
+    stage.reconciler.send_order(stage.task, 1, "node/w1")
+    assert stage.attachment.outbox.starts == []
+
+
+def test_an_end_of_a_worker_that_was_reborn_is_not_noted_for_the_new_one():
+    """Symptom: the new incarnation's first end is acknowledged unseen, and its task
+    runs again.
+
+    Sequence: an end waits for its row; the worker is reborn; the row is written.
+    Cause: the number was noted for whatever incarnation was there by then.
+    """
+    stage = Stage()
+    stage.report(ends=[EndedTask(1, TASK, 1, "done", "")])
+    stage.report(worker="w2")
+    stage.write()
+    worker = stage.fleet.get("node")
+    worker.advance_noted((EndedTask(1, "0000000000000002.0.0.0", 1, "done", ""),))
+    assert worker.ends_noted == 0
+
+
+def test_an_end_that_is_listed_twice_counts_once():
+    """Symptom: a job fails after half of its attempts. Sequence: an end that is not
+    yet acknowledged is listed again, after its task was placed again here with the
+    same run number by a leader that did not know of the first. Cause: it counted again.
+    """
+    stage = Stage()
+    end = EndedTask(1, TASK, 1, "failed", "")
+    stage.report(ends=[end])
+    assert stage.task.failures == 1
+    stage.book.place(stage.task, 1, "node/w1", lambda: None)
+    stage.report(ends=[end])
+    assert stage.task.failures == 1
