--- a/tests/unit/test_jobagent_executor.py
+++ b/tests/unit/test_jobagent_executor.py
@@ -134,6 +134,27 @@
             assert stage.runtime.starts == []
             [order] = stage.ledger.orders.values()
             assert order.state is OrderState.REFUSED
+            assert order.detail == "the leader's grant has run out"
+
+    curio.run(main)
+
+
+def test_an_order_does_not_outlive_its_incarnation():
+    """Symptom: a reborn worker starts what its last incarnation was told to.
+
+    Sequence: an order is taken; before it is carried out the worker is reborn. Cause:
+    the incarnation was compared only when the order came.
+    """
+
+    async def main() -> None:
+        async with build_stage() as stage:
+            start = RunOrder(TASK, 1, "", "", False, 0)
+            directive = Directive(1, 1, 10_000, 7, "w", 0, (), (start,), (), ())
+            await stage.executor.carry_out(directive)
+            reborn = replace(build_beat("w"), worker="reborn")
+            stage.ledger.beat = reborn
+            await curio.sleep(SETTLE_S)
+            assert stage.runtime.starts == []
 
     curio.run(main)
 
