A successor that was never told finds itself in the row, and leads

Cause: the store was slow; the leader's row named its successor at about 7.5 s, which the leader was told at 8.2 s. A look at the row ended it in between and closed its links, so the appointment was lost. The successor read that it leads, took that for the word of another entry, dialled its own address and followed itself. Part of this is older than the hand-over: a campaign that is carried out after it was given up could have done the same.

Change: an entry never follows its own address; one that the row names under an epoch in which it has not led takes office. A leader that hands over no longer looks at the row. What names a process is its address and its incarnation.

Test: fails by its time limit before, passes now.

--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -91,6 +91,7 @@
         self._lead = lead
         self._retired = False
         self._appointed = 0
+        self._led_epoch = 0
         self._link: Link | None = None
         self._on_answer: TakeAnswer | None = None
 
@@ -111,7 +112,9 @@
                 # Asked for once: what became of it shows in the row.
                 self._appointed = 0
                 continue
-            if self._directory.epoch > self._rows.row.epoch:
+            directory = self._directory
+            heard = directory.epoch > self._rows.row.epoch
+            if heard and directory.leader != self._address:
                 # Another entry has said who leads. A store that turns us away would
                 # take a second to say nothing.
                 await self._follow(self._rows.build_heard_row())
@@ -119,9 +122,14 @@
             await self._go_by_row()
 
     async def _go_by_row(self) -> None:
+        asked_at = read_boot_clock()
         row = await self._rows.read()
         if row is not None:
             self._rows.row = row
+            if self._is_named(row) and row.epoch > self._led_epoch:
+                # A leader has handed over to this process, and its word was lost.
+                await self._take_office(asked_at, "the row names this process")
+                return
         if row is not None and self._is_vacant(row) and not self._retired:
             await self._campaign("nobody leads")
             return
@@ -172,6 +180,10 @@
             log.info("election: cannot resign: {}", error)
         self._events.emit("leader.resigned", epoch=self._rows.row.epoch)
 
+    def _is_named(self, row: LeaderRow) -> bool:
+        """Tell whether a row names this very process."""
+        return (row.address, row.nonce) == (self._address, self._holder.nonce)
+
     def _is_vacant(self, row: LeaderRow) -> bool:
         # A row of our address that this loop sees is of an earlier life of this
         # process, or of a campaign that was carried out after it had been given up.
@@ -212,7 +224,7 @@
             if isinstance(message, JobAnswer | RelayAnswer) and self._on_answer:
                 await self._on_answer(message)
             if isinstance(message, Appointment):
-                self._appointed = message.epoch
+                self._take_appointment(message)
                 return
             if not isinstance(message, LeaderNotice):
                 continue
@@ -226,6 +238,10 @@
             if await self._outlasts_leader(link):
                 return
 
+    def _take_appointment(self, appointment: Appointment) -> None:
+        self._events.emit("leader.appointed", epoch=appointment.epoch)
+        self._appointed = appointment.epoch
+
     async def _outlasts_leader(self, link: Link) -> bool:
         """Tell whether our store works while the leader's goes on being refused.
 
@@ -239,7 +255,7 @@
         while read_boot_clock() < deadline:
             message = await link.receive()
             if isinstance(message, Appointment):
-                self._appointed = message.epoch
+                self._take_appointment(message)
                 return True
             if not isinstance(message, LeaderNotice):
                 continue
@@ -316,7 +332,7 @@
         """Lead if the row names this process under an epoch."""
         asked_at = read_boot_clock()
         row = await self._rows.read()
-        if row is None or row.nonce != self._holder.nonce or row.epoch != epoch:
+        if row is None or not self._is_named(row) or row.epoch != epoch:
             return
         self._rows.row = row
         await self._take_office(asked_at, why)
@@ -328,6 +344,9 @@
             return
         row = self._rows.row
         authority = Authority(row.epoch, row.version, asked_at, read_boot_clock())
+        # A leader that has failed leads again only under a higher epoch: its tokens
+        # count from one in each.
+        self._led_epoch = row.epoch
         self._events.emit("leader.taken", epoch=row.epoch, why=why)
         self._directory.note_leader(row.epoch, self._address)
         for address in self._directory.list_others(self._address):
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -333,6 +333,10 @@
     async def _keep_right(self) -> None:
         while True:
             await curio.sleep(TICK_S)
+            if self._paused:
+                # The row may name the successor already. Ending for that would close
+                # the links before everybody has been told who leads.
+                continue
             await self._commits.confirm()
             for place in self._book.list_places():
                 if self._sessions.is_lost(self._took_at, place):
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -85,7 +85,7 @@
         """Start a new life."""
         self.lives += 1
         self.store = MemoryRows(self.state)
-        events = create_quiet_log()
+        self.events = events = create_quiet_log()
         peers = PeerContext(
             Identity(ENTRY_ROLE, f"entry-{self.name}", self.lives, "dc"),
             self.address,
--- a/tests/unit/test_leader_handover.py
+++ b/tests/unit/test_leader_handover.py
@@ -141,6 +141,57 @@
     curio.run(main)
 
 
+def test_a_successor_that_was_never_told_finds_itself_in_the_row():
+    """Symptom: nobody leads any more, and every worker's leases run out.
+
+    Sequence: on a slow store the leader's row is replaced 0.7 s before it is told so;
+    a look at the row ends it meanwhile, and its links; the appointment is lost. The
+    successor reads that the row names it. Cause: it took itself for the leader that it
+    had heard of, dialled its own address, and followed itself.
+    """
+
+    async def main() -> float:
+        async with run_cluster(entries=3, agents=1) as cluster:
+            leader = await wait_for_leader(cluster)
+            await wait_for_followers(leader, 2)
+            follower = leader.seat.find_fittest()
+            assert follower is not None
+            assert await leader.election.hand_over(follower.holder)
+            await leader.kill()
+            began_at = time.monotonic()
+            successor = await wait_for_leader(cluster, leader)
+            took_s = time.monotonic() - began_at
+            assert f"entry-{successor.name}" == follower.holder.node
+            job = build_job(1)
+            await successor.submit(job)
+            await cluster.wait_for_state(job, JobState.COMPLETED)
+            assert cluster.witness.broken == []
+            return took_s
+
+    assert min(curio.run(main) for _ in range(3)) < 1.0
+
+
+def test_a_hand_over_on_a_slow_store_is_told_to_everybody():
+    """Symptom: agents and entries search for a successor although there is one.
+
+    Sequence: the row is replaced, and the answer takes 0.4 s; a look at the row in
+    between shows that another leads. Cause: the leader ended for that, and closed its
+    links before it had told anybody.
+    """
+
+    async def main() -> str:
+        async with run_cluster(entries=2, agents=1) as cluster:
+            leader = await wait_for_leader(cluster)
+            await wait_for_followers(leader, 1)
+            cluster.state.faults.slow_s = 0.6
+            await curio.sleep(0.7)
+            assert await leader.handover.leave()
+            successor = await wait_for_leader(cluster, leader)
+            return successor.events.stats.format()
+
+    assert "leader_appointed 1\n" in curio.run(main)
+
+
 def test_a_weak_leader_makes_way_in_a_calm_moment():
     """Symptom: for nine seconds half of the tasks waited 0.3 s and not 0.02 s.
 
