--- a/tests/unit/test_leader_commits.py
+++ b/tests/unit/test_leader_commits.py
@@ -246,3 +246,21 @@
     assert not state.undivided
     removed = [table for table, row in state.changes if row.removed]
     assert removed[-1] == "progress"
+
+
+def test_the_right_of_a_leader_counts_from_before_its_write():
+    """Symptom: a task runs twice. Sequence: a write takes 0.3 s; the row is replaced
+    right after it was done. Cause: the right counted from the answer, and leases that
+    hang on it outlived what the successor waits for.
+    """
+
+    async def main() -> tuple[float, float]:
+        state = RowsState()
+        book, commits, _ = create_leader(state)
+        state.faults.slow_s = 0.3
+        asked_at = read_boot_clock()
+        await commits.write(book)
+        return commits.confirmed_at, asked_at
+
+    confirmed_at, asked_at = curio.run(main)
+    assert asked_at <= confirmed_at < asked_at + 0.2
