--- a/tests/unit/test_leader_election.py
+++ b/tests/unit/test_leader_election.py
@@ -325,3 +325,40 @@
 
     # The best of three, as a busy machine only makes it slower.
     assert min(curio.run(main) for _ in range(3)) < 0.6
+
+
+def test_a_leader_that_has_failed_leads_again_under_a_higher_epoch():
+    """Symptom: two agents' calls carry one fencing token.
+
+    Sequence: leading ends by an error, which its supervisor logs; the row still names
+    this process. Cause: it would lead again under the same epoch, in which tokens
+    count from one.
+    """
+    epochs: list[int] = []
+
+    async def fail_once(authority: Authority) -> None:
+        epochs.append(authority.epoch)
+        if len(epochs) == 1:
+            raise RuntimeError("a fault in a round of decisions")
+        await curio.sleep(60)
+
+    async def main() -> None:
+        address = f"127.0.0.1:{take_port()}"
+        peers = PeerContext(
+            Identity(ENTRY_ROLE, "only", 1, "dc"),
+            address,
+            SECRET,
+            Directory(()),
+            create_quiet_log(),
+        )
+        election = Election(MemoryRows(RowsState()), peers, fail_once)
+        with suppress(RuntimeError):
+            await election.run()
+        task = await curio.spawn(election.run, daemon=True)
+        async with curio.timeout_after(5.0):
+            while len(epochs) < 2:
+                await curio.sleep(0.01)
+        await task.cancel()
+
+    curio.run(main)
+    assert epochs == [1, 2]
