Split preemption, settling and witnesses out of three large modules

Change: code moves to leader/preemptor.py, settling.py and witnesses.py; no behaviour. Measured: nothing; tests of leader, scheduling and cluster pass.

--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -22,10 +22,10 @@
     StoreUncertainError,
 )
 from pistachiodeal.leader.commits import Authority
-from pistachiodeal.leader.directory import is_heard
 from pistachiodeal.leader.fitness import may_wait_for_fitter
 from pistachiodeal.leader.leader_row import Holder, LeaderRow, LeaderRows
-from pistachiodeal.peers import PeerContext, ask_who_leads, dial_peer
+from pistachiodeal.leader.witnesses import STORE_AGE_LIMIT_S, ask_witnesses
+from pistachiodeal.peers import PeerContext, dial_peer
 from pistachiodeal.store.row_store import RowStore
 from pistachiodeal.wire.job_messages import (
     Appointment,
@@ -38,9 +38,6 @@
 
 log = Logger("election")
 
-# A leader writes or looks at its row every 0.65 s at most: an age above this means that
-# the store refuses the leader, or that its answers take long.
-STORE_AGE_LIMIT_S = 1.4
 # A leader that is refused is told from a store that is slow by an own look at the row:
 # the leader may take this many times as long. A look waits for nobody, and the leader
 # has writes and looks on their way at once.
@@ -55,9 +52,6 @@
 # Entries that are far from fit let the others go first for a second, which is how far
 # apart entries suspect a leader.
 HANDICAP_S = 1.0
-# So many entries are asked whether they hear the leader. With all of them asked, its
-# loss would cost calls by the square of their number: over a thousand for 35 entries.
-WITNESSES = 5
 RETRY_S = 0.2
 
 
@@ -275,7 +269,7 @@
             return
         suspected_at = read_boot_clock()
         while read_boot_clock() - suspected_at < ALONE_S:
-            heard = await self._ask_entries(row)
+            heard = await ask_witnesses(self._peers, row)
             if (
                 heard is None
                 and not gone
@@ -290,25 +284,6 @@
         await curio.sleep(random.uniform(0, STAGGER_S))
         await self._campaign("the leader is gone")
 
-    async def _ask_entries(self, row: LeaderRow) -> bool | None:
-        """Tell whether another entry hears the leader; None if none answers."""
-        answered = None
-        others = self._directory.list_others(self._address, row.address)
-        random.shuffle(others)
-        witnesses = 0
-        for address in others:
-            notice = await ask_who_leads(self._peers, address)
-            if notice is None:
-                continue
-            answered = False
-            witnesses += 1
-            fresh = notice.store_age_ms < STORE_AGE_LIMIT_S * 1000
-            if notice.epoch >= row.epoch and is_heard(notice) and fresh:
-                return True
-            if witnesses >= WITNESSES:
-                break
-        return answered
-
     async def _campaign(self, why: str) -> None:
         row = self._rows.row
         if may_wait_for_fitter(self._holder.fitness, row.fitness):
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -30,6 +30,7 @@
 from pistachiodeal.leader.planner import Planner
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.sessions import AgentSessions
+from pistachiodeal.leader.settling import Settling
 from pistachiodeal.leader.workers import Fleet, split_place
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.store.row_store import RowStore, StoredRow
@@ -48,13 +49,6 @@
 WRITERS = 3
 # A write that takes longer than this is of a slow store; usual are 4 to 10 ms.
 SLOW_WRITE_S = 0.06
-# Decisions made before most agents are there would crowd the first workers. So a new
-# leader waits until all workers that have runs are listed, or no further one has come
-# for a moment, and no longer than this: it is what agents take to attach after
-# everything was down. Waiting for it each time, the first task started 0.35 s later
-# than ten of eleven workers were listed.
-SETTLE_S = 0.6
-QUIET_S = 0.15
 # A leader that has led for less, or whose store is away, has enough to do.
 CALM_S = 2.0
 
@@ -110,10 +104,7 @@
         )
         self._loaded = False
         self._loaded_at = 0.0
-        self._awaited: set[str] = set()
-        self._listed = 0
-        self._listed_at = 0.0
-        self._settled = False
+        self._settling = Settling(self._fleet)
         self._paused = False
 
     @property
@@ -160,7 +151,7 @@
         """Tell whether a change of the leader would disturb little now."""
         lasted_s = read_boot_clock() - self._loaded_at
         return (
-            self._settled
+            self._settling.done
             and lasted_s > CALM_S
             and self._commits.last_write_s < SLOW_WRITE_S
             and self.store_age_s < CALM_S
@@ -217,7 +208,8 @@
                 log.info("leader: cannot read the jobs yet: {}", error)
                 await curio.sleep(RETRY_S)
         self._loaded_at = read_boot_clock()
-        self._awaited = {split_place(place)[0] for place in self._book.list_places()}
+        nodes = {split_place(place)[0] for place in self._book.list_places()}
+        self._settling.begin(nodes, self._loaded_at)
         self._events.emit(
             "leader.loaded",
             epoch=self.epoch,
@@ -296,7 +288,7 @@
             await curio.ignore_after(TICK_S, self._changed.wait)
             self._changed.clear()
             began_at = read_boot_clock()
-            if self._is_settled(began_at) and not self._paused:
+            if self._settling.is_done(began_at) and not self._paused:
                 whole = self._planner.plan()
                 if not whole:
                     await self._changed.set()
@@ -306,30 +298,6 @@
                 await self._unsaved.set()
             await curio.sleep(max(PLAN_PAUSE_S, PLAN_REST * took_s))
 
-    def _is_settled(self, now: float) -> bool:
-        """Tell whether enough workers are known for decisions."""
-        if not self._settled:
-            waited = now - self._loaded_at > SETTLE_S
-            quiet = self._have_all_come(now)
-            self._settled = waited or quiet or self._are_listed(self._awaited)
-        return self._settled
-
-    def _have_all_come(self, now: float) -> bool:
-        """Tell whether workers are listed, and no further one for a moment."""
-        listed = sum(worker.open for worker in self._fleet.workers.values())
-        if listed != self._listed:
-            self._listed, self._listed_at = listed, now
-        return listed > 0 and now - self._listed_at > QUIET_S
-
-    def _are_listed(self, nodes: set[str]) -> bool:
-        if not nodes:
-            return False
-        workers = [self._fleet.workers.get(node) for node in nodes]
-        return all(
-            worker is not None and worker.listed and worker.attachment is not None
-            for worker in workers
-        )
-
     async def _keep_right(self) -> None:
         while True:
             await curio.sleep(TICK_S)
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Mapping
+from dataclasses import replace
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
@@ -15,9 +15,9 @@
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.fleet_views import FleetViews, Views
 from pistachiodeal.leader.moves import Mover
+from pistachiodeal.leader.preemptor import FindQueue, Preemptor
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.workers import Fleet, split_place
-from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.scheduling.ordering import (
     Rank,
@@ -26,7 +26,6 @@
     rank_step,
 )
 from pistachiodeal.scheduling.placement import (
-    URGENT_PRIORITY,
     Candidates,
     Obstacle,
     Request,
@@ -35,11 +34,8 @@
     is_urgent,
     score,
 )
-from pistachiodeal.scheduling.preemption import Victim, choose_victims
-from pistachiodeal.scheduling.views import WorkerView, reserve_size
+from pistachiodeal.scheduling.views import WorkerView
 
-# A moved task costs its start again, and a preempted one its work since its last save.
-PREEMPTIONS_A_ROUND = 16
 # Filling work that waits this long, with nothing of its job at work, goes beside
 # serving tasks even though it disturbs them: paced work is more than none.
 STARVED_S = 2.0
@@ -52,22 +48,6 @@
 # 0.4 s, and the look goes over every run: a tenth of a round at 300 workers.
 MOVE_S = 0.1
 
-FindQueue = Callable[[Queue], Queue]
-
-
-@dataclass(slots=True)
-class _Round:
-    """What one round has worked out.
-
-    :ivar room_comes: services in which stopped runs will make room for urgent work.
-    :ivar no_victims: sizes that no stop makes room for, by service.
-    """
-
-    views: Views
-    preempted: int = 0
-    room_comes: dict[str, bool] = field(default_factory=dict)
-    no_victims: dict[str, list[Resources]] = field(default_factory=dict)
-
 
 class Planner:
     """Places waiting tasks.
@@ -91,6 +71,7 @@
         self._mover = Mover(book, fleet, reconciler)
         self._views = FleetViews(book, fleet)
         self._attempts = Attempts()
+        self._preemptor = Preemptor(book, fleet, reconciler, find_queue)
         self._moved_at = 0.0
         self._book = book
         self._fleet = fleet
@@ -106,14 +87,15 @@
         if now - self._moved_at > MOVE_S:
             self._moved_at = now
             self._mover.move(now)
-        this_round = _Round(self._views.refresh(now))
+        views = self._views.refresh(now)
+        self._preemptor.begin_round()
         ready = self._order_ready()
         self._attempts.begin_round(step.key for *_, step in ready)
         until = read_boot_clock() + SLICE_S
         for _, _, record, step in ready:
             if read_boot_clock() > until:
                 return False
-            self._place_step(this_round, record, step)
+            self._place_step(views, record, step)
         return True
 
     def _open_due(self) -> None:
@@ -155,10 +137,10 @@
         )
 
     def _place_step(
-        self, this_round: _Round, record: JobRecord, step: StepRecord
+        self, all_views: Views, record: JobRecord, step: StepRecord
     ) -> None:
         queue = self._find_queue(record.job.queue)
-        views = this_round.views.get(queue.service, [])
+        views = all_views.get(queue.service, [])
         now = read_boot_clock()
         waiting = [task for task in step.tasks if task.waits and task.held_until <= now]
         if step.step.gang:
@@ -184,7 +166,7 @@
                 if whole:
                     self._attempts.note_whole(request, now)
                     self._explain_wait(request, candidates.obstacles)
-                self._preempt(this_round, task, queue, views)
+                self._preemptor.make_room(task, queue, views)
                 return
             self._place(task, task.run + 1, request, view)
             # What the next task depends on beside its worker: racks that are taken,
@@ -291,71 +273,8 @@
         racks = {view.place: view.rack for view in views}
         return frozenset(racks.get(task.place, "") for task in step.tasks if task.place)
 
-    def _preempt(
-        self, this_round: _Round, task: Task, queue: Queue, views: list[WorkerView]
-    ) -> None:
-        if queue.priority != URGENT_PRIORITY:
-            return
-        if this_round.preempted >= PREEMPTIONS_A_ROUND:
-            return
-        service, need = queue.service, reserve_size(task.step)
-        if service not in this_round.room_comes:
-            this_round.room_comes[service] = self._is_room_coming(service)
-        if this_round.room_comes[service]:
-            return
-        hopeless = this_round.no_victims.setdefault(service, [])
-        if any(size.fits(need) for size in hopeless):
-            return
-        best: list[Victim] = []
-        for view in views:
-            candidates = self._list_victims(view)
-            victims = choose_victims(need, view.free, candidates, queue.priority)
-            if victims and (not best or _sum_loss(victims) < _sum_loss(best)):
-                best = victims
-        if not best:
-            hopeless.append(need)
-        for victim in best:
-            this_round.room_comes[service] = True
-            run = self._book.find_task(victim.task)
-            if run is not None:
-                this_round.preempted += 1
-                self._reconciler.stop(run, f"gives way to {task.name}")
-
-    def _is_room_coming(self, service: str) -> bool:
-        """Tell whether runs that are being stopped will make room for a task."""
-        for worker in self._fleet.workers.values():
-            if not worker.open or worker.service != service:
-                continue
-            runs = self._book.get_runs(worker.place).values()
-            if any(run.stopping.startswith("gives way") for run in runs):
-                return True
-        return False
-
-    def _list_victims(self, view: WorkerView) -> list[Victim]:
-        victims = []
-        now = read_boot_clock()
-        for name, task in self._book.get_runs(view.place).items():
-            if task.stopping or not task.running:
-                continue
-            record = self._book.records[task.name.job_id]
-            priority = self._find_queue(record.job.queue).priority
-            room = reserve_size(task.step)
-            if task.step.lasts or room == Resources():
-                continue
-            worked_s = now - task.began_at
-            victims.append(
-                Victim(
-                    name, view.place, priority, task.step.checkpoints, worked_s, room
-                )
-            )
-        return victims
-
 
 def _measure_wait_s(step: StepRecord) -> float:
     """Return for how long the first of a step's waiting tasks has waited."""
     ready_at = min(task.ready_at for task in step.tasks if task.waits)
     return read_boot_clock() - ready_at
-
-
-def _sum_loss(victims: list[Victim]) -> float:
-    return sum(victim.loss for victim in victims)
--- /dev/null
+++ b/pistachiodeal/leader/preemptor.py
@@ -0,0 +1,112 @@
+"""Makes room for urgent work that found none, by stopping less urgent work."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.jobs.model import Queue
+from pistachiodeal.jobs.record import Task
+from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.reconcile import Reconciler
+from pistachiodeal.leader.workers import Fleet
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.scheduling.placement import URGENT_PRIORITY
+from pistachiodeal.scheduling.preemption import Victim, choose_victims
+from pistachiodeal.scheduling.views import WorkerView, reserve_size
+
+# A moved task costs its start again, and a preempted one its work since its last save.
+PREEMPTIONS_A_ROUND = 16
+
+FindQueue = Callable[[Queue], Queue]
+
+
+class Preemptor:
+    """Stops runs for urgent tasks, a bounded number in a round of decisions.
+
+    What no stop makes room for is looked for once a round: to list the victims on 296
+    workers for each of a hundred steps took half of the round.
+
+    :param find_queue: returns a queue as the newest configuration has it.
+    """
+
+    def __init__(
+        self, book: JobBook, fleet: Fleet, reconciler: Reconciler, find_queue: FindQueue
+    ) -> None:
+        self._book = book
+        self._fleet = fleet
+        self._reconciler = reconciler
+        self._find_queue = find_queue
+        self._stopped = 0
+        # Services in which stopped runs will make room for urgent work, and sizes that
+        # no stop makes room for.
+        self._room_comes: dict[str, bool] = {}
+        self._no_victims: dict[str, list[Resources]] = {}
+
+    def begin_round(self) -> None:
+        """Forget what the last round has worked out."""
+        self._stopped = 0
+        self._room_comes.clear()
+        self._no_victims.clear()
+
+    def make_room(self, task: Task, queue: Queue, views: list[WorkerView]) -> None:
+        """Stop less urgent work for an urgent task that found no room."""
+        if queue.priority != URGENT_PRIORITY:
+            return
+        if self._stopped >= PREEMPTIONS_A_ROUND:
+            return
+        service, need = queue.service, reserve_size(task.step)
+        if service not in self._room_comes:
+            self._room_comes[service] = self._is_room_coming(service)
+        if self._room_comes[service]:
+            return
+        hopeless = self._no_victims.setdefault(service, [])
+        if any(size.fits(need) for size in hopeless):
+            return
+        best: list[Victim] = []
+        for view in views:
+            candidates = self._list_victims(view)
+            victims = choose_victims(need, view.free, candidates, queue.priority)
+            if victims and (not best or _sum_loss(victims) < _sum_loss(best)):
+                best = victims
+        if not best:
+            hopeless.append(need)
+        for victim in best:
+            self._room_comes[service] = True
+            run = self._book.find_task(victim.task)
+            if run is not None:
+                self._stopped += 1
+                self._reconciler.stop(run, f"gives way to {task.name}")
+
+    def _is_room_coming(self, service: str) -> bool:
+        """Tell whether runs that are being stopped will make room for a task."""
+        for worker in self._fleet.workers.values():
+            if not worker.open or worker.service != service:
+                continue
+            runs = self._book.get_runs(worker.place).values()
+            if any(run.stopping.startswith("gives way") for run in runs):
+                return True
+        return False
+
+    def _list_victims(self, view: WorkerView) -> list[Victim]:
+        victims = []
+        now = read_boot_clock()
+        for name, task in self._book.get_runs(view.place).items():
+            if task.stopping or not task.running:
+                continue
+            record = self._book.records[task.name.job_id]
+            priority = self._find_queue(record.job.queue).priority
+            room = reserve_size(task.step)
+            if task.step.lasts or room == Resources():
+                continue
+            worked_s = now - task.began_at
+            victims.append(
+                Victim(
+                    name, view.place, priority, task.step.checkpoints, worked_s, room
+                )
+            )
+        return victims
+
+
+def _sum_loss(victims: list[Victim]) -> float:
+    return sum(victim.loss for victim in victims)
