--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -31,8 +31,8 @@
 # The balancer asks for readiness once a second and takes two misses; until then it
 # goes on sending new connections, which a closed listener would turn away.
 LEAVE_ROTATION_S = 2.4
-# Kept of the grace period for the end of the process itself, which then cuts nobody off:
-# 0.6 s where twice as many processes are busy as there are cores.
+# Kept of the grace period for the end of the process itself, which then cuts nobody
+# off: 0.6 s where twice as many processes are busy as there are cores.
 END_S = 0.9
 LEAST_DRAIN_S = 1.0
 # Requests of callers arrive within milliseconds of each other; the configuration's own
