Logs: name the runs that end with their worker, and how old each was

Cause: worker.lost says how many runs went and worker.dropped nothing of them, so nobody can tell a task that ends each worker from one that is only there. Now the leader writes a run.lost line for each, and the agent lists its runs with the time from their start to the runner's first silence. No change of any decision.

--- a/pistachiodeal/jobagent/executor.py
+++ b/pistachiodeal/jobagent/executor.py
@@ -79,6 +79,7 @@
         if not lease_end_ms:
             await self._refuse(entry, "no lease can be given")
             return
+        ledger.losses.note_start((order.task, order.run), now)
         result = await self._runtime.start(
             StartCall(
                 worker,
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -5,8 +5,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.figures import FigureSampler, RunKey
+from pistachiodeal.jobagent.losses import LossWatch
 from pistachiodeal.jobs.model import OrderState
 from pistachiodeal.jobs.runtime import Listing, WorkerBeat
 from pistachiodeal.scheduling.interference import Pair
@@ -107,6 +109,7 @@
         self.noted = 0
         self.presses: dict[Pair, float] = {}
         self.figures = FigureSampler()
+        self.losses = LossWatch()
         self._listing_ms = 0
         self._other_service = ""
         self._texts: dict[str, str] = {}
@@ -162,13 +165,20 @@
         worker = self.worker
         if gone:
             self._gone.add(worker)
-        self._events.emit("worker.dropped", worker=worker, why=why, gone=gone)
+        lost = self.losses.list_lost(self._list_begun(), read_boot_clock())
+        self._events.emit(
+            "worker.dropped",
+            worker=worker,
+            why=why,
+            gone=gone,
+            runs=[(run.task, run.run, run.age_ms) for run in lost],
+        )
         self.lost_worker = worker
         self.beat = None
         self.listed = False
         self.lease = Lease()
         self.running, self.ends = {}, ()
-        self.figures = FigureSampler()
+        self.figures, self.losses = FigureSampler(), LossWatch()
         self.orders, self.described = {}, {}
         self.noted = self._listing_ms = 0
 
@@ -186,6 +196,7 @@
         self._listing_ms = listing.clock_ms
         listed = {(one.task, one.run): one for one in listing.running}
         self.running = self.figures.sample(listed, self.described, self.orders, now)
+        self.losses.note_answer(self._list_begun())
         known = {end.number for end in self.ends}
         self.ends = tuple(end for end in listing.ends if end.number > self.noted)
         news |= any(end.number not in known for end in self.ends)
@@ -255,6 +266,15 @@
             tuple(_list_outcomes(self.orders.values())),
         )
 
+    def _list_begun(self) -> list[RunKey]:
+        """Return the runs that are at work, or may be by now."""
+        pending = (
+            key
+            for key, order in self.orders.items()
+            if order.state is OrderState.PENDING and key not in self.running
+        )
+        return [*self.running, *pending]
+
     def _settle(self, sent_at: float) -> bool:
         """Set orders against a listing that was asked for at ``sent_at``."""
         ended = {(end.task, end.run) for end in self.ends}
--- a/pistachiodeal/jobagent/renewal.py
+++ b/pistachiodeal/jobagent/renewal.py
@@ -113,6 +113,7 @@
     async def _take_failure(self, result: CallResult) -> None:
         ledger = self._ledger
         now = read_boot_clock()
+        ledger.losses.note_silence(now)
         if result is CallResult.OTHER_INCARNATION:
             ledger.drop_worker("another incarnation answers", gone=True)
             await self._report.set()
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -122,9 +122,21 @@
 
     def lose(self, place: str, why: str) -> None:
         """Give up the runs of a worker that is certainly gone."""
-        tasks = self._book.forget_place(place)
-        if tasks:
-            self._events.emit("worker.lost", place=place, why=why, runs=len(tasks))
+        runs = list(self._book.get_runs(place).values())
+        if not runs:
+            return
+        self._events.emit("worker.lost", place=place, why=why, runs=len(runs))
+        now = read_boot_clock()
+        for task in runs:
+            self._events.emit(
+                "run.lost",
+                task=str(task.name),
+                run=task.run,
+                place=place,
+                listed=task.running,
+                placed_ms=int((now - task.placed_at) * 1000),
+            )
+        self._book.forget_place(place)
 
     def _forget_lost(self, worker: WorkerState, report: WorkerReport) -> None:
         if not report.lost_worker:
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -65,6 +65,19 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that ended with its worker.
+
+    :param age_ms: time from its start to the worker's first silence, -1 where the
+        agent has not seen its start.
+    """
+
+    task: str
+    run: int
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
     """Agent to leader: the worker as it is now.
