Failing tests: a task that ends each runner that starts it

The runner in memory ends itself under such a task, refuses connections for a while and comes back under another incarnation; the witness counts starts after three crashes.

--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -161,7 +161,8 @@
     async def _beat(self) -> None:
         while True:
             self.sequence += 1
-            await self.heartbeats.take(self.runner.build_beat(self.sequence))
+            if not self.runner.down:
+                await self.heartbeats.take(self.runner.build_beat(self.sequence))
             await curio.sleep(BEAT_S)
 
 
--- a/tests/standins/job_runner.py
+++ b/tests/standins/job_runner.py
@@ -23,6 +23,13 @@
     done: bool = False
     done_noted: bool = False
     starts: int = 0
+    crashes: int = 0
+    starts_after: int = 0
+
+
+# What the platform allows of a task that crashes the runners that start it.
+CRASHES_ALLOWED = 3
+STARTS_AFTER_THEM = 2
 
 
 @dataclass
@@ -44,6 +51,17 @@
             self.broken.append(f"again after its noted end: {task} run {run}")
         history.starts += 1
         history.alive[run] = worker
+        if history.crashes < CRASHES_ALLOWED:
+            return
+        history.starts_after += 1
+        if history.starts_after > STARTS_AFTER_THEM:
+            self.broken.append(
+                f"started too often: {task} run {run}, {history.crashes} crashes"
+            )
+
+    def see_crash(self, task: str) -> None:
+        """Note that a run has ended its runner."""
+        self.tasks[task].crashes += 1
 
     def see_end(self, task: str, run: int, how: str) -> None:
         """Note that a run ended."""
@@ -73,11 +91,16 @@
 
     :param late: share of the orders that are carried out ``late_s`` later.
     :param lost: share of the orders that are carried out and not answered.
+    :param crashers: tasks that end the runner ``crash_after_s`` after their start.
+    :param down_s: how long a crashed runner is away.
     """
 
     late: float = 0.0
     late_s: float = 1.0
     lost: float = 0.0
+    crashers: frozenset[str] = frozenset()
+    crash_after_s: float = 0.0
+    down_s: float = 0.0
 
 
 class MemoryRunner:
@@ -89,6 +112,7 @@
         self._work_s = work_s
         self._rng = random.Random(seed)
         self._lives = 0
+        self._up_at = 0.0
         self.faults = RunnerFaults()
         self.draining = False
         self._reset()
@@ -98,11 +122,18 @@
         """Return the incarnation."""
         return f"{self._name}-{self._lives}"
 
+    @property
+    def down(self) -> bool:
+        """Tell whether nothing listens at the runner's address."""
+        self._advance()
+        return time.monotonic() < self._up_at
+
     def crash(self) -> None:
         """End everything and come back as another incarnation."""
         for work in list(self._running.values()):
             self._witness.see_end(work.task, work.run, "lost")
         self._reset()
+        self._up_at = time.monotonic() + self.faults.down_s
 
     def build_beat(self, sequence: int) -> WorkerBeat:
         """Return the heartbeat of now."""
@@ -137,8 +168,14 @@
     ) -> Listing:
         """See ``Runtime``."""
         deadline = time.monotonic() + wait_ms / 1000
+        life = self._lives
+        if self.down:
+            await curio.sleep(0.001)
+            return Listing(CallResult.ABSENT)
         while True:
             self._advance()
+            if self._lives != life:
+                return Listing(CallResult.UNKNOWN)
             result = self._admit(worker, token)
             if result is not CallResult.DONE:
                 return Listing(result)
@@ -164,20 +201,24 @@
 
     async def _answer(self, order) -> CallResult:
         await curio.sleep(0.001)
+        if self.down:
+            return CallResult.ABSENT
         dice = self._rng.random()
         if dice < self.faults.late:
             await curio.spawn(self._do_late, order, daemon=True)
             return CallResult.UNKNOWN
         self._advance()
+        life = self._lives
         result = order()
-        if dice < self.faults.late + self.faults.lost:
+        self._advance()
+        if dice < self.faults.late + self.faults.lost or self._lives != life:
             return CallResult.UNKNOWN
         return result
 
     async def _do_late(self, order) -> None:
         await curio.sleep(self.faults.late_s)
-        self._advance()
-        order()
+        if not self.down:
+            order()
 
     def _admit(self, worker: str, token: int) -> CallResult:
         if worker != self.worker:
@@ -216,6 +257,7 @@
 
     def _advance(self) -> None:
         now = time.monotonic()
+        self._advance_crash(now)
         lapsed = self._read_clock_ms() > self._until_ms
         for work in list(self._running.values()):
             if work.ends_at <= now:
@@ -223,6 +265,14 @@
             elif lapsed:
                 self._end(work, "lapsed")
 
+    def _advance_crash(self, now: float) -> None:
+        for work in self._running.values():
+            due_at = work.began_at + self.faults.crash_after_s
+            if work.task in self.faults.crashers and now >= due_at:
+                self._witness.see_crash(work.task)
+                self.crash()
+                return
+
     def _end(self, work: Work, how: str) -> None:
         del self._running[work.task]
         self._number += 1
