--- a/bench/slopes/leader.py
+++ b/bench/slopes/leader.py
@@ -96,7 +96,7 @@
         book.note_written(record.job_id)
     labels = (Label("a"), Label("r1"))
     report = WorkerReport(
-        1, 1, "w", "", SERVICE, True, False, 0, 16_000, 64_000, 0,
+        1, 1, "w", (), SERVICE, True, False, 0, 16_000, 64_000, 0,
         labels, tuple(running), (), (),
     )  # fmt: skip
     return reconciler, attachment, encode_message(report)[LENGTH_BYTES:]
--- a/pistachiodeal/jobagent/executor.py
+++ b/pistachiodeal/jobagent/executor.py
@@ -92,6 +92,8 @@
                 order.ticket,
             )
         )
+        if result in (CallResult.UNKNOWN, CallResult.ABSENT):
+            ledger.losses.note_silence(read_boot_clock())
         self._events.emit(
             "run.started",
             task=order.task,
--- a/pistachiodeal/jobagent/heartbeats.py
+++ b/pistachiodeal/jobagent/heartbeats.py
@@ -9,6 +9,7 @@
 from pistachiodeal.exceptions import ProtocolError, RequestError
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.renewal import Renewal
+from pistachiodeal.jobs.model import LossCause
 from pistachiodeal.jobs.runtime import WorkerBeat
 from pistachiodeal.platform.runner import BEAT_PATH, LEAVE_PATH, decode_beat
 from pistachiodeal.web.messages import WebRequest, WebResponse, build_json
@@ -85,5 +86,5 @@
 
     async def _take_goodbye(self, worker: str) -> None:
         if worker == self._ledger.worker:
-            self._ledger.drop_worker("it has left", gone=True)
+            self._ledger.drop_worker("it has left", LossCause.LEFT)
             await self._report.set()
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -8,8 +8,8 @@
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.figures import FigureSampler, RunKey
-from pistachiodeal.jobagent.losses import LossWatch
-from pistachiodeal.jobs.model import OrderState
+from pistachiodeal.jobagent.losses import LossHistory, LossWatch
+from pistachiodeal.jobs.model import LossCause, OrderState
 from pistachiodeal.jobs.runtime import Listing, WorkerBeat
 from pistachiodeal.scheduling.interference import Pair
 from pistachiodeal.wire.job_messages import (
@@ -101,7 +101,7 @@
         self.lease = Lease()
         self.beat: WorkerBeat | None = None
         self.listed = False
-        self.lost_worker = ""
+        self.history = LossHistory()
         self.running: dict[RunKey, RunningTask] = {}
         self.ends: tuple[EndedTask, ...] = ()
         self.orders: dict[RunKey, Order] = {}
@@ -132,7 +132,8 @@
     def adopt(self, beat: WorkerBeat) -> None:
         """Take in a runner that has answered under this incarnation."""
         if self.worker and self.worker != beat.worker:
-            self.drop_worker("another incarnation answers at its address", gone=True)
+            self.drop_worker("another incarnation answers at its address")
+        self.history.take_back(beat.worker)
         self.beat = beat
         # Ends are counted from one by each incarnation: a number of the last one would
         # acknowledge ends that nobody has seen, and their tasks would run again.
@@ -157,23 +158,26 @@
         self.beat = beat
         return beat.draining != known.draining
 
-    def drop_worker(self, why: str, *, gone: bool) -> None:
+    def drop_worker(self, why: str, cause: LossCause = LossCause.CRASHED) -> None:
         """Forget the worker: none of its runs is at work any more.
 
-        :param gone: whether this incarnation can't come back.
+        A silent incarnation may come back; any other can't.
         """
         worker = self.worker
-        if gone:
+        if cause is LossCause.CRASHED and self.draining:
+            cause = LossCause.LEFT
+        if cause is not LossCause.SILENT:
             self._gone.add(worker)
-        lost = self.losses.list_lost(self._list_begun(), read_boot_clock())
+        now = read_boot_clock()
+        loss = self.losses.build_loss(worker, cause, self._list_begun(), now)
         self._events.emit(
             "worker.dropped",
             worker=worker,
             why=why,
-            gone=gone,
-            runs=[(run.task, run.run, run.age_ms) for run in lost],
+            cause=cause.value,
+            runs=[(run.task, run.run, run.age_ms) for run in loss.runs],
         )
-        self.lost_worker = worker
+        self.history.add(loss)
         self.beat = None
         self.listed = False
         self.lease = Lease()
@@ -252,7 +256,7 @@
             beat,
             self.authority.epoch,
             self.worker,
-            self.lost_worker,
+            self.history.list_recent(read_boot_clock()),
             known.service if known else "",
             self.listed,
             self.draining,
--- a/pistachiodeal/jobagent/losses.py
+++ b/pistachiodeal/jobagent/losses.py
@@ -1,14 +1,64 @@
-"""How the runner ended, and which runs it took with it."""
+"""How the runner ended, and which runs it took with it.
+
+The leader hears of it in each report for a while, and not only until it has answered
+one: it may end before it has written what that means, and its successor asks anew.
+"""
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from pistachiodeal.jobagent.figures import RunKey
-from pistachiodeal.wire.job_messages import LostRun
+from pistachiodeal.jobs.model import LossCause
+from pistachiodeal.wire.job_messages import LostRun, WorkerLoss
 
 # Of a run whose start this agent has not seen.
 UNKNOWN_AGE_MS = -1
+# Longer than the lead is vacant after a store's outage, or than a cut lasts.
+KEPT_S = 20.0
+# A worker that ends again and again is back after some seconds each time.
+MOST_KEPT = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """The end of one incarnation.
+
+    :param at: its first silence, seconds of the boot clock.
+    """
+
+    worker: str
+    cause: LossCause
+    at: float
+    runs: tuple[LostRun, ...]
+
+
+@dataclass(slots=True)
+class LossHistory:
+    """Earlier incarnations of the worker that ended lately."""
+
+    _losses: deque[Loss] = field(default_factory=lambda: deque(maxlen=MOST_KEPT))
+
+    def add(self, loss: Loss) -> None:
+        """Note an end."""
+        self._losses.append(loss)
+
+    def take_back(self, worker: str) -> None:
+        """Note that an incarnation that was silent answers again."""
+        kept = [loss for loss in self._losses if loss.worker != worker]
+        self._losses = deque(kept, MOST_KEPT)
+
+    def list_recent(self, now: float) -> tuple[WorkerLoss, ...]:
+        """Return what the leader has to hear of."""
+        return tuple(
+            WorkerLoss(
+                loss.worker, loss.cause.value, int((now - loss.at) * 1000), loss.runs
+            )
+            for loss in self._losses
+            if now - loss.at < KEPT_S
+        )
 
 
 class LossWatch:
@@ -38,11 +88,14 @@
         """Note that a call was not answered."""
         self._silent_since = self._silent_since or now
 
-    def list_lost(self, keys: Iterable[RunKey], now: float) -> tuple[LostRun, ...]:
-        """Return the runs that ended with the runner, the youngest first."""
+    def build_loss(
+        self, worker: str, cause: LossCause, keys: Iterable[RunKey], now: float
+    ) -> Loss:
+        """Return the runner's end with its runs, the youngest first."""
         end = self._silent_since or now
         lost = [LostRun(*key, self._measure_age_ms(key, end)) for key in keys]
-        return tuple(sorted(lost, key=lambda run: (run.age_ms < 0, run.age_ms)))
+        lost.sort(key=lambda run: (run.age_ms < 0, run.age_ms))
+        return Loss(worker, cause, end, tuple(lost))
 
     def _measure_age_ms(self, key: RunKey, end: float) -> int:
         if key not in self._started:
--- a/pistachiodeal/jobagent/renewal.py
+++ b/pistachiodeal/jobagent/renewal.py
@@ -9,6 +9,7 @@
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.paces import PaceKeeper
 from pistachiodeal.jobagent.signals import AgentSignals
+from pistachiodeal.jobs.model import LossCause
 from pistachiodeal.jobs.runtime import CallResult, Listing, Runtime, WorkerBeat
 
 log = Logger("renewal")
@@ -115,7 +116,7 @@
         now = read_boot_clock()
         ledger.losses.note_silence(now)
         if result is CallResult.OTHER_INCARNATION:
-            ledger.drop_worker("another incarnation answers", gone=True)
+            ledger.drop_worker("another incarnation answers")
             await self._report.set()
         elif result is CallResult.FENCED:
             await self._fenced.set()
@@ -124,7 +125,9 @@
         else:
             self._absent = 0
         if ledger.worker and ledger.listed and self._has_lapsed(now):
-            ledger.drop_worker("it is silent and its lease has run out", gone=False)
+            ledger.drop_worker(
+                "it is silent and its lease has run out", LossCause.SILENT
+            )
             await self._report.set()
 
     async def _note_absent(self, now: float) -> None:
@@ -134,7 +137,7 @@
         long_enough = now - self._absent_since >= ABSENT_S
         if self._absent >= ABSENT_CALLS and long_enough:
             self._absent = 0
-            self._ledger.drop_worker("nothing listens at its address", gone=True)
+            self._ledger.drop_worker("nothing listens at its address")
             await self._report.set()
 
     def _has_lapsed(self, now: float) -> bool:
--- a/pistachiodeal/jobs/model.py
+++ b/pistachiodeal/jobs/model.py
@@ -46,6 +46,14 @@
     VOID = "void"  # the worker will never run it, whatever arrives late
 
 
+class LossCause(StrEnum):
+    """Why an agent has given up its worker."""
+
+    CRASHED = "crashed"  # it ended without a word, before the agent's eyes
+    LEFT = "left"  # it had said that it would
+    SILENT = "silent"  # it didn't answer until all leases had run out
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """One step of a job: ``count`` equal tasks.
--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -19,12 +19,14 @@
 class Task:
     """One task.
 
-    Durable are ``run``, ``place``, ``done``, ``failures`` and ``checkpoint``; the
-    rest is what the leader has seen in its own time.
+    Durable are ``run``, ``place``, ``done``, ``failures``, ``checkpoint``, ``crashes``
+    and ``blames``; the rest is what the leader has seen in its own time.
 
     :param run: number of its newest run, 0 before the first.
     :param place: where that run is, or may still be; empty while the task waits.
     :param checkpoint: state from which its next run resumes.
+    :param crashes: workers that crashed under it and that it may have ended.
+    :param blames: those of them for which it was blamed.
     :param running: whether a worker has listed the run.
     :param percent: of its work, as last listed.
     :param moved_at: when ``percent`` last changed, seconds of the boot clock.
@@ -49,6 +51,8 @@
     done: bool = False
     failures: int = 0
     checkpoint: str = ""
+    crashes: int = 0
+    blames: int = 0
     running: bool = False
     percent: int = 0
     figure: int = 0
@@ -241,11 +245,13 @@
 def encode_progress(record: JobRecord) -> bytes:
     """Return the value of a job's progress row."""
     tasks: dict[str, list[Any]] = {}
+    crashes: dict[str, list[int]] = {}
     if not record.state.final:
         for task in record.iterate_tasks():
+            if task.crashes:
+                crashes[_build_key(task)] = [task.crashes, task.blames]
             if task.run:
-                key = f"{task.name.occurrence}.{task.name.step}.{task.name.index}"
-                tasks[key] = [
+                tasks[_build_key(task)] = [
                     task.run,
                     task.place,
                     int(task.done),
@@ -256,13 +262,13 @@
         # A final job's runs may still have to be stopped by a successor.
         for task in record.iterate_tasks():
             if task.place:
-                key = f"{task.name.occurrence}.{task.name.step}.{task.name.index}"
-                tasks[key] = [task.run, task.place, int(task.done), 0, ""]
+                tasks[_build_key(task)] = [task.run, task.place, int(task.done), 0, ""]
     document = {
         "state": record.state.value,
         "begun": record.begun,
         "completed": sorted(record.completed),
         "tasks": tasks,
+        "crashes": crashes,
     }
     return orjson.dumps(document)
 
@@ -280,6 +286,10 @@
         record.row_version = version
         for key, fields in document["tasks"].items():
             _apply_task(record, key, fields)
+        for key, counts in document.get("crashes", {}).items():
+            task = _find_task(record, key)
+            task.crashes, task.blames = counts
+            check_fields(task)
     except (ValueError, KeyError, TypeError, IndexError, AttributeError) as error:
         raise ProtocolError(repr(error), step="jobs.decode_progress") from error
 
@@ -295,13 +305,22 @@
         raise ProtocolError(repr(error), step="jobs.decode_progress") from error
 
 
-def _apply_task(record: JobRecord, key: str, fields: list[Any]) -> None:
+def _build_key(task: Task) -> str:
+    name = task.name
+    return f"{name.occurrence}.{name.step}.{name.index}"
+
+
+def _find_task(record: JobRecord, key: str) -> Task:
     occurrence, step, index = (int(part) for part in key.split("."))
     if min(occurrence, step, index) < 0:
         raise ValueError("a number in a task's name is negative")
     if occurrence not in record.occurrences:
         record.occurrences[occurrence] = _build_steps(record.job, occurrence)
-    task = record.occurrences[occurrence][step].tasks[index]
+    return record.occurrences[occurrence][step].tasks[index]
+
+
+def _apply_task(record: JobRecord, key: str, fields: list[Any]) -> None:
+    task = _find_task(record, key)
     task.run, task.place, done, task.failures, task.checkpoint = fields
     check_fields(task)
     task.watched = False
--- a/pistachiodeal/leader/book.py
+++ b/pistachiodeal/leader/book.py
@@ -195,7 +195,12 @@
         elif kind is EndKind.FAILED and not task.step.lasts:
             task.failures += 1
             if task.failures >= record.job.queue.attempts and not record.state.final:
-                self._events.emit("job.failed", job=record.job_id, task=str(task.name))
+                self._events.emit(
+                    "job.failed",
+                    job=record.job_id,
+                    task=str(task.name),
+                    why="its attempts are used up",
+                )
                 stops = self._finish(record, JobState.FAILED)
         if not record.state.final:
             record.close_done()
@@ -204,6 +209,26 @@
         self._save(record, noted)
         return stops
 
+    def give_up(self, record: JobRecord, task: Task) -> list[Task]:
+        """Fail a job for a task that ends its workers.
+
+        :return: tasks whose runs have to be stopped.
+        """
+        self._events.emit(
+            "job.failed",
+            job=record.job_id,
+            task=str(task.name),
+            why="its runs end their workers",
+            run=task.run,
+            crashes=task.crashes,
+            blames=task.blames,
+        )
+        return self._finish(record, JobState.FAILED)
+
+    def touch(self, task: Task) -> None:
+        """Have a task's row written again."""
+        self._save(self._records[task.name.job_id], None)
+
     def requeue(self, task: Task) -> None:
         """Give a run up that certainly isn't, and never will be, at work."""
         record = self._records[task.name.job_id]
--- /dev/null
+++ b/pistachiodeal/leader/crashes.py
@@ -0,0 +1,160 @@
+"""Counts the workers that crashed under each task, and takes back what a rack explains.
+
+The counts are written with the job's row, in the same write that sets its tasks free:
+a successor goes on with them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from pistachiodeal.events import EventLog
+from pistachiodeal.jobs.record import Task
+from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.workers import Fleet, WorkerState, build_place
+from pistachiodeal.scheduling.suspicion import (
+    FRESH_S,
+    POWER_WINDOW_S,
+    SOUND_S,
+    Casualty,
+    is_suspect,
+    judge,
+)
+from pistachiodeal.wire.job_messages import WorkerLoss
+
+# Tasks that a crash counts against wait this long: by then the agents of a rack that
+# lost its power have told of it, and nobody is given up for that.
+VERDICT_S = 0.6
+# A worker that crashed under a suspect is expected back within this time.
+AWAY_S = 10.0
+
+
+@dataclass(slots=True)
+class _Crash:
+    """A worker that crashed.
+
+    :param at: seconds of the boot clock.
+    :param suspected: whether a suspect was at work on it.
+    :param counted: tasks that it was counted against.
+    :param blames: how much was counted against those that were blamed.
+    """
+
+    at: float
+    worker: WorkerState
+    incarnation: str
+    suspected: bool
+    counted: list[Task] = field(default_factory=list)
+    blames: dict[str, int] = field(default_factory=dict)
+    settled: bool = False
+
+
+class CrashTracker:
+    """The leader's view of crashes.
+
+    Times are seconds of the boot clock.
+    """
+
+    def __init__(self, book: JobBook, fleet: Fleet, events: EventLog) -> None:
+        self._book = book
+        self._fleet = fleet
+        self._events = events
+        self._recent: list[_Crash] = []
+
+    def note_crash(self, worker: WorkerState, loss: WorkerLoss, now: float) -> None:
+        """Count a crash against the tasks that were at work, before they are freed."""
+        runs = self._book.get_runs(build_place(worker.node, loss.worker))
+        at_work = [
+            Casualty(
+                one.task,
+                one.age_ms / 1000 if one.age_ms >= 0 else None,
+                is_suspect(runs[one.task]),
+            )
+            for one in loss.runs
+            if one.task in runs and runs[one.task].run == one.run
+        ]
+        verdict = judge(at_work)
+        suspected = any(one.suspect for one in at_work)
+        at = now - loss.ago_ms / 1000
+        crash = _Crash(at, worker, loss.worker, suspected, blames=verdict.blames)
+        for one in at_work:
+            if one.task not in verdict.involved:
+                continue
+            task = runs[one.task]
+            crash.counted.append(task)
+            task.crashes += 1
+            task.blames += verdict.blames.get(one.task, 0)
+            task.held_until = max(task.held_until, at + VERDICT_S)
+            self._log_count(task, one.age_s)
+        self._recent.append(crash)
+
+    def note_at_work(self, task: Task) -> None:
+        """Clear a task that has been at work without a crash."""
+        worked_s = task.seen_at - task.began_at
+        if task.blames and worked_s >= FRESH_S:
+            task.blames = 0
+            self._events.emit(
+                "task.cleared", task=str(task.name), run=task.run, crashes=task.crashes
+            )
+        if worked_s >= SOUND_S:
+            task.crashes = 0
+
+    def settle(self, now: float) -> None:
+        """Take back what was counted for crashes that their rack explains."""
+        for crash in self._recent:
+            if crash.settled or now - crash.at < VERDICT_S:
+                continue
+            crash.settled = True
+            if crash.counted and self._did_rack_fail(crash):
+                self._take_back(crash)
+        self._recent = [one for one in self._recent if now - one.at < AWAY_S]
+
+    def count_away(self) -> int:
+        """Return how many workers crashed under a suspect and are not back."""
+        return len({one.worker.node for one in self._recent if self._is_away(one)})
+
+    def _is_away(self, crash: _Crash) -> bool:
+        worker = crash.worker
+        back = worker.open and worker.worker != crash.incarnation
+        return crash.suspected and not back
+
+    def _did_rack_fail(self, crash: _Crash) -> bool:
+        """Tell whether all other workers of the rack crashed at the same moment."""
+        together = {
+            one.worker.node
+            for one in self._recent
+            if one is not crash and abs(one.at - crash.at) <= POWER_WINDOW_S
+        }
+        mates = [
+            other.node in together
+            for other in self._fleet.workers.values()
+            if other is not crash.worker
+            and other.rack == crash.worker.rack
+            and (other.worker or other.node in together)
+        ]
+        return bool(mates) and all(mates)
+
+    def _take_back(self, crash: _Crash) -> None:
+        for task in crash.counted:
+            task.crashes = max(0, task.crashes - 1)
+            blames = crash.blames.get(str(task.name), 0)
+            task.blames = max(0, task.blames - blames)
+            self._book.touch(task)
+            self._events.emit(
+                "task.pardoned",
+                task=str(task.name),
+                node=crash.worker.node,
+                rack=crash.worker.rack,
+                crashes=task.crashes,
+                blames=task.blames,
+            )
+
+    def _log_count(self, task: Task, age_s: float | None) -> None:
+        self._events.emit(
+            "task.suspect",
+            task=str(task.name),
+            run=task.run,
+            place=task.place,
+            age_ms=None if age_s is None else int(age_s * 1000),
+            crashes=task.crashes,
+            blames=task.blames,
+        )
--- a/pistachiodeal/leader/fleet_views.py
+++ b/pistachiodeal/leader/fleet_views.py
@@ -6,6 +6,7 @@
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.workers import Fleet, WorkerState
 from pistachiodeal.scheduling.health import MOST_SUSPECTS
+from pistachiodeal.scheduling.suspicion import FRESH_S, is_suspect
 from pistachiodeal.scheduling.views import WorkerView
 
 Views = dict[str, list[WorkerView]]
@@ -70,7 +71,7 @@
         known = self._views.get(worker.node)
         # How long a worker stays closed is a matter of time alone.
         timed = worker.health.suspect or worker.health.suspect_until > 0
-        if known is None or known[0] != stamp or timed:
+        if known is None or known[0] != stamp or timed or known[1].probation:
             return stamp, _build(self._book, worker, now, self._round)
         return known
 
@@ -106,9 +107,17 @@
     at_work = sum(1 for task in runs if not task.step.lasts)
     view.closed = worker.health.is_closed(now, at_work=at_work)
     view.probing = worker.health.suspect
+    view.probation = any(_is_on_probation(task) for task in runs)
+    view.unlisted = sum(1 for task in runs if not task.running)
     return view
 
 
+def _is_on_probation(task: Task) -> bool:
+    if not is_suspect(task):
+        return False
+    return not task.running or task.seen_at - task.began_at < FRESH_S
+
+
 def _take_room(view: WorkerView, task: Task) -> None:
     name = task.name
     view.take((name.job_id, name.occurrence, name.step), task.step)
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -16,6 +16,7 @@
 from pistachiodeal.leader.fleet_views import FleetViews, Views
 from pistachiodeal.leader.moves import Mover
 from pistachiodeal.leader.preemptor import FindQueue, Preemptor
+from pistachiodeal.leader.probation import Probation
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.workers import Fleet, split_place
 from pistachiodeal.scheduling.interference import InterferenceModel
@@ -34,6 +35,7 @@
     is_urgent,
     score,
 )
+from pistachiodeal.scheduling.suspicion import is_suspect
 from pistachiodeal.scheduling.views import WorkerView
 
 # Filling work that waits this long, with nothing of its job at work, goes beside
@@ -72,6 +74,7 @@
         self._views = FleetViews(book, fleet)
         self._attempts = Attempts()
         self._preemptor = Preemptor(book, fleet, reconciler, find_queue)
+        self._probation = Probation(book, reconciler, interference)
         self._moved_at = 0.0
         self._book = book
         self._fleet = fleet
@@ -89,13 +92,16 @@
             self._mover.move(now)
         views = self._views.refresh(now)
         self._preemptor.begin_round()
+        self._probation.begin_round(now)
         ready = self._order_ready()
         self._attempts.begin_round(step.key for *_, step in ready)
         until = read_boot_clock() + SLICE_S
         for _, _, record, step in ready:
             if read_boot_clock() > until:
                 return False
-            self._place_step(views, record, step)
+            # An earlier step of the round may have given the job up.
+            if not record.state.final:
+                self._place_step(views, record, step)
         return True
 
     def _open_due(self) -> None:
@@ -143,6 +149,8 @@
         views = all_views.get(queue.service, [])
         now = read_boot_clock()
         waiting = [task for task in step.tasks if task.waits and task.held_until <= now]
+        if self._probation.give_up_hopeless(record, waiting):
+            return
         if step.step.gang:
             self._place_gang(views, record, step, waiting, queue)
             return
@@ -154,6 +162,7 @@
             bold=self._is_starved(record, step),
         )
         allowed = self._list_allowed(request, queue, views)
+        waiting = self._place_suspects(request, allowed, waiting)
         whole = queue.advised or self._attempts.is_due(request, now)
         if not whole:
             allowed = self._attempts.list_changed(request, allowed)
@@ -176,6 +185,17 @@
                 request = replace(request, racks=racks, bold=False)
                 candidates = Candidates(request, allowed, self._interference)
 
+    def _place_suspects(
+        self, request: Request, views: list[WorkerView], waiting: list[Task]
+    ) -> list[Task]:
+        """Place the tasks that may end their worker; return the others."""
+        for task in filter(is_suspect, waiting):
+            view = self._probation.find_worker(task, request, views)
+            if view is None:
+                break
+            self._place(task, task.run + 1, request, view)
+        return [task for task in waiting if not is_suspect(task)]
+
     def _place_gang(
         self,
         views: list[WorkerView],
--- /dev/null
+++ b/pistachiodeal/leader/probation.py
@@ -0,0 +1,70 @@
+"""Places tasks that may end their worker: one alone, on few workers, and gives them up.
+
+"Alone" means that nothing else begins on the worker from shortly before its start until
+it has worked for a moment. What has been at work there for longer stays.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from pistachiodeal.jobs.record import JobRecord, Task
+from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.crashes import CrashTracker
+from pistachiodeal.leader.reconcile import Reconciler
+from pistachiodeal.scheduling.interference import InterferenceModel
+from pistachiodeal.scheduling.placement import Request, choose_worker
+from pistachiodeal.scheduling.suspicion import is_hopeless, limit_exposed
+from pistachiodeal.scheduling.views import WorkerView
+
+# To weigh all workers for each of many suspects would take a whole round.
+SUSPECTS_A_ROUND = 8
+
+
+class Probation:
+    """Decides about suspects in rounds, as the planner goes through the steps."""
+
+    def __init__(
+        self,
+        book: JobBook,
+        reconciler: Reconciler,
+        interference: InterferenceModel,
+    ) -> None:
+        self._book = book
+        self._reconciler = reconciler
+        self._interference = interference
+        self._left = 0
+
+    @property
+    def _crashes(self) -> CrashTracker:
+        return self._reconciler.crashes
+
+    def begin_round(self, now: float) -> None:
+        """Settle the crashes whose time has come."""
+        self._crashes.settle(now)
+        self._left = SUSPECTS_A_ROUND
+
+    def give_up_hopeless(self, record: JobRecord, tasks: Iterable[Task]) -> bool:
+        """Give the job up if one of its waiting tasks has ended too many workers."""
+        for task in tasks:
+            if is_hopeless(task):
+                for other in self._book.give_up(record, task):
+                    self._reconciler.stop(other, "the job has failed")
+                return True
+        return False
+
+    def find_worker(
+        self, task: Task, request: Request, views: list[WorkerView]
+    ) -> WorkerView | None:
+        """Reserve a worker for a suspect, None while it has to wait."""
+        exposed = sum(view.probation for view in views) + self._crashes.count_away()
+        if self._left <= 0 or exposed >= limit_exposed(len(views)):
+            return None
+        self._left -= 1
+        alone = replace(request, alone=True, avoid=task.avoid)
+        view = choose_worker(alone, views, self._interference)
+        if view is not None:
+            view.take(request.key, request.step)
+            view.probation = True
+        return view
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -6,9 +6,10 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
-from pistachiodeal.jobs.model import EndKind, OrderState
+from pistachiodeal.jobs.model import EndKind, LossCause, OrderState
 from pistachiodeal.jobs.record import Task
 from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.crashes import CrashTracker
 from pistachiodeal.leader.neighbours import NeighbourWatch
 from pistachiodeal.leader.workers import (
     PLACE_SEPARATOR,
@@ -16,12 +17,14 @@
     Fleet,
     WorkerState,
     build_order,
+    build_place,
 )
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.wire.job_messages import (
     EndedTask,
     OrderOutcome,
     RunningTask,
+    WorkerLoss,
     WorkerReport,
 )
 
@@ -54,18 +57,25 @@
     ) -> None:
         self._book = book
         self._fleet = fleet
+        self._crashes = CrashTracker(book, fleet, events)
         self._neighbours = NeighbourWatch(book, interference, events)
         self._events = events
 
+    @property
+    def crashes(self) -> CrashTracker:
+        """Return what is known of workers that crashed."""
+        return self._crashes
+
     def apply(self, attachment: Attachment, report: WorkerReport) -> None:
         """Take in one report."""
         now = read_boot_clock()
         worker = self._fleet.get(attachment.node)
         attachment.beat, attachment.heard_at = report.beat, now
         worker.stamp += 1
+        for loss in report.losses:
+            self._take_loss(worker, report, loss, now)
         if not report.worker:
             worker.listed = False
-            self._forget_lost(worker, report)
             return
         was = worker.place if worker.worker else ""
         worker.become(report)
@@ -134,17 +144,27 @@
                 run=task.run,
                 place=place,
                 listed=task.running,
+                crashes=task.crashes,
+                blames=task.blames,
                 placed_ms=int((now - task.placed_at) * 1000),
             )
         self._book.forget_place(place)
 
-    def _forget_lost(self, worker: WorkerState, report: WorkerReport) -> None:
-        if not report.lost_worker:
+    def _take_loss(
+        self, worker: WorkerState, report: WorkerReport, loss: WorkerLoss, now: float
+    ) -> None:
+        if loss.worker == report.worker:
             return
-        place = worker.node + PLACE_SEPARATOR + report.lost_worker
-        self.lose(place, "its agent saw it end")
-        if worker.worker == report.lost_worker:
+        if worker.worker == loss.worker:
             worker.renew("")
+        place = build_place(worker.node, loss.worker)
+        if not self._book.get_runs(place):
+            return
+        # A worker that had said it would leave, or that was only cut off, tells nothing
+        # about its tasks.
+        if loss.cause == LossCause.CRASHED:
+            self._crashes.note_crash(worker, loss, now)
+        self.lose(place, f"its agent saw it end: {loss.cause}")
 
     def _forget_others(self, worker: WorkerState) -> None:
         # A node has one worker at a time; the agent has spoken with the new one.
@@ -194,6 +214,8 @@
         self._note_pace(task, seen.worked_milli / 1000, now)
         if seen.checkpoint:
             task.checkpoint = seen.checkpoint
+        if task.crashes:
+            self._crashes.note_at_work(task)
 
     def _note_work(self, task: Task, worked: float, now: float) -> None:
         """Count the time at work since the task was last listed."""
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -51,6 +51,9 @@
 SPREAD_COST = 0.05
 # Filling work goes beside serving tasks only once the other workers are taken.
 SERVING_COST = 0.5
+# Where a task that may end its worker would take serving tasks down with it: dearer
+# than any load.
+EXPOSED_SERVING_COST = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +64,8 @@
     :param avoid: nodes on which the task failed before, taken only as a last resort.
     :param racks: racks on which tasks of the step are already.
     :param bold: whether it may disturb its neighbours; their agent paces it then.
+    :param alone: whether it may end its worker, so that nothing else may just have
+        begun there.
     """
 
     step: Step
@@ -69,6 +74,7 @@
     avoid: frozenset[str] = frozenset()
     racks: frozenset[str] = frozenset()
     bold: bool = False
+    alone: bool = False
 
 
 def is_urgent(priority: int, step: Step, waited_s: float) -> bool:
@@ -89,6 +95,7 @@
 
     LABEL = "label"
     SUSPECT = "suspect"
+    PROBATION = "probation"
     SPREAD = "spread"
     ROOM = "room"
     LEFTOVER = "leftover"
@@ -104,6 +111,8 @@
         return Obstacle.LABEL
     if view.closed:
         return Obstacle.SUSPECT
+    if view.probation or (request.alone and view.unlisted):
+        return Obstacle.PROBATION
     if step.spread and view.steps.get(key, 0) >= step.spread:
         return Obstacle.SPREAD
     if not _has_room(request, view):
@@ -119,6 +128,9 @@
         cost += REMOTE_COST
     if step.same_rack and racks and view.rack not in racks:
         cost += REMOTE_COST
+    if request.alone:
+        # Where least is lost if it does end the worker.
+        return cost + view.load + (EXPOSED_SERVING_COST if view.serving else 0.0)
     cost += SPREAD_COST * view.steps.get(request.key, 0)
     if step.fills:
         return cost + _score_filling(request, view, model)
--- /dev/null
+++ b/pistachiodeal/scheduling/suspicion.py
@@ -0,0 +1,113 @@
+"""Which task is to blame for a worker that crashed, and when it is given up.
+
+The load that this answers: a task that ends each runner that starts it. Queued again
+like the work of any lost worker it goes first, and takes one worker after another down
+with everything that is on it. So the runs that had just begun are blamed; who is
+blamed goes alone to one worker after that, and who ends that one as well is given up.
+Neighbours are cleared as soon as they have run for a moment beside nobody.
+
+The counts are of crashes that nothing else explains: a worker that had said that it
+would leave, that was only cut off, or that went down with its rack tells nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+# What has worked for this long has not ended its worker by starting.
+FRESH_S = 0.5
+# Few tasks are hit by a stranger's crash within this time of their start.
+AT_ONCE_S = 0.1
+# Starts this close to the last one are as likely to be the cause: orders for one worker
+# travel together, and its end is noticed by the next call.
+TOGETHER_S = 0.1
+# How much a crash weighs against who is blamed: two that came at once, the second with
+# nothing else that had just begun, are enough, and three in any case. Workers that go
+# down and up by turns hit a task that moves between them twice, and seldom at once.
+BLAME_AT_ONCE = 3
+BLAME_FRESH = 2
+BLAMES_TO_GIVE_UP = 6
+# Crashes in a row, whoever was blamed: what ends its worker late, or beside others that
+# begin all the time, is given up all the same.
+CRASHES_TO_GIVE_UP = 5
+# So many crashes without blame make a suspect too: alone, it is cleared or blamed.
+CRASHES_TO_SUSPECT = 2
+# Work of this long, and no crash counts any more: a task that lasts for days sees many.
+SOUND_S = 10.0
+# Crashes on all workers of a rack so close to each other are the rack's.
+POWER_WINDOW_S = 0.3
+# Suspects are alone with the rest of the work on this share of the workers at most,
+# and on one at least: together they would take the whole fleet down.
+EXPOSED_SHARE = 1 / 4
+
+
+class CrashCounts(Protocol):
+    """What is counted against a task."""
+
+    crashes: int
+    blames: int
+
+
+@dataclass(frozen=True, slots=True)
+class Casualty:
+    """A run that ended with its worker.
+
+    :param age_s: from its start to the worker's end, None where nobody has seen its
+        start.
+    :param suspect: whether it was alone on probation there.
+    """
+
+    task: str
+    age_s: float | None
+    suspect: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a crash means for the tasks on the worker.
+
+    :param blames: tasks of which one is the likely cause, and how much it weighs.
+    :param involved: tasks that may be the cause, the blamed ones among them.
+    """
+
+    blames: dict[str, int]
+    involved: frozenset[str]
+
+
+def judge(casualties: Iterable[Casualty]) -> Verdict:
+    """Return who is to blame for the end of a worker."""
+    everybody = list(casualties)
+    fresh = [one for one in everybody if one.age_s is not None and one.age_s <= FRESH_S]
+    if not fresh:
+        return Verdict({}, frozenset(one.task for one in everybody))
+    involved = frozenset(one.task for one in fresh)
+    suspects = [one for one in fresh if one.suspect]
+    blamed = suspects or _list_youngest(fresh)
+    return Verdict({one.task: _weigh(one) for one in blamed}, involved)
+
+
+def is_suspect(task: CrashCounts) -> bool:
+    """Tell whether a task has to start alone."""
+    return task.blames > 0 or task.crashes >= CRASHES_TO_SUSPECT
+
+
+def is_hopeless(task: CrashCounts) -> bool:
+    """Tell whether a task is given up."""
+    return task.blames >= BLAMES_TO_GIVE_UP or task.crashes >= CRASHES_TO_GIVE_UP
+
+
+def limit_exposed(workers: int) -> int:
+    """Return on how many of the workers suspects may be, or may have crashed."""
+    return max(1, int(workers * EXPOSED_SHARE))
+
+
+def _weigh(blamed: Casualty) -> int:
+    at_once = blamed.age_s is not None and blamed.age_s <= AT_ONCE_S
+    return BLAME_AT_ONCE if at_once else BLAME_FRESH
+
+
+def _list_youngest(fresh: list[Casualty]) -> list[Casualty]:
+    youngest_s = min(one.age_s or 0.0 for one in fresh)
+    return [one for one in fresh if (one.age_s or 0.0) - youngest_s <= TOGETHER_S]
--- a/pistachiodeal/scheduling/views.py
+++ b/pistachiodeal/scheduling/views.py
@@ -31,6 +31,8 @@
     :param filling: tasks on it that fill, by image.
     :param closed: whether it gets nothing, since it fails or stands still.
     :param probing: whether it gets one task, to see whether that is over.
+    :param probation: whether a suspect of having ended a worker has just begun there.
+    :param unlisted: tasks that were ordered and have not been seen at work.
     :param built_in: the round of decisions that it was built in.
     :param pressed: slack that the filling tasks take, by serving image; worked out
         when it is first asked for, and forgotten when a task comes.
@@ -50,6 +52,8 @@
     filling: dict[str, float] = field(default_factory=dict)
     closed: bool = False
     probing: bool = False
+    probation: bool = False
+    unlisted: int = 0
     built_in: int = 0
     pressed: dict[str, float] | None = None
 
@@ -84,6 +88,7 @@
         """Reserve the room of one task."""
         self.used = self.used + reserve_size(step)
         self.closed |= self.probing
+        self.unlisted += 1
         self.pressed = None
         self.steps[key] = self.steps.get(key, 0) + 1
         if step.fills:
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -78,6 +78,21 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerLoss:
+    """A worker's incarnation whose runs have certainly ended.
+
+    :param cause: a value of ``LossCause``.
+    :param ago_ms: time since its first silence.
+    :param runs: what was at work, or may have been.
+    """
+
+    worker: str
+    cause: str
+    ago_ms: int
+    runs: tuple[LostRun, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
     """Agent to leader: the worker as it is now.
@@ -86,7 +101,7 @@
         moment at which the agent sent it.
     :param epoch: highest epoch the agent obeys.
     :param worker: the worker's incarnation, empty while the agent knows none.
-    :param lost_worker: an incarnation that is certainly gone, empty when there is none.
+    :param losses: earlier incarnations that ended lately.
     :param listed: whether ``running`` and ``ends`` are complete.
     :param leaving_ms: least time left to a draining worker.
     """
@@ -94,7 +109,7 @@
     beat: int
     epoch: int
     worker: str
-    lost_worker: str
+    losses: tuple[WorkerLoss, ...]
     service: str
     listed: bool
     draining: bool
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -227,11 +227,24 @@
   detail @3 :Text;
 }
 
+struct LostRun {
+  task @0 :Text;
+  run @1 :UInt32;
+  ageMs @2 :Int64;
+}
+
+struct WorkerLoss {
+  worker @0 :Text;
+  cause @1 :Text;
+  agoMs @2 :Int64;
+  runs @3 :List(LostRun);
+}
+
 struct WorkerReport {
   beat @0 :UInt64;
   epoch @1 :UInt64;
   worker @2 :Text;
-  lostWorker @3 :Text;
+  obsoleteLostWorker @3 :Text;
   service @4 :Text;
   listed @5 :Bool;
   draining @6 :Bool;
@@ -243,6 +256,7 @@
   running @12 :List(RunningTask);
   ends @13 :List(EndedTask);
   outcomes @14 :List(OrderOutcome);
+  losses @15 :List(WorkerLoss);
 }
 
 struct RunOrder {
--- a/tests/standins/job_runner.py
+++ b/tests/standins/job_runner.py
@@ -115,6 +115,7 @@
         self._up_at = 0.0
         self.faults = RunnerFaults()
         self.draining = False
+        self.lasting: frozenset[str] = frozenset()
         self._reset()
 
     @property
@@ -260,7 +261,7 @@
         self._advance_crash(now)
         lapsed = self._read_clock_ms() > self._until_ms
         for work in list(self._running.values()):
-            if work.ends_at <= now:
+            if work.ends_at <= now and work.task not in self.lasting:
                 self._end(work, "done")
             elif lapsed:
                 self._end(work, "lapsed")
--- a/tests/unit/test_crashing_tasks.py
+++ b/tests/unit/test_crashing_tasks.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import random
+
 import curio
+import pytest
 
 from pistachiodeal.jobs.model import JobState
 from tests.standins.job_cluster import JobCluster, build_job, run_cluster
@@ -71,3 +74,68 @@
             check(cluster)
 
     curio.run(main)
+
+
+@pytest.mark.parametrize("crash_after_s", [0.05, 0.4])
+def test_a_task_that_ends_its_runner_a_moment_later_is_given_up(crash_after_s):
+    """As above, with a task that is seen at work before it ends its runner: what began
+    after it is innocent, and is done in the end.
+    """
+
+    async def main():
+        async with run_cluster(agents=3, work_s=0.3) as cluster:
+            plant(cluster, crash_after_s=crash_after_s)
+            jobs = [build_job(number, steps=1) for number in range(1, 4)]
+            # Ordinary tasks end before the crasher does, which works on.
+            for agent in cluster.agents:
+                agent.runner.lasting = frozenset((CRASHER,))
+            for job in jobs:
+                await cluster.entries[0].submit(job)
+            await cluster.wait_for_state(jobs[0], JobState.FAILED, 20.0)
+            for job in jobs[1:]:
+                await cluster.wait_for_state(job, JobState.COMPLETED, 15.0)
+            check(cluster)
+
+    curio.run(main)
+
+
+def test_a_start_without_an_answer_is_counted():
+    """A start whose answer is lost with the runner that it ends was the usual case. A
+    count of starts that were answered would stay at nothing.
+    """
+
+    async def main():
+        async with run_cluster(agents=3, work_s=0.3) as cluster:
+            plant(cluster)
+            for agent in cluster.agents:
+                agent.runner.faults.lost = 0.5
+            job = build_job(1, steps=1)
+            await cluster.entries[0].submit(job)
+            await cluster.wait_for_state(job, JobState.FAILED, 20.0)
+            check(cluster)
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_runners_that_crash_by_themselves_cost_no_job(seed):
+    """Runners that go down and up by turns are nobody's fault: their tasks go on
+    elsewhere, and none of the jobs is shown as failed.
+    """
+    rng = random.Random(seed)
+
+    async def main():
+        async with run_cluster(agents=3, work_s=0.8) as cluster:
+            for agent in cluster.agents:
+                agent.runner.faults.down_s = 0.5
+            jobs = [build_job(number, steps=1) for number in range(1, 5)]
+            for job in jobs:
+                await cluster.entries[0].submit(job)
+            for turn in range(6):
+                await curio.sleep(rng.uniform(0.4, 1.4))
+                cluster.agents[turn % 3].runner.crash()
+            for job in jobs:
+                await cluster.wait_for_state(job, JobState.COMPLETED, 20.0)
+            check(cluster)
+
+    curio.run(main)
--- a/tests/unit/test_jobagent_ledger.py
+++ b/tests/unit/test_jobagent_ledger.py
@@ -7,7 +7,7 @@
 
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.ledger import SLOWEST_CLOCK, AgentLedger, Lease, Order
-from pistachiodeal.jobs.model import OrderState
+from pistachiodeal.jobs.model import LossCause, OrderState
 from pistachiodeal.jobs.runtime import CallResult, Listing, WorkerBeat
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.job_messages import Directive, EndedTask
@@ -41,7 +41,7 @@
     """
     ledger = create_ledger()
     ledger.adopt(build_beat("old"))
-    ledger.drop_worker("it left", gone=True)
+    ledger.drop_worker("it left", LossCause.LEFT)
     ledger.take_directive(build_directive("", noted=40), 0.0)
     ledger.adopt(build_beat("new"))
     end = EndedTask(1, "0123456789abcdef.0.0.0", 1, "done", "")
--- a/tests/unit/test_leader_advice.py
+++ b/tests/unit/test_leader_advice.py
@@ -65,7 +65,7 @@
             reconciler.apply(
                 attachment,
                 WorkerReport(
-                    1, 1, f"w{number}", "", "svc", True, False, 0, 16_000, 64_000, 0,
+                    1, 1, f"w{number}", (), "svc", True, False, 0, 16_000, 64_000, 0,
                     (Label("a"), Label("r1")), (), (), (),
                 ),
             )  # fmt: skip
--- /dev/null
+++ b/tests/unit/test_leader_crashes.py
@@ -0,0 +1,384 @@
+"""What the leader makes of a worker that ended, and of the tasks that were on it."""
+
+from __future__ import annotations
+
+import time
+
+import orjson
+import pytest
+
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.jobs.model import Job, JobState, LossCause, Queue, Step
+from pistachiodeal.jobs.record import apply_progress, build_record, encode_progress
+from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.crashes import VERDICT_S
+from pistachiodeal.leader.planner import Planner
+from pistachiodeal.leader.reconcile import Reconciler
+from pistachiodeal.leader.workers import Attachment, Fleet
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.scheduling.interference import InterferenceModel
+from pistachiodeal.scheduling.suspicion import (
+    BLAME_AT_ONCE,
+    BLAME_FRESH,
+    CRASHES_TO_GIVE_UP,
+    FRESH_S,
+    SOUND_S,
+    Casualty,
+    is_suspect,
+    judge,
+    limit_exposed,
+)
+from pistachiodeal.wire.job_messages import (
+    Label,
+    LostRun,
+    RunningTask,
+    WorkerLoss,
+    WorkerReport,
+)
+from tests.standins.job_cluster import create_quiet_log
+
+QUEUE = Queue("q", "host", "/q/", "svc", 0, 4, 2.0, 1.0)
+SIZE = Resources(1_000, 1_000, 0)
+
+
+class Stage:
+    """A leader and workers that are told of by hand; time is moved by hand as well."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, racks: list[str]) -> None:
+        self._now = read_boot_clock()
+        for module in ("reconcile", "planner", "book"):
+            monkeypatch.setattr(
+                f"pistachiodeal.leader.{module}.read_boot_clock", lambda: self._now
+            )
+        events = create_quiet_log()
+        self.book, self.fleet = JobBook(events), Fleet()
+        model = InterferenceModel()
+        self.reconciler = Reconciler(self.book, self.fleet, model, events)
+        self.planner = Planner(
+            self.book,
+            self.fleet,
+            self.reconciler,
+            model,
+            lambda queue: queue,
+            events=events,
+        )
+        self.racks = racks
+        self.lives = [1] * len(racks)
+        self.attachments = []
+        for number in range(len(racks)):
+            attachment = Attachment(f"n{number}", 1)
+            self.fleet.get(attachment.node).attach(attachment)
+            self.attachments.append(attachment)
+            self.report(number)
+
+    def wait(self, seconds: float) -> None:
+        """Let time go by."""
+        self._now += seconds
+
+    def add(self, number: int, step: Step) -> Job:
+        """Hand in a job of one step."""
+        job = Job(f"{number:016x}", QUEUE, "text", (step,), time.time())
+        self.book.add(job, time.time())
+        return job
+
+    def find(self, job: Job, index: int = 0):
+        """Return a task."""
+        return self.book.find_task(f"{job.job_id}.0.0.{index}")
+
+    def report(self, number: int, losses=(), **fields) -> None:
+        """Apply a report in which the worker lists every run that it was given."""
+        worker = f"w{number}-{self.lives[number]}"
+        runs = self.book.get_runs(f"n{number}/{worker}").values()
+        running = [RunningTask(str(task.name), task.run, "", 10, 0) for task in runs]
+        room = fields.get("room", Resources(16_000, 64_000, 0))
+        self.reconciler.apply(
+            self.attachments[number],
+            WorkerReport(
+                1, 1, worker, tuple(losses), "svc", True, False, 0,
+                room.cpu_milli, room.memory_mib, room.accelerators,
+                (Label("a"), Label(self.racks[number])), tuple(running), (), (),
+            ),
+        )  # fmt: skip
+
+    def lose(
+        self, number: int, ages_ms: dict[str, int], cause=LossCause.CRASHED
+    ) -> None:
+        """Let a worker end and come back; ``ages_ms`` is by task."""
+        runs = self.book.get_runs(f"n{number}/w{number}-{self.lives[number]}")
+        lost = tuple(
+            LostRun(name, task.run, ages_ms.get(name, 60_000))
+            for name, task in runs.items()
+        )
+        loss = WorkerLoss(f"w{number}-{self.lives[number]}", cause.value, 0, lost)
+        self.lives[number] += 1
+        self.report(number, (loss,))
+
+    def find_node(self, task) -> int:
+        """Return the number of the node that a task was given."""
+        return int(task.place.partition("/")[0].removeprefix("n"))
+
+    def crash_under(self, task, age_ms: int = 8) -> None:
+        """Let the worker of a task end soon after the task's start."""
+        self.lose(self.find_node(task), {str(task.name): age_ms})
+
+
+@pytest.fixture
+def stage(monkeypatch) -> Stage:
+    return Stage(monkeypatch, ["r1", "r1", "r2", "r2", "r3", "r3"])
+
+
+def place(stage: Stage, seconds: float = VERDICT_S + 0.01) -> None:
+    """Let a moment pass, and decide."""
+    stage.wait(seconds)
+    stage.planner.plan()
+
+
+def test_the_second_worker_that_ends_under_a_lone_start_settles_it(stage):
+    """A task was started 88 times. Two workers that end right after its start, the
+    second with nothing else that had just begun, are enough.
+    """
+    job = stage.add(1, Step(1, SIZE, 2.0))
+    task = stage.find(job)
+    for _ in range(2):
+        place(stage)
+        stage.crash_under(task)
+    assert stage.book.records[job.job_id].state is JobState.ACTIVE
+    place(stage)
+    assert stage.book.records[job.job_id].state is JobState.FAILED
+    assert task.run == 2
+
+
+def test_a_neighbour_is_not_given_up(stage):
+    """A task that had begun together with one that ends its workers was given up with
+    it. After the first crash each begins on a worker of its own, and the neighbour is
+    cleared once it has worked for a moment.
+    """
+    job = stage.add(1, Step(2, SIZE, 2.0))
+    guilty, neighbour = stage.find(job, 0), stage.find(job, 1)
+    place(stage)
+    stage.book.requeue(neighbour)
+    stage.book.place(neighbour, 1, guilty.place, lambda: None)
+    ages_ms = {str(guilty.name): 8, str(neighbour.name): 7}
+    stage.lose(stage.find_node(guilty), ages_ms)
+    assert is_suspect(guilty)
+    assert is_suspect(neighbour)
+    place(stage)
+    waits = [task for task in (guilty, neighbour) if task.waits]
+    assert len(waits) == 1, "one worker of six at a time"
+    stage.report(stage.find_node(guilty if waits[0] is neighbour else neighbour))
+    stage.wait(FRESH_S)
+    stage.report(stage.find_node(guilty if waits[0] is neighbour else neighbour))
+    place(stage)
+    assert guilty.place != neighbour.place
+
+
+def test_long_work_beside_it_is_not_blamed(stage):
+    """Work of minutes on the same worker began long before and has ended nobody."""
+    old = stage.find(stage.add(1, Step(1, SIZE, 90.0)))
+    place(stage)
+    guilty = stage.find(stage.add(2, Step(1, SIZE, 2.0)))
+    stage.book.place(guilty, 1, old.place, lambda: None)
+    ages_ms = {str(guilty.name): 8, str(old.name): 5_000}
+    stage.lose(stage.find_node(old), ages_ms)
+    assert (guilty.blames, guilty.crashes) == (BLAME_AT_ONCE, 1)
+    assert (old.blames, old.crashes) == (0, 0)
+
+
+def test_a_rack_that_loses_power_blames_nobody(stage):
+    """All workers of a rack end within milliseconds; their agents may live on. A task
+    that had just begun there would be half given up for it.
+    """
+    job = stage.add(1, Step(6, SIZE, 2.0))
+    place(stage)
+    tasks = [stage.find(job, index) for index in range(6)]
+    hit = [task for task in tasks if stage.find_node(task) in (2, 3)]
+    assert hit
+    for number in (2, 3):
+        stage.lose(number, {str(task.name): 8 for task in hit})
+    assert any(task.blames for task in hit)
+    place(stage)
+    assert [(task.crashes, task.blames) for task in hit] == [(0, 0)] * len(hit)
+
+
+def test_one_worker_of_a_rack_is_no_rack(stage):
+    """The others of the rack go on: nothing is taken back."""
+    task = stage.find(stage.add(1, Step(1, SIZE, 2.0)))
+    place(stage)
+    stage.crash_under(task)
+    place(stage)
+    assert (task.crashes, task.blames) == (1, BLAME_AT_ONCE)
+
+
+@pytest.mark.parametrize("cause", [LossCause.LEFT, LossCause.SILENT])
+def test_a_planned_leave_or_a_cut_counts_for_nothing(stage, cause):
+    """A worker that had said that it would leave, or whose leases ran out behind a cut,
+    says nothing about what had just begun there.
+    """
+    task = stage.find(stage.add(1, Step(1, SIZE, 2.0)))
+    place(stage)
+    stage.lose(stage.find_node(task), {str(task.name): 8}, cause)
+    assert (task.crashes, task.blames) == (0, 0)
+    assert task.waits
+
+
+def test_the_same_loss_told_twice_counts_once(stage):
+    """An agent tells of a loss in each report for a while, to each new leader."""
+    task = stage.find(stage.add(1, Step(1, SIZE, 2.0)))
+    place(stage)
+    loss = WorkerLoss(
+        stage.fleet.get(f"n{stage.find_node(task)}").worker,
+        "crashed",
+        0,
+        (LostRun(str(task.name), 1, 8),),
+    )
+    number = stage.find_node(task)
+    stage.lives[number] += 1
+    for _ in range(3):
+        stage.report(number, (loss,))
+    assert task.crashes == 1
+
+
+def test_an_order_that_never_left_counts_for_nothing(stage):
+    """A run that the agent never began can't have ended the worker."""
+    task = stage.find(stage.add(1, Step(1, SIZE, 2.0)))
+    place(stage)
+    number = stage.find_node(task)
+    loss = WorkerLoss(stage.fleet.get(f"n{number}").worker, "crashed", 0, ())
+    stage.lives[number] += 1
+    stage.report(number, (loss,))
+    assert task.waits
+    assert task.crashes == 0
+
+
+def test_a_successor_goes_on_with_the_counts(stage):
+    """The count began anew under each leader. It is in the job's row now, and a row
+    that was written without counts is read as before.
+    """
+    job = stage.add(1, Step(1, SIZE, 2.0))
+    task = stage.find(job)
+    place(stage)
+    stage.crash_under(task)
+    value = encode_progress(stage.book.records[job.job_id])
+    successor = build_record(job)
+    apply_progress(successor, value, 7)
+    restored = next(successor.iterate_tasks())
+    assert (restored.crashes, restored.blames) == (1, BLAME_AT_ONCE)
+    older = build_record(job)
+    row = {"state": "active", "begun": True, "completed": []}
+    row["tasks"] = {"0.0.0": [3, "", 0, 0, ""]}
+    apply_progress(older, orjson.dumps(row), 7)
+    assert next(older.iterate_tasks()).crashes == 0
+
+
+def test_suspects_spare_serving_tasks(stage):
+    """Serving tasks were away again and again, each time a suspect came to them."""
+    serving = Step(1, SIZE, 60.0, lasts=True, image="web", serves_ms=100)
+    hosts = [stage.find(stage.add(number, serving)) for number in range(10, 13)]
+    place(stage, 3.0)
+    task = stage.find(stage.add(1, Step(1, SIZE, 2.0)))
+    place(stage)
+    stage.crash_under(task)
+    place(stage, 0.1)
+    for host in hosts:
+        stage.report(stage.find_node(host))
+    place(stage)
+    assert task.place
+    assert task.place not in [host.place for host in hosts]
+
+
+def test_nothing_begins_beside_a_suspect_on_probation(stage):
+    """A task that began beside a suspect just before the crash would be blamed too, and
+    a serving task would go down with it.
+    """
+    suspect = stage.find(stage.add(1, Step(1, SIZE, 2.0)))
+    place(stage)
+    stage.crash_under(suspect)
+    place(stage)
+    job = stage.add(2, Step(30, SIZE, 2.0))
+    stage.planner.plan()
+    places = {stage.find(job, index).place for index in range(30)}
+    assert suspect.place not in places
+    stage.report(stage.find_node(suspect))
+    stage.wait(FRESH_S)
+    stage.report(stage.find_node(suspect))
+    assert not is_suspect(suspect)
+
+
+def test_suspects_are_on_a_few_workers_only(stage):
+    """Twenty suspects at once on all workers would take the whole fleet down."""
+    job = stage.add(1, Step(20, SIZE, 2.0))
+    for task in (stage.find(job, index) for index in range(20)):
+        task.crashes = task.blames = 1
+    place(stage)
+    placed = {stage.find(job, index).place for index in range(20)} - {""}
+    assert len(placed) == limit_exposed(6) == 1
+    task = next(one for one in map(stage.find, [job] * 20, range(20)) if one.place)
+    number = stage.find_node(task)
+    loss = WorkerLoss(
+        f"w{number}-1", "crashed", 0, (LostRun(str(task.name), task.run, 8),)
+    )
+    stage.reconciler.apply(
+        stage.attachments[number],
+        WorkerReport(
+            1, 1, "", (loss,), "", False, False, 0, 0, 0, 0, (), (), (), ()
+        ),
+    )  # fmt: skip
+    place(stage, 0.1)
+    assert not {stage.find(job, index).place for index in range(20)} - {""}, (
+        "a worker that a suspect has ended counts until it is back"
+    )
+
+
+def test_a_task_that_is_hit_twice_a_moment_after_its_start_goes_on(stage):
+    """Workers that go down and up by turns hit a task that moves between them."""
+    job = stage.add(1, Step(1, SIZE, 2.0))
+    task = stage.find(job)
+    for _ in range(2):
+        place(stage)
+        stage.crash_under(task, age_ms=300)
+    place(stage)
+    assert task.place
+    stage.report(stage.find_node(task))
+    stage.wait(FRESH_S)
+    stage.report(stage.find_node(task))
+    assert not task.blames
+
+
+def test_a_task_that_ends_workers_late_is_given_up_as_well(stage):
+    """Nothing had just begun, so nobody is blamed. Five workers in a row, each before
+    the task had worked for long, are enough.
+    """
+    job = stage.add(1, Step(1, SIZE, 9.0))
+    task = stage.find(job)
+    for _ in range(CRASHES_TO_GIVE_UP):
+        assert stage.book.records[job.job_id].state is not JobState.FAILED
+        place(stage)
+        stage.crash_under(task, age_ms=4_000)
+    place(stage)
+    assert stage.book.records[job.job_id].state is JobState.FAILED
+
+
+def test_work_that_goes_well_wipes_the_count(stage):
+    """A task that lasts for days sees many crashes of its workers."""
+    task = stage.find(stage.add(1, Step(1, SIZE, 9.0, lasts=True)))
+    for _ in range(2 * CRASHES_TO_GIVE_UP):
+        place(stage)
+        number = stage.find_node(task)
+        stage.report(number)
+        stage.wait(SOUND_S)
+        stage.report(number)
+        stage.lose(number, {str(task.name): int(SOUND_S * 1_000)})
+    assert stage.book.records[task.name.job_id].state is JobState.ACTIVE
+
+
+def test_who_began_last_is_blamed():
+    """Starts of the same moment share the blame; a suspect among them has all of it."""
+    young, close = Casualty("a", 0.01, False), Casualty("b", 0.05, False)
+    later = Casualty("c", 0.4, False)
+    unknown, old = Casualty("d", None, False), Casualty("e", 9.0, True)
+    verdict = judge([later, close, young, unknown, old])
+    assert verdict.blames == {"a": BLAME_AT_ONCE, "b": BLAME_AT_ONCE}
+    assert verdict.involved == {"a", "b", "c"}
+    known = Casualty("f", 0.3, True)
+    assert judge([young, known]).blames == {"f": BLAME_FRESH}
+    assert judge([unknown, old]).involved == {"d", "e"}
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -51,7 +51,7 @@
         self.reconciler.apply(
             self.attachment,
             WorkerReport(
-                1, 1, worker, "", "svc", True, False, 0, 16_000, 64_000, 0,
+                1, 1, worker, (), "svc", True, False, 0, 16_000, 64_000, 0,
                 (Label("a"), Label("r1")), tuple(running), tuple(ends), tuple(outcomes),
             ),
         )  # fmt: skip
--- a/tests/unit/test_leader_sessions.py
+++ b/tests/unit/test_leader_sessions.py
@@ -49,7 +49,7 @@
             beat,
             3,
             "w",
-            "",
+            (),
             "svc",
             True,
             draining,
