Failing tests: a worker whose room shrinks while orders are on their way

Symptom: a runner that starts whatever it is told is brought over its room; a worker keeps more than it has memory for. Orders carry memory and accelerators from here on.

--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -245,4 +245,6 @@
         step.serves_ms,
         step.image,
         step.size.cpu_milli,
+        step.size.memory_mib,
+        step.size.accelerators,
     )
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -131,6 +131,8 @@
     :param fills: whether it lives on what others leave and may be paced.
     :param image: what it runs; tasks of one image behave alike.
     :param cpu_milli: processor time that it asks for, thousandths of a core.
+    :param memory_mib: memory that it reserves, MiB.
+    :param accelerators: whole accelerators that it reserves.
     """
 
     task: str
@@ -141,6 +143,8 @@
     serves_ms: int
     image: str = ""
     cpu_milli: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -268,6 +268,8 @@
   servesMs @5 :Int64;
   image @6 :Text;
   cpuMilli @7 :Int64;
+  memoryMib @8 :Int64;
+  accelerators @9 :Int32;
 }
 
 struct PairPress {
--- a/tests/standins/job_runner.py
+++ b/tests/standins/job_runner.py
@@ -13,6 +13,10 @@
 from pistachiodeal.wire.job_messages import EndedTask, RunningTask
 
 ROOM = Resources(16_000, 64_000, 0)
+# What each task takes, as jobs of the stand-in cluster declare it.
+TASK_SIZE = Resources(1_000, 1_000, 0)
+# A runner has told its agent of a smaller room by then.
+ROOM_TOLD_S = 0.3
 
 
 @dataclass
@@ -116,6 +120,8 @@
         self.faults = RunnerFaults()
         self.draining = False
         self.lasting: frozenset[str] = frozenset()
+        self._room = ROOM
+        self._shrunk_at = 0.0
         self._reset()
 
     @property
@@ -129,6 +135,15 @@
         self._advance()
         return time.monotonic() < self._up_at
 
+    @property
+    def room(self) -> Resources:
+        """Return what the runner has; it starts what is over it all the same."""
+        return self._room
+
+    @room.setter
+    def room(self, room: Resources) -> None:
+        self._room, self._shrunk_at = room, time.monotonic()
+
     def crash(self) -> None:
         """End everything and come back as another incarnation."""
         for work in list(self._running.values()):
@@ -145,7 +160,7 @@
             self.draining,
             2_000 if self.draining else 0,
             sequence,
-            ROOM,
+            self._room,
             ("a", "r1"),
         )
 
@@ -244,8 +259,16 @@
         now = time.monotonic()
         self._running[call.task] = Work(call.task, call.run, now + self._work_s, now)
         self._witness.see_start(call.task, call.run, self.worker)
+        self._check_room(call.task, now)
         return CallResult.DONE
 
+    def _check_room(self, task: str, now: float) -> None:
+        used = Resources()
+        for _ in self._running:
+            used = used + TASK_SIZE
+        if now - self._shrunk_at > ROOM_TOLD_S and not used.fits(self._room):
+            self._witness.broken.append(f"over the room: {task} on {self.worker}")
+
     def _stop(self, worker: str, token: int, task: str, run: int) -> CallResult:
         result = self._admit(worker, token)
         if result is not CallResult.DONE:
--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -64,6 +64,7 @@
         )
         self.racks = racks
         self.lives = [1] * len(racks)
+        self.percent = 0
         self.attachments = []
         for number in range(len(racks)):
             attachment = Attachment(f"n{number}", 1)
@@ -89,7 +90,10 @@
         """Apply a report in which the worker lists every run that it was given."""
         worker = f"w{number}-{self.lives[number]}"
         runs = self.book.get_runs(f"n{number}/{worker}").values()
-        running = [RunningTask(str(task.name), task.run, "", 10, 0) for task in runs]
+        self.percent = self.percent % 99 + 1
+        running = [
+            RunningTask(str(task.name), task.run, "", self.percent, 0) for task in runs
+        ]
         room = fields.get("room", Resources(16_000, 64_000, 0))
         self.reconciler.apply(
             self.attachments[number],
--- /dev/null
+++ b/tests/unit/test_shrinking_workers.py
@@ -0,0 +1,119 @@
+"""Workers whose room shrinks and grows while tasks run."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import curio
+import pytest
+
+from pistachiodeal.jobs.model import JobState, Step
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.wire.job_messages import Directive, RunOrder
+from tests.standins.job_cluster import build_job, run_cluster
+from tests.standins.job_runner import ROOM, ROOM_TOLD_S
+from tests.unit.test_job_cluster import check, wait_until_begun
+from tests.unit.test_jobagent_executor import SETTLE_S, build_stage
+from tests.unit.test_jobagent_ledger import build_beat, create_ledger
+from tests.unit.test_leader_crashes import Stage, place
+
+SMALL = Resources(2_000, 2_000, 0)
+JOB = "0123456789abcdef"
+
+
+@pytest.fixture
+def leader(monkeypatch) -> Stage:
+    return Stage(monkeypatch, ["r1", "r2"])
+
+
+def build_order(index: int) -> RunOrder:
+    return RunOrder(
+        f"{JOB}.0.0.{index}", 1, "", "", False, 0, cpu_milli=1_000, memory_mib=1_000
+    )
+
+
+def test_an_order_on_its_way_while_the_room_shrinks_is_refused():
+    """A runner that starts whatever it is told was brought over its room. The leader
+    had ordered three tasks by what it had last heard; the runner's heartbeat came to
+    its agent before they did, and the agent passed all of them on.
+    """
+
+    async def main():
+        async with build_stage() as stage:
+            smaller = replace(build_beat("w", sequence=2), capacity=SMALL)
+            stage.ledger.update(smaller)
+            orders = tuple(build_order(index) for index in range(3))
+            directive = Directive(1, 1, 10_000, 7, "w", 0, (), orders, (), ())
+            await stage.executor.carry_out(directive)
+            await curio.sleep(SETTLE_S)
+            assert len(stage.runtime.starts) == 2
+            refused = [
+                one for one in stage.ledger.build_report(1).outcomes if one.detail
+            ]
+            assert len(refused) == 0, "it is told once there is a listing"
+            details = [one.detail for one in stage.ledger.orders.values()]
+            assert details.count("the worker has no room left") == 1
+
+    curio.run(main)
+
+
+def test_a_smaller_room_is_told_at_once():
+    """The leader went on ordering for 0.4 s, until the next report was due."""
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    assert ledger.update(replace(build_beat("w", sequence=2), capacity=SMALL))
+    assert not ledger.update(replace(build_beat("w", sequence=3), capacity=SMALL))
+
+
+def test_a_worker_that_has_too_little_memory_gives_up_what_costs_least(leader):
+    """Memory that is gone cannot be shared: the machine ends a task of its own choice, a
+    serving one as likely as any. So the one that loses least is stopped, and counts
+    until its end is listed. Processors are shared, and nobody goes for them.
+    """
+    serving = Step(1, Resources(1_000, 30_000, 0), 60.0, lasts=True, serves_ms=100)
+    keeper = leader.find(leader.add(1, serving))
+    place(leader)
+    number = leader.find_node(keeper)
+    worker = leader.fleet.get(f"n{number}")
+    old = leader.find(leader.add(2, Step(1, Resources(1_000, 15_000, 0), 9.0)))
+    leader.book.place(old, 1, worker.place, lambda: None)
+    leader.report(number)
+    leader.wait(3.0)
+    young = leader.find(leader.add(3, Step(1, Resources(1_000, 15_000, 0), 9.0)))
+    leader.book.place(young, 1, worker.place, lambda: None)
+    leader.report(number)
+    leader.report(number, room=Resources(2_000, 64_000, 0))
+    place(leader, 3.0)
+    assert not any(task.stopping for task in (keeper, old, young))
+    leader.report(number, room=Resources(16_000, 50_000, 0))
+    place(leader, 0.2)
+    assert not young.stopping, "it may be back at once"
+    place(leader, 3.0)
+    assert young.stopping
+    assert not old.stopping
+    assert not keeper.stopping
+    leader.report(number, room=Resources(16_000, 50_000, 0))
+    late = leader.find(leader.add(4, Step(1, Resources(1_000, 5_000, 0), 9.0)))
+    place(leader)
+    assert late.place
+    assert leader.find_node(late) != number, "what is being stopped still counts"
+
+
+def test_no_start_brings_a_runner_over_a_room_that_shrinks_and_grows():
+    """The whole way: leader, agents and runners that guard nothing."""
+
+    async def main():
+        async with run_cluster(agents=2, work_s=0.4) as cluster:
+            jobs = [build_job(number, count=12, steps=2) for number in range(1, 4)]
+            for job in jobs:
+                await cluster.entries[0].submit(job)
+            await wait_until_begun(cluster)
+            for room in (SMALL, ROOM, SMALL, ROOM):
+                for agent in cluster.agents:
+                    agent.runner.room = room
+                await curio.sleep(2 * ROOM_TOLD_S)
+            for job in jobs:
+                await cluster.wait_for_state(job, JobState.COMPLETED, 30.0)
+            check(cluster)
+
+    curio.run(main)
