Failing test: on the product's own batch path, too, a task may end its workers for ever

The cause of the incident, looked for elsewhere: an attempt that its worker has no trace of any more is queued again as one that never began, at no cost.

--- a/tests/unit/test_batch_endings.py
+++ b/tests/unit/test_batch_endings.py
@@ -2,9 +2,10 @@
 
 import orjson
 
-from pistachiodeal.batch.decisions import decide_refusal
+from pistachiodeal.batch.decisions import decide_end, decide_refusal
 from pistachiodeal.batch.events import (
     Event,
+    Failed,
     Placed,
     RequeueCause,
     Requeued,
@@ -15,7 +16,8 @@
 from pistachiodeal.batch.partition import MAX_CHECKPOINT_MISSES, PartitionState
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.model.tasks import TaskSpec, TaskState
-from pistachiodeal.wire.task_messages import StartRefused
+from pistachiodeal.scheduling.suspicion import CRASHES_TO_GIVE_UP
+from pistachiodeal.wire.task_messages import UNKNOWN_RUN, StartRefused, TaskEnded
 
 SIZE = Resources(1_000, 1_024)
 SPEC = TaskSpec("0001-k", "press", "hall", "batch", SIZE)
@@ -72,3 +74,41 @@
     record = state.find(SPEC.task_id)
     assert record is not None
     assert (record.checkpoint, record.checkpoint_misses) == ("saved", 0)
+
+
+def lose_next(state: PartitionState, run_ms: int) -> Event:
+    """Place the task once more and let its worker end under it."""
+    record = state.find(SPEC.task_id)
+    assert record is not None
+    state.apply(Placed(SPEC.task_id, record.attempt, "w1", SIZE, 30_000))
+    ended = TaskEnded(
+        SPEC.task_id, record.attempt, UNKNOWN_RUN, "", "", Resources(), run_ms
+    )
+    event = decide_end(record, ended, max_attempts=3)
+    assert event is not None
+    state.apply(event)
+    return event
+
+
+def test_a_task_that_ends_its_workers_is_given_up():
+    """A task was started for ever, and each start took a worker and all that ran there
+    down. Its agent had seen the run at work and then no trace of it, which was taken
+    for an attempt that never began. The count is in the journal and in snapshots.
+    """
+    state = create_state()
+    for _ in range(CRASHES_TO_GIVE_UP - 1):
+        assert isinstance(lose_next(state, 8), Requeued)
+        successor = PartitionState(lambda profile: 0)
+        successor.load(state.dump())
+        state = successor
+    assert isinstance(lose_next(state, 8), Failed)
+    record = state.find(SPEC.task_id)
+    assert record is not None
+    assert record.state is TaskState.FAILED
+
+
+def test_a_worker_that_ends_after_long_work_is_not_the_tasks_doing():
+    state = create_state()
+    for _ in range(2 * CRASHES_TO_GIVE_UP):
+        assert isinstance(lose_next(state, 60_000), Requeued)
+        assert isinstance(lose_next(state, 0), Requeued)
