On the product's own batch path, a task that ends its workers is given up as well

What callers would see: a task that never ends and takes a worker down with each attempt. Cause: an attempt that its agent had seen at work and of which the worker has no trace any more counted as one that never began. No task is isolated there before that. A start whose answer is lost each time is still asked again for as long as its lease lasts: open.

--- a/pistachiodeal/batch/decisions.py
+++ b/pistachiodeal/batch/decisions.py
@@ -10,10 +10,12 @@
     Requeued,
 )
 from pistachiodeal.model.tasks import TaskRecord, TaskState
+from pistachiodeal.scheduling.suspicion import CRASHES_TO_GIVE_UP, SOUND_S
 from pistachiodeal.store.protocols import RunState
 from pistachiodeal.wire.task_messages import UNKNOWN_RUN, StartRefused, TaskEnded
 
 CHECKPOINT_MISSING = "checkpoint_missing"
+MILLI = 1000
 
 _CAUSES = {
     RunState.STOPPED: RequeueCause.STOPPED,
@@ -41,6 +43,8 @@
         return Finished(ended.task_id, ended.attempt, ended.result)
     if ended.state == RunState.FAILED:
         return _decide_failure(record, ended, max_attempts)
+    if ended.state == UNKNOWN_RUN and 0 < ended.run_ms < SOUND_S * MILLI:
+        return _decide_crash(record, ended)
     cause = _CAUSES.get(ended.state)
     if cause is None:
         return None
@@ -55,6 +59,21 @@
     return Requeued(refused.task_id, refused.attempt, cause, reason=reason)
 
 
+def _decide_crash(record: TaskRecord, ended: TaskEnded) -> Event:
+    # Its agent had seen it at work, and the worker has no trace of it. Taken for an
+    # attempt that never began, a task that ends each worker would be started for ever.
+    reason = "its worker ended under it"
+    if record.crashes + 1 >= CRASHES_TO_GIVE_UP and not record.cancel_asked:
+        return Failed(ended.task_id, ended.attempt, reason)
+    return Requeued(
+        ended.task_id,
+        ended.attempt,
+        RequeueCause.VANISHED,
+        ended.checkpoint,
+        reason,
+    )
+
+
 def _decide_failure(record: TaskRecord, ended: TaskEnded, max_attempts: int) -> Event:
     reason = ended.result or "failed without a reason"
     if record.failures + 1 >= max_attempts and not record.cancel_asked:
--- a/pistachiodeal/batch/events.py
+++ b/pistachiodeal/batch/events.py
@@ -20,6 +20,7 @@
     EXPIRED = "expired"  # its lease ran out
     REFUSED = "refused"  # it was never started
     CHECKPOINT_MISSING = "checkpoint_missing"  # nor could it be, from that one
+    VANISHED = "vanished"  # its worker ended under it soon after its start
     LOST = "lost"  # its worker was not heard of until the lease was over
 
 
--- a/pistachiodeal/batch/partition.py
+++ b/pistachiodeal/batch/partition.py
@@ -148,6 +148,8 @@
         if event.cause is RequeueCause.FAILED:
             record.failures += 1
             record.failed_workers.append(record.worker)
+        if event.cause is RequeueCause.VANISHED:
+            record.crashes += 1
         if event.cause in _EVICTIONS:
             record.evictions += 1
         if event.cause is RequeueCause.CHECKPOINT_MISSING:
--- a/pistachiodeal/model/tasks.py
+++ b/pistachiodeal/model/tasks.py
@@ -52,6 +52,7 @@
     :param attempt: number of the current or next run, from 1.
     :param worker: worker of the current attempt, empty while queued.
     :param checkpoint: object key to resume from, empty for a fresh start.
+    :param crashes: workers that ended under it soon after its start.
     :param checkpoint_misses: starts refused because that object was not there.
     :param cancel_asked: a cancel is journaled and waits for the worker's answer.
     """
@@ -65,6 +66,7 @@
     reason: str = ""
     failures: int = 0
     evictions: int = 0
+    crashes: int = 0
     checkpoint_misses: int = 0
     cancel_asked: bool = False
     failed_workers: list[str] = field(default_factory=list)
