Tests of what an agent tells of a worker that has ended

Ages, refused and unsent orders, planned leaves, a silent worker that is back, and for how long a loss is told. Ages and times are rounded and no longer cut off: 7 ms for 8.

--- a/pistachiodeal/jobagent/losses.py
+++ b/pistachiodeal/jobagent/losses.py
@@ -54,7 +54,7 @@
         """Return what the leader has to hear of."""
         return tuple(
             WorkerLoss(
-                loss.worker, loss.cause.value, int((now - loss.at) * 1000), loss.runs
+                loss.worker, loss.cause.value, round((now - loss.at) * 1000), loss.runs
             )
             for loss in self._losses
             if now - loss.at < KEPT_S
@@ -100,4 +100,4 @@
     def _measure_age_ms(self, key: RunKey, end: float) -> int:
         if key not in self._started:
             return UNKNOWN_AGE_MS
-        return max(0, int((end - self._started[key]) * 1000))
+        return max(0, round((end - self._started[key]) * 1000))
--- /dev/null
+++ b/tests/unit/test_jobagent_losses.py
@@ -0,0 +1,115 @@
+"""What an agent tells of a worker that has ended."""
+
+from __future__ import annotations
+
+from pistachiodeal.jobagent import ledger as ledger_module
+from pistachiodeal.jobagent.ledger import AgentLedger, Order
+from pistachiodeal.jobagent.losses import KEPT_S, MOST_KEPT
+from pistachiodeal.jobs.model import LossCause, OrderState
+from pistachiodeal.jobs.runtime import CallResult, Listing
+from pistachiodeal.wire.job_messages import RunningTask
+from tests.unit.test_jobagent_ledger import build_beat, create_ledger
+
+TASK = "0123456789abcdef.0.0.0"
+OTHER = "0123456789abcdef.0.0.1"
+
+
+def set_clock(monkeypatch, seconds: float) -> None:
+    monkeypatch.setattr(ledger_module, "read_boot_clock", lambda: seconds)
+
+
+def begin(ledger: AgentLedger, task: str, at: float) -> None:
+    """Note that the start of a task's first run was sent."""
+    ledger.orders[task, 1] = Order(task, 1, sent=True)
+    ledger.losses.note_start((task, 1), at)
+
+
+def list_runs(ledger: AgentLedger, clock_ms: int, at: float, *tasks: str) -> None:
+    """Take a listing of runs at work."""
+    running = tuple(RunningTask(task, 1, "", 1, 0) for task in tasks)
+    ledger.take_listing(Listing(CallResult.DONE, clock_ms, running), at, at)
+
+
+def test_a_crash_is_told_with_the_age_of_each_run(monkeypatch):
+    """Nobody could tell who had ended a worker: the leader heard that it was gone, and
+    not that one run was 8 ms old and the other 5 s. The age counts to the first call
+    that was not answered, and not to the moment at which the agent is sure.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    begin(ledger, OTHER, 5.0)
+    list_runs(ledger, 100, 6.0, OTHER)
+    begin(ledger, TASK, 10.0)
+    ledger.losses.note_silence(10.008)
+    ledger.losses.note_silence(10.3)
+    set_clock(monkeypatch, 10.4)
+    ledger.drop_worker("nothing listens at its address")
+    (loss,) = ledger.build_report(1).losses
+    assert (loss.worker, loss.cause) == ("w", "crashed")
+    assert [(run.task, run.age_ms) for run in loss.runs] == [(TASK, 8), (OTHER, 5_008)]
+    assert loss.ago_ms == 392
+
+
+def test_a_run_that_an_earlier_agent_started_has_no_age(monkeypatch):
+    """After an agent's restart a run of minutes would look as if it had just begun."""
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    list_runs(ledger, 100, 6.0, TASK)
+    set_clock(monkeypatch, 6.1)
+    ledger.drop_worker("nothing listens at its address")
+    assert [run.age_ms for run in ledger.build_report(1).losses[0].runs] == [-1]
+
+
+def test_orders_that_were_refused_or_not_sent_are_no_lost_runs():
+    """Ten starts were refused by a runner that was gone; none of them had ended it."""
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    ledger.orders[TASK, 1] = Order(TASK, 1, OrderState.REFUSED, "absent", sent=True)
+    ledger.orders[OTHER, 1] = Order(OTHER, 1)
+    ledger.drop_worker("nothing listens at its address")
+    assert ledger.build_report(1).losses[0].runs == ()
+
+
+def test_a_worker_that_had_said_it_would_leave_has_not_crashed():
+    """A planned end without the goodbye was counted against what ran there."""
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    ledger.update(build_beat("w", draining=True, sequence=2))
+    ledger.drop_worker("nothing listens at its address")
+    assert ledger.build_report(1).losses[0].cause == "left"
+
+
+def test_a_silent_worker_that_answers_again_is_not_told_as_lost():
+    """A worker was given up as its leases had run out behind a cut, and came back. Told
+    as lost for some time longer, it would lose its new runs with each report.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    ledger.drop_worker("it is silent", LossCause.SILENT)
+    assert [loss.cause for loss in ledger.build_report(1).losses] == ["silent"]
+    ledger.adopt(build_beat("w"))
+    assert ledger.build_report(2).losses == ()
+
+
+def test_a_loss_is_told_until_a_successor_has_had_time_to_hear_it(monkeypatch):
+    """A leader ended between hearing of a crash and writing it. Told only once, the
+    crash would have counted for nothing.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    set_clock(monkeypatch, 10.0)
+    ledger.drop_worker("nothing listens at its address")
+    ledger.adopt(build_beat("next"))
+    for beat, at in ((1, 10.0), (2, 11.0), (3, 9.9 + KEPT_S)):
+        set_clock(monkeypatch, at)
+        assert [loss.worker for loss in ledger.build_report(beat).losses] == ["w"]
+    set_clock(monkeypatch, 10.1 + KEPT_S)
+    assert ledger.build_report(4).losses == ()
+
+
+def test_a_worker_that_ends_again_and_again_fills_no_report():
+    ledger = create_ledger()
+    for life in range(3 * MOST_KEPT):
+        ledger.adopt(build_beat(f"w{life}"))
+        ledger.drop_worker("nothing listens at its address")
+    assert len(ledger.build_report(1).losses) == MOST_KEPT
