--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -283,8 +283,14 @@
     place(stage)
     stage.crash_under(task)
     place(stage, 0.1)
-    for host in hosts:
-        stage.report(stage.find_node(host))
+    nodes = {stage.find_node(host) for host in hosts}
+    for number in range(20, 30):
+        filler = stage.find(stage.add(number, Step(1, SIZE, 60.0)))
+        other = next(one for one in range(6) if one not in nodes)
+        stage.book.place(filler, 1, stage.fleet.get(f"n{other}").place, lambda: None)
+        nodes |= {other} if number % 2 else set()
+    for number in range(6):
+        stage.report(number)
     place(stage)
     assert task.place
     assert task.place not in [host.place for host in hosts]
@@ -308,6 +314,43 @@
     assert not is_suspect(suspect)
 
 
+def test_a_suspect_waits_until_what_was_ordered_before_is_seen(monkeypatch):
+    """A task that was ordered a moment before a suspect for the same worker began with
+    it, and shared the blame.
+    """
+    stage = Stage(monkeypatch, ["r1"])
+    stage.find(stage.add(1, Step(1, SIZE, 2.0)))
+    place(stage)
+    suspect = stage.find(stage.add(2, Step(1, SIZE, 2.0)))
+    suspect.crashes = suspect.blames = 1
+    place(stage, 0.01)
+    assert suspect.waits
+    stage.report(0)
+    place(stage, 0.01)
+    assert suspect.place
+
+
+def test_a_worker_that_ends_whatever_begins_there_costs_no_job(stage):
+    """A worker went down and up by turns. Empty whenever it was back, it was the first
+    choice for the suspect that it had made, whose job was given up for it.
+    """
+    job = stage.add(1, Step(1, SIZE, 2.0))
+    task = stage.find(job)
+    place(stage)
+    first = stage.find_node(task)
+    stage.crash_under(task)
+    others = [stage.add(number, Step(1, SIZE, 9.0)) for number in range(2, 12)]
+    place(stage, 0.1)
+    for number in range(6):
+        stage.report(number)
+    for other in others:
+        if stage.find_node(stage.find(other)) == first:
+            stage.book.requeue(stage.find(other))
+    place(stage)
+    assert task.place
+    assert stage.find_node(task) != first
+
+
 def test_suspects_are_on_a_few_workers_only(stage):
     """Twenty suspects at once on all workers would take the whole fleet down."""
     job = stage.add(1, Step(20, SIZE, 2.0))
