A suspect avoids the workers that ended under it

What callers would see: a sound job shown as failed, since one bad worker ended both of its starts. Cause: the worker that is just back is the emptiest, and suspects go to the emptiest. Change: the node of each crash that counts is avoided, as for failed runs, until no other can take the task.

--- a/pistachiodeal/leader/crashes.py
+++ b/pistachiodeal/leader/crashes.py
@@ -83,6 +83,9 @@
             crash.counted.append(task)
             task.crashes += 1
             task.blames += verdict.blames.get(one.task, 0)
+            # It may be the worker that ends whatever begins there; emptied by its end
+            # it would be the first choice again.
+            task.avoid |= {worker.node}
             task.held_until = max(task.held_until, at + VERDICT_S)
             self._log_count(task, one.age_s)
         self._recent.append(crash)
