--- a/pistachiodeal/leader/book.py
+++ b/pistachiodeal/leader/book.py
@@ -15,14 +15,11 @@
 from pistachiodeal.jobs.model import EndKind, Job, JobState
 from pistachiodeal.jobs.names import parse_task_name
 from pistachiodeal.jobs.record import JobRecord, StepRecord, Task, build_record
-from pistachiodeal.scheduling.durations import DurationModel
+from pistachiodeal.leader.expectations import Expectations
 from pistachiodeal.scheduling.ordering import compute_objective_s
 
 Effect = Callable[[], None]
 
-# A queue's usual job is that of about its last ten.
-USUAL_WEIGHT = 0.1
-
 
 class JobBook:
     """The leader's memory of jobs."""
@@ -33,8 +30,7 @@
         self._open: dict[str, JobRecord] = {}
         self._unsaved: dict[str, list[Effect]] = {}
         self._writing: set[str] = set()
-        self._usual_work: dict[str, float] = {}
-        self._durations = DurationModel()
+        self._expectations = Expectations()
         self._runs: dict[str, dict[str, Task]] = {}
         self._stamps: dict[str, int] = {}
 
@@ -49,9 +45,9 @@
         return self._open
 
     @property
-    def durations(self) -> DurationModel:
-        """Return what is known of how long tasks take."""
-        return self._durations
+    def expectations(self) -> Expectations:
+        """Return what is expected of jobs."""
+        return self._expectations
 
     @property
     def has_unsaved(self) -> bool:
@@ -109,44 +105,15 @@
         self.restore(record)
         self.open_due(record, time_of_day_s)
         if record.occurrences:
-            self.expect(record, next(iter(record.occurrences.values())))
-            self._note_work(record)
+            self._expectations.expect(record, next(iter(record.occurrences.values())))
+            self._expectations.note_work(record)
         self._events.emit("job.known", job=job.job_id, queue=job.queue.name)
 
-    def expect(self, record: JobRecord, steps: list[StepRecord]) -> None:
-        """Work out how long the steps of an occurrence will take."""
-        queue = record.job.queue.name
-        for one in steps:
-            if one.timed:
-                one.expected_s = one.took_s / one.timed
-            else:
-                declared_s = one.step.estimate_s
-                one.expected_s = self._durations.expect_s(queue, declared_s)
-        record.take_expectations(steps)
-
     def get_expected_s(self, task: Task) -> float:
         """Return the time that a task is expected to take at full speed."""
         record = self._records[task.name.job_id]
         return record.find_step(task.name).expected_s
 
-    def note_took(self, task: Task, took_s: float) -> None:
-        """Learn from a task that was done how long its like take."""
-        record = self._records[task.name.job_id]
-        step = record.find_step(task.name)
-        step.note_took(took_s)
-        self._durations.observe(
-            record.job.queue.name, task.step.estimate_s, took_s, 1 / len(step.tasks)
-        )
-
-    def get_usual_work(self, queue: str) -> float:
-        """Return the core-seconds of a usual job of a queue."""
-        return self._usual_work.get(queue, 0.0)
-
-    def _note_work(self, record: JobRecord) -> None:
-        queue = record.job.queue.name
-        usual = self._usual_work.get(queue, record.work)
-        self._usual_work[queue] = usual + USUAL_WEIGHT * (record.work - usual)
-
     def open_due(self, record: JobRecord, time_of_day_s: float) -> None:
         """Open a job's occurrences that are due."""
         if not record.open_due(time_of_day_s):
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -81,7 +81,11 @@
         interference = InterferenceModel()
         self._reconciler = Reconciler(self._book, self._fleet, interference, events)
         self._lessons = LessonKeeper(
-            store, self._commits, interference, self._book.durations, events
+            store,
+            self._commits,
+            interference,
+            self._book.expectations.durations,
+            events,
         )
         self._advice = None
         if adviser is not None:
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -128,7 +128,7 @@
         if job.repeats:
             due_s = job.first_run_s + step.occurrence * job.interval_s
         steps = record.occurrences[step.occurrence]
-        self._book.expect(record, steps)
+        self._book.expectations.expect(record, steps)
         return rank_step(
             Waiting(
                 queue.priority,
@@ -138,7 +138,7 @@
                 compute_objective_s(record.chain_s, queue.stretch, queue.aim_s),
                 sum(one.left_work for one in steps),
                 record.work,
-                self._book.get_usual_work(queue.name),
+                self._book.expectations.get_usual_work(queue.name),
             )
         )
 
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -280,7 +280,8 @@
             worker.health.note_success()
             if task.watched and not task.step.lasts:
                 self._note_work(task, task.worked if task.seen_at else 1.0, now)
-                self._book.note_took(task, task.work_s)
+                record = self._book.records[task.name.job_id]
+                self._book.expectations.note_took(record, task, task.work_s)
         elif kind is EndKind.FAILED and not task.step.lasts:
             # A task that fails everywhere says nothing of the worker.
             if not task.failures:
