A suspect of an advised queue asks for its ticket; why a suspect waits is logged

What callers would see: a job of an advised queue that never goes on. Cause: only tasks without suspicion asked for advice; a step with none of them left kept a ticket that had run out. The new test failed before.

--- a/pistachiodeal/jobs/explain.py
+++ b/pistachiodeal/jobs/explain.py
@@ -73,4 +73,6 @@
         return "after step " + ", ".join(str(number) for number in earlier)
     if placed:
         return "at " + ", ".join(sorted({task.place for task in placed}))
+    if any(task.crashes for task in step.tasks):
+        return "waits for a worker; workers have ended under its tasks"
     return "waits for a worker"
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -74,7 +74,7 @@
         self._views = FleetViews(book, fleet)
         self._attempts = Attempts()
         self._preemptor = Preemptor(book, fleet, reconciler, find_queue)
-        self._probation = Probation(book, reconciler, interference)
+        self._probation = Probation(book, reconciler, interference, events)
         self._moved_at = 0.0
         self._book = book
         self._fleet = fleet
@@ -162,7 +162,11 @@
             bold=self._is_starved(record, step),
         )
         allowed = self._list_allowed(request, queue, views)
-        waiting = self._place_suspects(request, allowed, waiting)
+        suspects = [task for task in waiting if is_suspect(task)]
+        if suspects and not allowed:
+            self._want_advice(request, queue, views)
+        self._place_suspects(request, allowed, suspects)
+        waiting = [task for task in waiting if not is_suspect(task)]
         whole = queue.advised or self._attempts.is_due(request, now)
         if not whole:
             allowed = self._attempts.list_changed(request, allowed)
@@ -186,15 +190,13 @@
                 candidates = Candidates(request, allowed, self._interference)
 
     def _place_suspects(
-        self, request: Request, views: list[WorkerView], waiting: list[Task]
-    ) -> list[Task]:
-        """Place the tasks that may end their worker; return the others."""
-        for task in filter(is_suspect, waiting):
+        self, request: Request, views: list[WorkerView], suspects: list[Task]
+    ) -> None:
+        for task in suspects:
             view = self._probation.find_worker(task, request, views)
             if view is None:
-                break
+                return
             self._place(task, task.run + 1, request, view)
-        return [task for task in waiting if not is_suspect(task)]
 
     def _place_gang(
         self,
--- a/pistachiodeal/leader/probation.py
+++ b/pistachiodeal/leader/probation.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+from pistachiodeal.events import EventLog
 from pistachiodeal.jobs.record import JobRecord, Task
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.crashes import CrashTracker
@@ -16,10 +17,12 @@
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.scheduling.placement import Request, choose_worker
 from pistachiodeal.scheduling.suspicion import is_hopeless, limit_exposed
-from pistachiodeal.scheduling.views import WorkerView
+from pistachiodeal.scheduling.views import StepKey, WorkerView
 
 # To weigh all workers for each of many suspects would take a whole round.
 SUSPECTS_A_ROUND = 8
+# Why a suspect waits is logged this often for each step.
+TOLD_S = 2.0
 
 
 class Probation:
@@ -30,11 +33,15 @@
         book: JobBook,
         reconciler: Reconciler,
         interference: InterferenceModel,
+        events: EventLog,
     ) -> None:
         self._book = book
         self._reconciler = reconciler
         self._interference = interference
+        self._events = events
         self._left = 0
+        self._now = 0.0
+        self._told_at: dict[StepKey, float] = {}
 
     @property
     def _crashes(self) -> CrashTracker:
@@ -43,6 +50,10 @@
     def begin_round(self, now: float) -> None:
         """Settle the crashes whose time has come."""
         self._crashes.settle(now)
+        self._now = now
+        self._told_at = {
+            key: at for key, at in self._told_at.items() if now - at < TOLD_S
+        }
         self._left = SUSPECTS_A_ROUND
 
     def give_up_hopeless(self, record: JobRecord, tasks: Iterable[Task]) -> bool:
@@ -59,12 +70,29 @@
     ) -> WorkerView | None:
         """Reserve a worker for a suspect, None while it has to wait."""
         exposed = sum(view.probation for view in views) + self._crashes.count_away()
-        if self._left <= 0 or exposed >= limit_exposed(len(views)):
+        limit = limit_exposed(len(views))
+        view = None
+        if self._left > 0 and exposed < limit:
+            self._left -= 1
+            alone = replace(request, alone=True, avoid=task.avoid)
+            view = choose_worker(alone, views, self._interference)
+        if view is None:
+            self._explain_wait(task, request.key, exposed, limit)
             return None
-        self._left -= 1
-        alone = replace(request, alone=True, avoid=task.avoid)
-        view = choose_worker(alone, views, self._interference)
-        if view is not None:
-            view.take(request.key, request.step)
-            view.probation = True
+        view.take(request.key, request.step)
+        view.probation = True
         return view
+
+    def _explain_wait(self, task: Task, key: StepKey, exposed: int, limit: int) -> None:
+        """Log why a suspect waits, once in a while for each step."""
+        if key in self._told_at:
+            return
+        self._told_at[key] = self._now
+        self._events.emit(
+            "task.waits_alone",
+            task=str(task.name),
+            exposed=exposed,
+            limit=limit,
+            crashes=task.crashes,
+            blames=task.blames,
+        )
--- a/tests/unit/test_leader_advice.py
+++ b/tests/unit/test_leader_advice.py
@@ -123,6 +123,18 @@
     assert set(adviser.calls[1][1]) == {"w1", "w3"}
 
 
+def test_a_suspect_of_an_advised_queue_gets_its_ticket():
+    """A step of which only a task is left that may end its worker waited for ever: its
+    ticket had run out, and only the tasks without suspicion asked for another.
+    """
+    adviser = FakeAdviser({"w1"})
+    stage = Stage(adviser, 4)
+    for task in stage.book.records[KEY[0]].iterate_tasks():
+        task.crashes = task.blames = 1
+    curio.run(stage.run, 0.1)
+    assert stage.list_tickets() == {("n1/w1", "t-w1")}
+
+
 def test_a_busy_service_is_asked_again():
     """Symptom: a step never starts. Sequence: too many calls wait at the service, which
     answers 429. Cause: the question was forgotten.
--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -242,6 +242,29 @@
     assert task.crashes == 1
 
 
+def test_a_worker_that_is_there_is_not_lost(stage):
+    """A report told of a worker's silence, and that it is back: its runs go on."""
+    task = stage.find(stage.add(1, Step(1, SIZE, 2.0)))
+    place(stage)
+    number = stage.find_node(task)
+    loss = WorkerLoss(f"w{number}-1", "silent", 0, (LostRun(str(task.name), 1, 8),))
+    stage.report(number, (loss,))
+    assert task.place
+
+
+def test_a_loss_of_an_earlier_run_counts_for_nothing(stage):
+    """A run was stopped, and the next one of the task is on the same worker."""
+    task = stage.find(stage.add(1, Step(1, SIZE, 2.0)))
+    place(stage)
+    number = stage.find_node(task)
+    stage.book.place(task, 2, task.place, lambda: None)
+    loss = WorkerLoss(f"w{number}-1", "crashed", 0, (LostRun(str(task.name), 1, 8),))
+    stage.lives[number] += 1
+    stage.report(number, (loss,))
+    assert task.waits
+    assert task.crashes == 0
+
+
 def test_an_order_that_never_left_counts_for_nothing(stage):
     """A run that the agent never began can't have ended the worker."""
     task = stage.find(stage.add(1, Step(1, SIZE, 2.0)))
--- a/tests/unit/test_shrinking_workers.py
+++ b/tests/unit/test_shrinking_workers.py
@@ -79,9 +79,16 @@
     young = leader.find(leader.add(3, Step(1, Resources(1_000, 15_000, 0), 9.0)))
     leader.book.place(young, 1, worker.place, lambda: None)
     leader.report(number)
+    leader.wait(0.5)
+    # It has begun last of all and would be the cheapest, and it lasts.
+    guest = leader.find(
+        leader.add(5, Step(1, Resources(0, 3_000, 0), 60.0, lasts=True))
+    )
+    leader.book.place(guest, 1, worker.place, lambda: None)
+    leader.report(number)
     leader.report(number, room=Resources(2_000, 64_000, 0))
     place(leader, 3.0)
-    assert not any(task.stopping for task in (keeper, old, young))
+    assert not any(task.stopping for task in (keeper, old, young, guest))
     leader.report(number, room=Resources(16_000, 50_000, 0))
     place(leader, 0.2)
     assert not young.stopping, "it may be back at once"
@@ -89,6 +96,7 @@
     assert young.stopping
     assert not old.stopping
     assert not keeper.stopping
+    assert not guest.stopping
     leader.report(number, room=Resources(16_000, 50_000, 0))
     late = leader.find(leader.add(4, Step(1, Resources(1_000, 5_000, 0), 9.0)))
     place(leader)
