--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -204,6 +204,37 @@
     assert [(task.crashes, task.blames) for task in hit] == [(0, 0)] * len(hit)
 
 
+def test_nobody_is_given_up_before_the_rack_was_heard(stage):
+    """A suspect was given up for the power of a rack: the first worker of the rack was
+    heard of 50 ms before the second.
+    """
+    job = stage.add(1, Step(1, SIZE, 2.0))
+    task = stage.find(job)
+    place(stage)
+    stage.crash_under(task)
+    place(stage)
+    first = stage.find_node(task)
+    mate = first + 1 - 2 * (first % 2)
+    stage.crash_under(task)
+    place(stage, 0.05)
+    stage.lose(mate, {})
+    place(stage)
+    assert stage.book.records[job.job_id].state is JobState.ACTIVE
+    assert (task.crashes, task.blames) == (1, BLAME_AT_ONCE)
+
+
+def test_a_job_that_was_given_up_starts_nothing_more(stage):
+    """The round of decisions that gave a job up went on to place its other steps."""
+    steps = (Step(1, SIZE, 2.0), Step(4, SIZE, 2.0))
+    job = Job(f"{1:016x}", QUEUE, "text", steps, time.time())
+    stage.book.add(job, time.time())
+    stage.find(job).crashes = CRASHES_TO_GIVE_UP
+    place(stage)
+    record = stage.book.records[job.job_id]
+    assert record.state is JobState.FAILED
+    assert not any(task.place for task in record.iterate_tasks())
+
+
 def test_one_worker_of_a_rack_is_no_rack(stage):
     """The others of the rack go on: nothing is taken back."""
     task = stage.find(stage.add(1, Step(1, SIZE, 2.0)))
--- a/tests/unit/test_shrinking_workers.py
+++ b/tests/unit/test_shrinking_workers.py
@@ -98,10 +98,13 @@
     assert not keeper.stopping
     assert not guest.stopping
     leader.report(number, room=Resources(16_000, 50_000, 0))
-    late = leader.find(leader.add(4, Step(1, Resources(1_000, 5_000, 0), 9.0)))
+    leader.report(1 - number, room=Resources())
+    late = leader.find(leader.add(4, Step(1, Resources(1_000, 1_000, 0), 9.0)))
     place(leader)
-    assert late.place
-    assert leader.find_node(late) != number, "what is being stopped still counts"
+    assert late.waits, "what is being stopped still counts"
+    leader.book.requeue(young)
+    place(leader)
+    assert leader.find_node(late) == number
 
 
 def test_no_start_brings_a_runner_over_a_room_that_shrinks_and_grows():
