An idle worker's crash shows, too, that its rack fails

What callers would see: a job shown as failed for the power of a rack. Cause: the crash of a worker on which nothing was at work was left aside, so the rack seemed to live. Each crash is heard once now, whatever ran there.

--- a/pistachiodeal/leader/crashes.py
+++ b/pistachiodeal/leader/crashes.py
@@ -27,6 +27,8 @@
 VERDICT_S = 0.6
 # A worker that crashed under a suspect is expected back within this time.
 AWAY_S = 10.0
+# Longer than any agent tells of a crash.
+HEARD_S = 60.0
 
 
 @dataclass(slots=True)
@@ -59,10 +61,19 @@
         self._fleet = fleet
         self._events = events
         self._recent: list[_Crash] = []
+        # Agents tell of a crash in each report for a while.
+        self._heard: dict[str, float] = {}
 
     def note_crash(self, worker: WorkerState, loss: WorkerLoss, now: float) -> None:
-        """Count a crash against the tasks that were at work, before they are freed."""
-        runs = self._book.get_runs(build_place(worker.node, loss.worker))
+        """Count a crash against the tasks that were at work, before they are freed.
+
+        One of an idle worker counts against nobody, and still shows that a rack fails.
+        """
+        place = build_place(worker.node, loss.worker)
+        if place in self._heard:
+            return
+        self._heard[place] = now
+        runs = self._book.get_runs(place)
         at_work = [
             Casualty(
                 one.task,
@@ -110,6 +121,9 @@
             if crash.counted and self._did_rack_fail(crash):
                 self._take_back(crash)
         self._recent = [one for one in self._recent if now - one.at < AWAY_S]
+        self._heard = {
+            place: at for place, at in self._heard.items() if now - at < HEARD_S
+        }
 
     def count_away(self) -> int:
         """Return how many workers crashed under a suspect and are not back."""
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -157,13 +157,11 @@
             return
         if worker.worker == loss.worker:
             worker.renew("")
-        place = build_place(worker.node, loss.worker)
-        if not self._book.get_runs(place):
-            return
         # A worker that had said it would leave, or that was only cut off, tells nothing
         # about its tasks.
         if loss.cause == LossCause.CRASHED:
             self._crashes.note_crash(worker, loss, now)
+        place = build_place(worker.node, loss.worker)
         self.lose(place, f"its agent saw it end: {loss.cause}")
 
     def _forget_others(self, worker: WorkerState) -> None:
--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -206,7 +206,7 @@
 
 def test_nobody_is_given_up_before_the_rack_was_heard(stage):
     """A suspect was given up for the power of a rack: the first worker of the rack was
-    heard of 50 ms before the second.
+    heard of 50 ms before the second, on which nothing was at work.
     """
     job = stage.add(1, Step(1, SIZE, 2.0))
     task = stage.find(job)
