--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -337,12 +337,10 @@
     place(stage)
     stage.crash_under(task)
     place(stage, 0.1)
-    nodes = {stage.find_node(host) for host in hosts}
-    for number in range(20, 30):
-        filler = stage.find(stage.add(number, Step(1, SIZE, 60.0)))
-        other = next(one for one in range(6) if one not in nodes)
-        stage.book.place(filler, 1, stage.fleet.get(f"n{other}").place, lambda: None)
-        nodes |= {other} if number % 2 else set()
+    serving_nodes = {stage.find_node(host) for host in hosts}
+    for number in set(range(6)) - serving_nodes:
+        filler = stage.find(stage.add(20 + number, Step(1, Resources(8_000), 60.0)))
+        stage.book.place(filler, 1, stage.fleet.get(f"n{number}").place, lambda: None)
     for number in range(6):
         stage.report(number)
     place(stage)
