A suspect waits 2 s at most for a worker on which nothing has just begun

Found by reading: a started run is listed to the leader within 0.4 s, so on a fleet that starts tasks all the time each worker has one that is not seen yet, and a suspect would wait for ever. Beside what has just begun it has all the blame, so neighbours stay clear. The new test fails without it.

--- a/pistachiodeal/leader/probation.py
+++ b/pistachiodeal/leader/probation.py
@@ -21,6 +21,9 @@
 
 # To weigh all workers for each of many suspects would take a whole round.
 SUSPECTS_A_ROUND = 8
+# On a fleet that starts tasks all the time no worker may be quiet. A suspect goes
+# beside what has just begun after this long: it has all the blame then.
+PATIENCE_S = 2.0
 # Why a suspect waits is logged this often for each step.
 TOLD_S = 2.0
 
@@ -74,7 +77,8 @@
         view = None
         if self._left > 0 and exposed < limit:
             self._left -= 1
-            alone = replace(request, alone=True, avoid=task.avoid)
+            quiet = self._now - task.ready_at < PATIENCE_S
+            alone = replace(request, alone=True, quiet=quiet, avoid=task.avoid)
             view = choose_worker(alone, views, self._interference)
         if view is None:
             self._explain_wait(task, request.key, exposed, limit)
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -64,8 +64,8 @@
     :param avoid: nodes on which the task failed before, taken only as a last resort.
     :param racks: racks on which tasks of the step are already.
     :param bold: whether it may disturb its neighbours; their agent paces it then.
-    :param alone: whether it may end its worker, so that nothing else may just have
-        begun there.
+    :param alone: whether it may end its worker.
+    :param quiet: whether it goes only where all that was ordered is seen at work.
     """
 
     step: Step
@@ -75,6 +75,7 @@
     racks: frozenset[str] = frozenset()
     bold: bool = False
     alone: bool = False
+    quiet: bool = False
 
 
 def is_urgent(priority: int, step: Step, waited_s: float) -> bool:
@@ -111,7 +112,7 @@
         return Obstacle.LABEL
     if view.closed:
         return Obstacle.SUSPECT
-    if view.probation or (request.alone and view.unlisted):
+    if view.probation or (request.quiet and view.unlisted):
         return Obstacle.PROBATION
     if step.spread and view.steps.get(key, 0) >= step.spread:
         return Obstacle.SPREAD
--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -13,6 +13,7 @@
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.crashes import VERDICT_S
 from pistachiodeal.leader.planner import Planner
+from pistachiodeal.leader.probation import PATIENCE_S
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.workers import Attachment, Fleet
 from pistachiodeal.model.resources import Resources
@@ -384,6 +385,23 @@
     assert suspect.place
 
 
+def test_a_suspect_does_not_wait_for_ever_for_a_quiet_worker(monkeypatch):
+    """A fleet that starts a task every few milliseconds has a start on its way to each
+    worker all the time.
+    """
+    stage = Stage(monkeypatch, ["r1"])
+    suspect = stage.find(stage.add(1, Step(1, SIZE, 2.0)))
+    suspect.crashes = suspect.blames = 1
+    for number in range(2, 9):
+        other = stage.find(stage.add(number, Step(1, SIZE, 2.0)))
+        stage.report(0)
+        stage.book.place(other, 1, stage.fleet.get("n0").place, lambda: None)
+        place(stage, 0.2)
+    assert suspect.waits
+    place(stage, PATIENCE_S)
+    assert suspect.place
+
+
 def test_a_worker_that_ends_whatever_begins_there_costs_no_job(stage):
     """A worker went down and up by turns. Empty whenever it was back, it was the first
     choice for the suspect that it had made, whose job was given up for it.
