An agent that stood still refuses the orders that it finds, until its runner has answered

What callers would see: a runner that starts what it is told brought over its room. Cause: after a freeze the first things read are orders of before it; the heartbeat that tells of a smaller room, or of a drain, still lies unread. The new test failed before, for want of the figure it sets.

--- a/pistachiodeal/jobagent/executor.py
+++ b/pistachiodeal/jobagent/executor.py
@@ -141,8 +141,13 @@
             return "the worker has changed"
         if ledger.draining:
             return "the worker is draining"
-        if read_boot_clock() >= ledger.authority.granted_until:
+        now = read_boot_clock()
+        if now >= ledger.authority.granted_until:
             return "the leader's grant has run out"
+        # An agent that stood still finds old orders first, and behind them what its
+        # runner has said meanwhile: that it drains, or that its room has shrunk.
+        if ledger.is_silent(now):
+            return "the runner has not answered lately"
         # The leader decided by what it had last heard. A runner that starts whatever it
         # is told would be over its room, and its serving tasks would pay for it.
         if not ledger.has_room(order):
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -27,6 +27,9 @@
 # runner's heartbeat after 6 s; a runner that vanished without a trace holds its tasks
 # back for as long.
 LEASE_S = 8.0
+# A runner that doesn't answer gets no longer lease: every call may still be carried
+# out, and the end of the last lease is what its tasks' next runs wait for.
+SILENT_S = 1.5
 # The runner's clock may be this much slower than ours.
 SLOWEST_CLOCK = 0.98
 TEXTS_KEPT = 400
@@ -110,6 +113,7 @@
         self.orders: dict[RunKey, Order] = {}
         self.described: dict[RunKey, RunOrder] = {}
         self.noted = 0
+        self.answered_at = 0.0
         self.presses: dict[Pair, float] = {}
         self.figures = FigureSampler()
         self.losses = LossWatch()
@@ -161,6 +165,10 @@
         self.beat = beat
         return (beat.draining, beat.capacity) != (known.draining, known.capacity)
 
+    def is_silent(self, now: float) -> bool:
+        """Tell whether the runner has not answered lately; this agent may be why."""
+        return now - self.answered_at >= SILENT_S
+
     def has_room(self, order: RunOrder) -> bool:
         """Tell whether the runner has room for one more run, by its newest word.
 
@@ -209,6 +217,7 @@
         Listings on different connections may overtake each other; the runner's clock
         tells which is newer.
         """
+        self.answered_at = now
         self.lease.sample(listing.clock_ms, now)
         if listing.clock_ms < self._listing_ms:
             return False
--- a/pistachiodeal/jobagent/renewal.py
+++ b/pistachiodeal/jobagent/renewal.py
@@ -25,9 +25,6 @@
 # refusals over this time leave no doubt.
 ABSENT_S = 0.25
 ABSENT_CALLS = 3
-# A runner that doesn't answer gets no longer lease: every call may still be carried
-# out, and the end of the last lease is what its tasks' next runs wait for.
-SILENT_S = 1.5
 LAPSE_MARGIN_S = 0.3
 
 
@@ -48,7 +45,6 @@
         self._report = signals.report
         self._fenced = signals.fenced
         self._noted = signals.noted
-        self._answered_at = 0.0
         self._absent = 0
         self._absent_since = 0.0
 
@@ -90,7 +86,7 @@
         worker = ledger.worker
         now = read_boot_clock()
         lease_end_ms = 0
-        if now - self._answered_at < SILENT_S:
+        if not ledger.is_silent(now):
             lease_end_ms = ledger.lease.extend(now, ledger.authority.granted_until)
         listing = await self._runtime.renew(
             worker, ledger.authority.token, ledger.noted, lease_end_ms, wait_ms
@@ -105,7 +101,6 @@
 
     async def _take(self, listing: Listing, sent_at: float) -> None:
         now = read_boot_clock()
-        self._answered_at = now
         self._absent = 0
         if self._ledger.take_listing(listing, sent_at, now):
             await self._report.set()
@@ -141,6 +136,5 @@
             await self._report.set()
 
     def _has_lapsed(self, now: float) -> bool:
-        silent = now - self._answered_at > SILENT_S
         until = self._ledger.lease.until
-        return silent and now > until + LAPSE_MARGIN_S
+        return self._ledger.is_silent(now) and now > until + LAPSE_MARGIN_S
--- a/tests/unit/test_jobagent_executor.py
+++ b/tests/unit/test_jobagent_executor.py
@@ -13,7 +13,7 @@
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.signals import AgentSignals
 from pistachiodeal.jobs.model import OrderState
-from pistachiodeal.jobs.runtime import CallResult, StartCall
+from pistachiodeal.jobs.runtime import CallResult, Listing, StartCall
 from pistachiodeal.wire.job_messages import Directive, RunOrder, RunRef
 from tests.standins.job_cluster import create_quiet_log
 from tests.unit.test_jobagent_ledger import build_beat
@@ -70,7 +70,7 @@
     ledger.adopt(build_beat("w"))
     now = read_boot_clock()
     ledger.authority.granted_until = now + 10.0
-    ledger.lease.sample(1_000, now)
+    ledger.take_listing(Listing(CallResult.DONE, 1_000), now, now)
     executor = Executor(ledger, runtime, create_quiet_log(), AgentSignals())
     yield Stage(ledger, runtime, executor)
 
--- a/tests/unit/test_shrinking_workers.py
+++ b/tests/unit/test_shrinking_workers.py
@@ -54,6 +54,22 @@
     curio.run(main)
 
 
+def test_an_order_that_waited_while_its_agent_stood_still_is_refused():
+    """An agent stood still for five seconds, while its runner's room shrank. The order
+    that had come before was the first thing it did; the heartbeat still lay unread.
+    """
+
+    async def main():
+        async with build_stage() as stage:
+            stage.ledger.answered_at -= 5.0
+            await stage.order()
+            assert not stage.runtime.starts
+            details = [one.detail for one in stage.ledger.orders.values()]
+            assert details == ["the runner has not answered lately"]
+
+    curio.run(main)
+
+
 def test_a_smaller_room_is_told_at_once():
     """The leader went on ordering for 0.4 s, until the next report was due."""
     ledger = create_ledger()
