--- a/pistachiodeal/leader/moves.py
+++ b/pistachiodeal/leader/moves.py
@@ -112,11 +112,14 @@
         """
         short: dict[str, float] = {}
         for worker in self._fleet.workers.values():
-            if not worker.listed or worker.attachment is None:
+            # To add up all runs of hundreds of workers would take a twentieth of the
+            # leader's time, so only those that have shrunk are looked at.
+            if not worker.shrunk or not worker.listed or worker.attachment is None:
                 continue
             runs = list(self._book.get_runs(worker.place).values())
             missing = _measure_missing(worker, runs)
-            if missing == Resources():
+            worker.shrunk = missing != Resources()
+            if not worker.shrunk:
                 continue
             since = self._short_since.get(worker.place, now)
             short[worker.place] = since
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -125,6 +125,8 @@
     :param attachment: the link to its agent, None while there is none.
     :param granted_until: until when its leases may run, boot clock.
     :param ends_noted: ends up to this number are durable.
+    :param shrunk: whether it may have too little memory for its runs: it has less
+        than before, or this leader has not looked yet.
     :param stamp: rises with each report and link, so that whoever keeps something
         worked out from this knows that it is old.
     :param alone: slack that its serving tasks would have without filling work, the
@@ -147,6 +149,7 @@
     strays: dict[str, int] = field(default_factory=dict)
     alone: dict[str, float] = field(default_factory=dict)
     health: WorkerHealth = field(default_factory=WorkerHealth)
+    shrunk: bool = True
     stamp: int = 0
 
     @property
@@ -181,9 +184,9 @@
         if report.worker != self.worker:
             self.renew(report.worker)
         self.service = report.service
-        self.capacity = Resources(
-            report.cpu_milli, report.memory_mib, report.accelerators
-        )
+        capacity = Resources(report.cpu_milli, report.memory_mib, report.accelerators)
+        self.shrunk |= not self.capacity.fits(capacity)
+        self.capacity = capacity
         self.labels = tuple(label.text for label in report.labels)
         self.listed = report.listed
         self.draining = report.draining
