An agent tells each leader of a crash until it has answered, and not in each report

With eight crashes kept and 20 runs in each, a report of an agent whose runner ends again and again had 12 KB, two and a half times a second; a leader on 5 Mbit/s would have heard little else. Also: what is kept of an idle place that is gone is dropped again.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -246,6 +246,7 @@
             until = sent_at + directive.grant_ms / 1000
             authority.granted_until = max(authority.granted_until, until)
         self._drop_reported(directive.beat)
+        self.history.note_answer(directive.beat)
         if self.worker and directive.worker == self.worker:
             self.noted = max(self.noted, directive.ends_noted)
             self.ends = tuple(end for end in self.ends if end.number > self.noted)
@@ -263,6 +264,7 @@
         """Note that reports are numbered from one again, on a new link."""
         for order in self.orders.values():
             order.reported_in = 0
+        self.history.forget_reports()
 
     def find_text(self, task: str) -> str:
         """Return the text of a task's job."""
@@ -282,7 +284,7 @@
             beat,
             self.authority.epoch,
             self.worker,
-            self.history.list_recent(read_boot_clock()),
+            self.history.report(beat, read_boot_clock()),
             known.service if known else "",
             self.listed,
             self.draining,
--- a/pistachiodeal/jobagent/losses.py
+++ b/pistachiodeal/jobagent/losses.py
@@ -1,7 +1,7 @@
 """How the runner ended, and which runs it took with it.
 
-The leader hears of it in each report for a while, and not only until it has answered
-one: it may end before it has written what that means, and its successor asks anew.
+Each leader hears of it until it has answered: one may end before it has written what
+that means, and its successor has to hear it, too.
 """
 
 from __future__ import annotations
@@ -16,23 +16,27 @@
 
 # Of a run whose start this agent has not seen.
 UNKNOWN_AGE_MS = -1
-# Longer than the lead is vacant after a store's outage, or than a cut lasts.
+# Longer than the lead is vacant, or than most cuts last.
 KEPT_S = 20.0
 # A worker that ends again and again is back after some seconds each time.
 MOST_KEPT = 8
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Loss:
     """The end of one incarnation.
 
     :param at: its first silence, seconds of the boot clock.
+    :param reported_in: the first report on this link that tells of it, 0 before.
+    :param heard: whether the leader has answered that report.
     """
 
     worker: str
     cause: LossCause
     at: float
     runs: tuple[LostRun, ...]
+    reported_in: int = 0
+    heard: bool = False
 
 
 @dataclass(slots=True)
@@ -50,15 +54,26 @@
         kept = [loss for loss in self._losses if loss.worker != worker]
         self._losses = deque(kept, MOST_KEPT)
 
-    def list_recent(self, now: float) -> tuple[WorkerLoss, ...]:
-        """Return what the leader has to hear of."""
-        return tuple(
-            WorkerLoss(
-                loss.worker, loss.cause.value, round((now - loss.at) * 1000), loss.runs
-            )
-            for loss in self._losses
-            if now - loss.at < KEPT_S
-        )
+    def report(self, beat: int, now: float) -> tuple[WorkerLoss, ...]:
+        """Return what the leader has to hear of in a report."""
+        told = []
+        for loss in self._losses:
+            if loss.heard or now - loss.at >= KEPT_S:
+                continue
+            loss.reported_in = loss.reported_in or beat
+            ago_ms = round((now - loss.at) * 1000)
+            told.append(WorkerLoss(loss.worker, loss.cause.value, ago_ms, loss.runs))
+        return tuple(told)
+
+    def note_answer(self, beat: int) -> None:
+        """Note that the leader has answered a report."""
+        for loss in self._losses:
+            loss.heard |= 0 < loss.reported_in <= beat
+
+    def forget_reports(self) -> None:
+        """Note that there is a new link, perhaps to another leader."""
+        for loss in self._losses:
+            loss.reported_in, loss.heard = 0, False
 
 
 class LossWatch:
--- a/pistachiodeal/leader/moves.py
+++ b/pistachiodeal/leader/moves.py
@@ -112,8 +112,8 @@
         """
         short: dict[str, float] = {}
         for worker in self._fleet.workers.values():
-            # To add up all runs of hundreds of workers would take a twentieth of the
-            # leader's time, so only those that have shrunk are looked at.
+            # To add up the runs of hundreds of workers each time would slow down all
+            # decisions, so only those that have shrunk are looked at.
             if not worker.shrunk or not worker.listed or worker.attachment is None:
                 continue
             runs = list(self._book.get_runs(worker.place).values())
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -133,9 +133,8 @@
     def lose(self, place: str, why: str) -> None:
         """Give up the runs of a worker that is certainly gone."""
         runs = list(self._book.get_runs(place).values())
-        if not runs:
-            return
-        self._events.emit("worker.lost", place=place, why=why, runs=len(runs))
+        if runs:
+            self._events.emit("worker.lost", place=place, why=why, runs=len(runs))
         now = read_boot_clock()
         for task in runs:
             self._events.emit(
