What takes nothing that is short is started on a worker that has shrunk

What callers would see: filling work refused three times a second by a worker whose tasks reserve more processors than it has left. Cause: the agent's check compared every resource, the leader's only those that the task takes. The new test failed before. Found by reading. Also: only suspects wait for the rest of a rack and avoid the worker; others go on at once.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -172,16 +172,16 @@
     def has_room(self, order: RunOrder) -> bool:
         """Tell whether the runner has room for one more run, by its newest word.
 
-        What is being stopped counts until its end is listed.
+        What is being stopped counts until its end is listed. What the run itself does
+        not take may be short: a worker that shrinks has less than its runs reserve.
         """
         if self.beat is None:
             return False
-        begun = (self.described.get(key) for key in self._list_begun())
-        used = _measure(order)
-        for one in begun:
-            if one is not None and (one.task, one.run) != (order.task, order.run):
-                used = used + _measure(one)
-        return used.fits(self.beat.capacity)
+        used = Resources()
+        for key in self._list_begun():
+            if key in self.described and key != (order.task, order.run):
+                used = used + _measure(self.described[key])
+        return _measure(order).fits_beside(used, self.beat.capacity)
 
     def drop_worker(self, why: str, cause: LossCause = LossCause.CRASHED) -> None:
         """Forget the worker: none of its runs is at work any more.
--- a/pistachiodeal/leader/crashes.py
+++ b/pistachiodeal/leader/crashes.py
@@ -22,8 +22,8 @@
 )
 from pistachiodeal.wire.job_messages import WorkerLoss
 
-# Tasks that a crash counts against wait this long: by then the agents of a rack that
-# lost its power have told of it, and nobody is given up for that.
+# Suspects wait this long after a crash: by then the agents of a rack that lost its
+# power have told of it, and nobody is given up for that.
 VERDICT_S = 0.6
 # A worker that crashed under a suspect is expected back within this time.
 AWAY_S = 10.0
@@ -61,7 +61,7 @@
         self._fleet = fleet
         self._events = events
         self._recent: list[_Crash] = []
-        # Agents tell of a crash in each report for a while.
+        # Agents tell of a crash until they are answered, and again on a new link.
         self._heard: dict[str, float] = {}
 
     def note_crash(self, worker: WorkerState, loss: WorkerLoss, now: float) -> None:
@@ -94,10 +94,11 @@
             crash.counted.append(task)
             task.crashes += 1
             task.blames += verdict.blames.get(one.task, 0)
-            # It may be the worker that ends whatever begins there; emptied by its end
-            # it would be the first choice again.
-            task.avoid |= {worker.node}
-            task.held_until = max(task.held_until, at + VERDICT_S)
+            if is_suspect(task):
+                # It may be the worker that ends whatever begins there; emptied by its
+                # end it would be the first choice again.
+                task.avoid |= {worker.node}
+                task.held_until = max(task.held_until, at + VERDICT_S)
             self._log_count(task, one.age_s)
         self._recent.append(crash)
 
--- a/pistachiodeal/model/resources.py
+++ b/pistachiodeal/model/resources.py
@@ -40,6 +40,20 @@
             and self.accelerators <= room.accelerators
         )
 
+    def fits_beside(self, used: Resources, whole: Resources) -> bool:
+        """Tell whether there is room for what of this amount isn't zero."""
+        return (
+            (not self.cpu_milli or self.cpu_milli + used.cpu_milli <= whole.cpu_milli)
+            and (
+                not self.memory_mib
+                or self.memory_mib + used.memory_mib <= whole.memory_mib
+            )
+            and (
+                not self.accelerators
+                or self.accelerators + used.accelerators <= whole.accelerators
+            )
+        )
+
     def enlarge(self, other: Resources) -> Resources:
         """Return the larger of both amounts, field by field."""
         return Resources(
--- a/tests/unit/test_shrinking_workers.py
+++ b/tests/unit/test_shrinking_workers.py
@@ -7,9 +7,11 @@
 import curio
 import pytest
 
+from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.jobs.model import JobState, Step
+from pistachiodeal.jobs.runtime import CallResult, Listing
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.wire.job_messages import Directive, RunOrder
+from pistachiodeal.wire.job_messages import Directive, RunningTask, RunOrder
 from tests.standins.job_cluster import build_job, run_cluster
 from tests.standins.job_runner import ROOM, ROOM_TOLD_S
 from tests.unit.test_job_cluster import check, wait_until_begun
@@ -54,6 +56,32 @@
     curio.run(main)
 
 
+def test_what_takes_nothing_that_is_short_is_started():
+    """Filling work, which reserves no processor, was refused by a worker whose serving
+    tasks reserve more processors than it has left; the leader placed it there again and
+    again, three times a second.
+    """
+
+    async def main():
+        async with build_stage() as stage:
+            smaller = Resources(500, 8_000, 0)
+            stage.ledger.update(replace(build_beat("w", sequence=2), capacity=smaller))
+            serving = replace(build_order(0), serves_ms=100)
+            stage.ledger.described[serving.task, 1] = serving
+            running = RunningTask(serving.task, 1, "", 100, 5)
+            now = read_boot_clock()
+            stage.ledger.take_listing(
+                Listing(CallResult.DONE, 2_000, (running,)), now, now
+            )
+            filling = replace(build_order(1), fills=True)
+            directive = Directive(1, 1, 10_000, 7, "w", 0, (), (filling,), (), ())
+            await stage.executor.carry_out(directive)
+            await curio.sleep(SETTLE_S)
+            assert [call.task for call in stage.runtime.starts] == [filling.task]
+
+    curio.run(main)
+
+
 def test_an_order_that_waited_while_its_agent_stood_still_is_refused():
     """An agent stood still for five seconds, while its runner's room shrank. The order
     that had come before was the first thing it did; the heartbeat still lay unread.
