Only who is blamed for a crash starts alone

Change: crashes without blame count towards five in a row, and isolate nobody. The new test failed before.

--- a/pistachiodeal/scheduling/suspicion.py
+++ b/pistachiodeal/scheduling/suspicion.py
@@ -29,11 +29,10 @@
 BLAME_AT_ONCE = 3
 BLAME_FRESH = 2
 BLAMES_TO_GIVE_UP = 6
-# Crashes in a row, whoever was blamed: what ends its worker late, or beside others that
-# begin all the time, is given up all the same.
+# Crashes in a row, whoever was blamed: what ends its worker late is given up as well.
+# Nobody is isolated for these: workers that crash by themselves make whole fleets of
+# bystanders, and serving tasks would wait in line for a worker of their own.
 CRASHES_TO_GIVE_UP = 5
-# So many crashes without blame make a suspect too: alone, it is cleared or blamed.
-CRASHES_TO_SUSPECT = 2
 # Work of this long, and no crash counts any more: a task that lasts for days sees many.
 SOUND_S = 10.0
 # Crashes on all workers of a rack so close to each other are the rack's.
@@ -90,7 +89,7 @@
 
 def is_suspect(task: CrashCounts) -> bool:
     """Tell whether a task has to start alone."""
-    return task.blames > 0 or task.crashes >= CRASHES_TO_SUSPECT
+    return task.blames > 0
 
 
 def is_hopeless(task: CrashCounts) -> bool:
--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -477,6 +477,24 @@
     assert stage.book.records[job.job_id].state is JobState.FAILED
 
 
+def test_bystanders_of_crashes_do_not_wait_in_line(stage):
+    """Workers crashed by themselves, one after the other. Tasks that had been on two of
+    them would each have waited for a worker of their own, serving tasks among them.
+    """
+    job = stage.add(1, Step(12, SIZE, 9.0, lasts=True))
+    tasks = [stage.find(job, index) for index in range(12)]
+    for _ in range(2):
+        place(stage, 3.0)
+        for number in range(6):
+            stage.report(number)
+        for number in range(6):
+            stage.lose(number, {str(task.name): 4_000 for task in tasks})
+            stage.wait(1.0)
+    assert {task.crashes for task in tasks} == {2}
+    place(stage, 3.0)
+    assert all(task.place for task in tasks)
+
+
 def test_work_that_goes_well_wipes_the_count(stage):
     """A task that lasts for days sees many crashes of its workers."""
     task = stage.find(stage.add(1, Step(1, SIZE, 9.0, lasts=True)))
