While workers crash by themselves, a crash weighs less against a task

What callers would see: a sound job shown as failed. Cause: nothing told these crashes from its own. Change: a crash under which nothing had begun at once, or nothing was, shows that workers end by themselves now; for ten seconds each crash weighs one less, so that three at once are needed, or five.

--- a/pistachiodeal/leader/crashes.py
+++ b/pistachiodeal/leader/crashes.py
@@ -25,7 +25,7 @@
 # Suspects wait this long after a crash: by then the agents of a rack that lost its
 # power have told of it, and nobody is given up for that.
 VERDICT_S = 0.6
-# A worker that crashed under a suspect is expected back within this time.
+# A worker that crashed is expected back within this time, and remembered for it.
 AWAY_S = 10.0
 # Longer than any agent tells of a crash.
 HEARD_S = 60.0
@@ -37,6 +37,7 @@
 
     :param at: seconds of the boot clock.
     :param suspected: whether a suspect was at work on it.
+    :param explained: whether a task that had just begun is the likely cause.
     :param counted: tasks that it was counted against.
     :param blames: how much was counted against those that were blamed.
     """
@@ -45,6 +46,7 @@
     worker: WorkerState
     incarnation: str
     suspected: bool
+    explained: bool
     counted: list[Task] = field(default_factory=list)
     blames: dict[str, int] = field(default_factory=dict)
     settled: bool = False
@@ -83,10 +85,16 @@
             for one in loss.runs
             if one.task in runs and runs[one.task].run == one.run
         ]
-        verdict = judge(at_work)
-        suspected = any(one.suspect for one in at_work)
-        at = now - loss.ago_ms / 1000
-        crash = _Crash(at, worker, loss.worker, suspected, blames=verdict.blames)
+        restless = any(not one.explained for one in self._recent)
+        verdict = judge(at_work, restless=restless)
+        crash = _Crash(
+            now - loss.ago_ms / 1000,
+            worker,
+            loss.worker,
+            suspected=any(one.suspect for one in at_work),
+            explained=verdict.explained,
+            blames=verdict.blames,
+        )
         for one in at_work:
             if one.task not in verdict.involved:
                 continue
@@ -98,7 +106,7 @@
                 # It may be the worker that ends whatever begins there; emptied by its
                 # end it would be the first choice again.
                 task.avoid |= {worker.node}
-                task.held_until = max(task.held_until, at + VERDICT_S)
+                task.held_until = max(task.held_until, crash.at + VERDICT_S)
             self._log_count(task, one.age_s)
         self._recent.append(crash)
 
--- a/pistachiodeal/scheduling/suspicion.py
+++ b/pistachiodeal/scheduling/suspicion.py
@@ -24,11 +24,13 @@
 # travel together, and its end is noticed by the next call.
 TOGETHER_S = 0.1
 # How much a crash weighs against who is blamed: two that came at once, the second with
-# nothing else that had just begun, are enough, and three in any case. Workers that go
-# down and up by turns hit a task that moves between them twice, and seldom at once.
+# nothing else that had just begun, are enough, and three in any case.
 BLAME_AT_ONCE = 3
 BLAME_FRESH = 2
 BLAMES_TO_GIVE_UP = 6
+# How much less while workers crash for no task that had just begun: such workers, going
+# down and up by turns, hit a task that moves between them two and three times.
+RESTLESS_DISCOUNT = 1
 # Crashes in a row, whoever was blamed: what ends its worker late is given up as well.
 # Nobody is isolated for these: workers that crash by themselves make whole fleets of
 # bystanders, and serving tasks would wait in line for a worker of their own.
@@ -69,14 +71,19 @@
 
     :param blames: tasks of which one is the likely cause, and how much it weighs.
     :param involved: tasks that may be the cause, the blamed ones among them.
+    :param explained: whether a task had begun so shortly before that it is the cause.
     """
 
     blames: dict[str, int]
     involved: frozenset[str]
+    explained: bool = False
 
 
-def judge(casualties: Iterable[Casualty]) -> Verdict:
-    """Return who is to blame for the end of a worker."""
+def judge(casualties: Iterable[Casualty], *, restless: bool = False) -> Verdict:
+    """Return who is to blame for the end of a worker.
+
+    :param restless: whether another crash of the last seconds has no explanation.
+    """
     everybody = list(casualties)
     fresh = [one for one in everybody if one.age_s is not None and one.age_s <= FRESH_S]
     if not fresh:
@@ -84,7 +91,8 @@
     involved = frozenset(one.task for one in fresh)
     suspects = [one for one in fresh if one.suspect]
     blamed = suspects or _list_youngest(fresh)
-    return Verdict({one.task: _weigh(one) for one in blamed}, involved)
+    weights = {one.task: _weigh(one, restless) for one in blamed}
+    return Verdict(weights, involved, any(map(_is_at_once, blamed)))
 
 
 def is_suspect(task: CrashCounts) -> bool:
@@ -102,9 +110,13 @@
     return max(1, int(workers * EXPOSED_SHARE))
 
 
-def _weigh(blamed: Casualty) -> int:
-    at_once = blamed.age_s is not None and blamed.age_s <= AT_ONCE_S
-    return BLAME_AT_ONCE if at_once else BLAME_FRESH
+def _weigh(blamed: Casualty, restless: bool) -> int:
+    weight = BLAME_AT_ONCE if _is_at_once(blamed) else BLAME_FRESH
+    return weight - RESTLESS_DISCOUNT if restless else weight
+
+
+def _is_at_once(blamed: Casualty) -> bool:
+    return blamed.age_s is not None and blamed.age_s <= AT_ONCE_S
 
 
 def _list_youngest(fresh: list[Casualty]) -> list[Casualty]:
--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -477,6 +477,37 @@
     assert stage.book.records[job.job_id].state is JobState.FAILED
 
 
+def test_where_workers_crash_by_themselves_two_crashes_settle_nothing(stage):
+    """Three workers went down by turns, 0.9 s after each other. A task that moved
+    between them was 347, 33 and 159 ms old, and its job was given up for it. Workers
+    that end with nothing that had just begun, or with nothing at all, show that workers
+    end by themselves now.
+    """
+    job = stage.add(1, Step(1, SIZE, 2.0))
+    task = stage.find(job)
+    for age_ms in (347, 33, 159):
+        place(stage)
+        stage.crash_under(task, age_ms=age_ms)
+    place(stage)
+    assert stage.book.records[job.job_id].state is JobState.ACTIVE
+    assert task.blames == BLAME_FRESH + (BLAME_AT_ONCE - 1) + (BLAME_FRESH - 1)
+
+
+def test_where_workers_crash_by_themselves_three_at_once_are_enough(stage):
+    """A task that ends each worker is found there as well, one worker later."""
+    job = stage.add(1, Step(1, SIZE, 2.0))
+    task = stage.find(job)
+    place(stage)
+    idle = next(one for one in range(6) if one != stage.find_node(task))
+    stage.lose(idle, {})
+    for _ in range(3):
+        assert stage.book.records[job.job_id].state is not JobState.FAILED
+        place(stage)
+        stage.crash_under(task)
+    place(stage)
+    assert stage.book.records[job.job_id].state is JobState.FAILED
+
+
 def test_bystanders_of_crashes_do_not_wait_in_line(stage):
     """Workers crashed by themselves, one after the other. Tasks that had been on two of
     them would each have waited for a worker of their own, serving tasks among them.
