--- a/tests/unit/test_crashing_tasks.py
+++ b/tests/unit/test_crashing_tasks.py
@@ -89,7 +89,7 @@
         async with run_cluster(agents=3, work_s=0.3) as cluster:
             plant(cluster, crash_after_s=crash_after_s)
             jobs = [build_job(number, steps=1) for number in range(1, 4)]
-            # Ordinary tasks end before the crasher does, which works on.
+            # The crasher works until it ends its runner; the others end before.
             for agent in cluster.agents:
                 agent.runner.lasting = frozenset((CRASHER,))
             for job in jobs:
@@ -155,9 +155,8 @@
 def play_random(seed: int) -> None:
     """Submit jobs, some with tasks that end their runners, among random faults.
 
-    What is accepted ends, no task runs twice or too often, and no runner is brought
-    over its room. A sound job may be given up only where crashes of its own runners
-    came on top; the seeds here have none.
+    What is accepted ends as it should, no task runs twice or too often, and no runner
+    is brought over its room.
     """
     rng = random.Random(seed)
 
