Read once more: what blames is, and a return value that nobody used

The counts' comment still spoke of a number of crashes, and the weights' of three in any case; the book returned tasks that its only caller leaves. Nothing behaves otherwise.

--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -26,7 +26,7 @@
     :param place: where that run is, or may still be; empty while the task waits.
     :param checkpoint: state from which its next run resumes.
     :param crashes: workers that crashed under it and that it may have ended.
-    :param blames: those of them for which it was blamed.
+    :param blames: how much speaks for it as their cause.
     :param running: whether a worker has listed the run.
     :param percent: of its work, as last listed.
     :param moved_at: when ``percent`` last changed, seconds of the boot clock.
--- a/pistachiodeal/leader/book.py
+++ b/pistachiodeal/leader/book.py
@@ -202,14 +202,12 @@
         self._release(task, "")
         self._save(record, None)
 
-    def forget_place(self, place: str) -> list[Task]:
-        """Give up all runs of a worker that is certainly gone; return their tasks."""
-        tasks = list(self.get_runs(place).values())
-        for task in tasks:
+    def forget_place(self, place: str) -> None:
+        """Give up all runs of a worker that is certainly gone."""
+        for task in list(self.get_runs(place).values()):
             self.requeue(task)
         self._runs.pop(place, None)
         self._stamps.pop(place, None)
-        return tasks
 
     def take_unsaved(self, most: int) -> list[tuple[JobRecord, list[Effect]]]:
         """Return jobs to write, oldest change first, with their effects."""
--- a/pistachiodeal/scheduling/suspicion.py
+++ b/pistachiodeal/scheduling/suspicion.py
@@ -24,7 +24,7 @@
 # travel together, and its end is noticed by the next call.
 TOGETHER_S = 0.1
 # How much a crash weighs against who is blamed: two that came at once, the second with
-# nothing else that had just begun, are enough, and three in any case.
+# nothing else that had just begun, are enough, and so are three within ``FRESH_S``.
 BLAME_AT_ONCE = 3
 BLAME_FRESH = 2
 BLAMES_TO_GIVE_UP = 6
