Agents log each heartbeat and listing that they leave aside

Six agents fell silent for good after their runners had started again, and no line told which check dropped the heartbeats: that of ended senders or that of sequence numbers.

--- a/pistachiodeal/jobagent/heartbeats.py
+++ b/pistachiodeal/jobagent/heartbeats.py
@@ -57,6 +57,12 @@
         ledger = self._ledger
         if ledger.is_gone(beat.worker):
             # A heartbeat that was held up by a cut may arrive after its sender's end.
+            self._events.emit(
+                "heartbeat.ignored",
+                worker=beat.worker,
+                sequence=beat.sequence,
+                why="its sender has ended",
+            )
             return
         if beat.worker == ledger.worker:
             known = ledger.beat
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -150,7 +150,16 @@
     def update(self, beat: WorkerBeat) -> bool:
         """Take in a heartbeat of the same incarnation; tell whether it says news."""
         known = self.beat
-        if known is None or beat.sequence <= known.sequence:
+        if known is None:
+            return False
+        if beat.sequence <= known.sequence:
+            self._events.emit(
+                "heartbeat.ignored",
+                worker=beat.worker,
+                sequence=beat.sequence,
+                newest=known.sequence,
+                why="a later one came before",
+            )
             return False
         if beat.service not in (known.service, self._other_service):
             # A runner stays with its service for its whole life. Another writer may
@@ -220,6 +229,13 @@
         self.answered_at = now
         self.lease.sample(listing.clock_ms, now)
         if listing.clock_ms < self._listing_ms:
+            self._events.emit(
+                "listing.ignored",
+                worker=self.worker,
+                clock_ms=listing.clock_ms,
+                newest_ms=self._listing_ms,
+                why="a later one came before",
+            )
             return False
         news = not self.listed
         self.listed = True
