Failing tests: a runner that starts again under its id

The stand-in runner may keep its id over a crash. Both tests end with the job active: after 0.6 s away all heartbeats are ignored ("its sender has ended"); after a restart that nobody noticed they are ignored up to the highest earlier sequence, and listings up to the earlier clock.

--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -124,7 +124,6 @@
         super().__init__()
         self.runner = runner
         self._agent = create_client(control, connections=2)
-        self._sequence = 0
 
     async def handle(self, operation: str, call: base.Call) -> base.Answer:
         """Carry a call out."""
@@ -147,8 +146,7 @@
     async def beat(self) -> None:
         """Send heartbeats for ever."""
         while True:
-            self._sequence += 1
-            beat = self.runner.build_beat(self._sequence)
+            beat = self.runner.build_beat()
             document = {
                 "service": beat.service,
                 "address": "",
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -136,7 +136,6 @@
         self.addresses = addresses
         self.runner = runner
         self.lives = 0
-        self.sequence = 0
 
     async def boot(self) -> None:
         """Start a new life; the runner goes on by itself."""
@@ -160,9 +159,8 @@
 
     async def _beat(self) -> None:
         while True:
-            self.sequence += 1
             if not self.runner.down:
-                await self.heartbeats.take(self.runner.build_beat(self.sequence))
+                await self.heartbeats.take(self.runner.build_beat())
             await curio.sleep(BEAT_S)
 
 
--- a/tests/standins/job_runner.py
+++ b/tests/standins/job_runner.py
@@ -97,6 +97,7 @@
     :param lost: share of the orders that are carried out and not answered.
     :param crashers: tasks that end the runner ``crash_after_s`` after their start.
     :param down_s: how long a crashed runner is away.
+    :param keeps_id: whether a crashed runner comes back under its id.
     """
 
     late: float = 0.0
@@ -105,6 +106,7 @@
     crashers: frozenset[str] = frozenset()
     crash_after_s: float = 0.0
     down_s: float = 0.0
+    keeps_id: bool = False
 
 
 class MemoryRunner:
@@ -116,6 +118,7 @@
         self._work_s = work_s
         self._rng = random.Random(seed)
         self._lives = 0
+        self._ids = 1
         self._up_at = 0.0
         self.faults = RunnerFaults()
         self.draining = False
@@ -127,7 +130,7 @@
     @property
     def worker(self) -> str:
         """Return the incarnation."""
-        return f"{self._name}-{self._lives}"
+        return f"{self._name}-{self._ids}"
 
     @property
     def down(self) -> bool:
@@ -146,20 +149,22 @@
 
     def crash(self) -> None:
         """End everything and come back as another incarnation."""
+        self._ids += not self.faults.keeps_id
         for work in list(self._running.values()):
             self._witness.see_end(work.task, work.run, "lost")
         self._reset()
         self._up_at = time.monotonic() + self.faults.down_s
 
-    def build_beat(self, sequence: int) -> WorkerBeat:
-        """Return the heartbeat of now."""
+    def build_beat(self) -> WorkerBeat:
+        """Return the next heartbeat."""
+        self._sequence += 1
         return WorkerBeat(
             self.worker,
             "svc",
             "",
             self.draining,
             2_000 if self.draining else 0,
-            sequence,
+            self._sequence,
             self._room,
             ("a", "r1"),
         )
@@ -207,6 +212,7 @@
         self._token = 0
         self._until_ms = 0
         self._number = 0
+        self._sequence = 0
         self._running: dict[str, Work] = {}
         self._ends: list[EndedTask] = []
         self._closed: dict[str, int] = {}
