An incarnation is a runner's id and the time of its start

Cause: the id of a runner was taken for one start of it, everywhere: agents keep the ids of runners that have ended and drop their heartbeats, sequence numbers and clocks are compared with those of the earlier start, ends of the new start are acknowledged by numbers of the old one. An identity that names the thing was used where one life of it was meant.

The adapter now builds the name of an incarnation from the id and the time of the start, in heartbeats, listings and goodbyes, and gives the platform the id alone. Everything inside (places, orders, leases, ends, tickets, losses, health, advice) compares these names, so each holds for one start. Names are never ordered: the time of day may step back. What does not say its start gets an error and a line, counts for none, and a listing of that kind tells nothing of the worker's end.

Stand-ins, soak and random faults keep ids over half of their crashes, and step the time of day between starts.

--- a/pistachiodeal/jobagent/app.py
+++ b/pistachiodeal/jobagent/app.py
@@ -36,7 +36,7 @@
         runtime = create_runner(settings.runner)
         ledger = AgentLedger(events)
         paces = PaceKeeper(ledger, runtime, events)
-        self._renewal = Renewal(ledger, runtime, paces, agent_signals)
+        self._renewal = Renewal(ledger, runtime, paces, events, agent_signals)
         executor = Executor(ledger, runtime, events, agent_signals)
         self._leader_link = LeaderLink(
             create_rows(settings.store.address, find_partition),
--- a/pistachiodeal/jobagent/heartbeats.py
+++ b/pistachiodeal/jobagent/heartbeats.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import TypeVar
+
 import curio
 from logbook import Logger
 
@@ -9,13 +12,21 @@
 from pistachiodeal.exceptions import ProtocolError, RequestError
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.renewal import Renewal
+from pistachiodeal.jobs.incarnations import get_runner
 from pistachiodeal.jobs.model import LossCause
-from pistachiodeal.jobs.runtime import WorkerBeat
-from pistachiodeal.platform.runner import BEAT_PATH, LEAVE_PATH, decode_beat
+from pistachiodeal.jobs.runtime import Goodbye, WorkerBeat
+from pistachiodeal.platform.runner import (
+    BEAT_PATH,
+    LEAVE_PATH,
+    decode_beat,
+    decode_goodbye,
+)
 from pistachiodeal.web.messages import WebRequest, WebResponse, build_json
 
 log = Logger("heartbeats")
 
+Message = TypeVar("Message", WorkerBeat, Goodbye)
+
 
 class Heartbeats:
     """Handles what the runner on this VM sends."""
@@ -36,20 +47,11 @@
     async def handle(self, request: WebRequest) -> WebResponse:
         """Answer a heartbeat or a goodbye."""
         if request.path.startswith(LEAVE_PATH):
-            await self._take_goodbye(request.path.removeprefix(LEAVE_PATH))
+            await self._take_goodbye(self._decode(decode_goodbye, request, "goodbye"))
             return build_json(200, {})
         if not request.path.startswith(BEAT_PATH):
             raise RequestError("no such path", code="not_found", status=404)
-        try:
-            beat = decode_beat(request.path, request.body)
-        except ProtocolError as error:
-            self._events.emit(
-                "heartbeat.unreadable", path=request.path, cause=str(error)
-            )
-            raise RequestError(
-                str(error), code="malformed_request", status=400
-            ) from None
-        await self.take(beat)
+        await self.take(self._decode(decode_beat, request, "heartbeat"))
         return build_json(200, {})
 
     async def take(self, beat: WorkerBeat) -> None:
@@ -77,6 +79,22 @@
         if not self._verifying:
             await curio.spawn(self._verify, beat, daemon=True)
 
+    def _decode(
+        self, decode: Callable[[str, bytes], Message], request: WebRequest, name: str
+    ) -> Message:
+        """Return what a request says.
+
+        :param name: what it is called in the log.
+        :raises RequestError: it can't be read.
+        """
+        try:
+            return decode(request.path, request.body)
+        except ProtocolError as error:
+            self._events.emit(f"{name}.unreadable", path=request.path, cause=str(error))
+            raise RequestError(
+                str(error), code="malformed_request", status=400
+            ) from None
+
     def _log_change(self, known: WorkerBeat | None, beat: WorkerBeat) -> None:
         if known is None or known.draining != beat.draining:
             self._events.emit(
@@ -103,7 +121,20 @@
         finally:
             self._verifying = False
 
-    async def _take_goodbye(self, worker: str) -> None:
-        if worker == self._ledger.worker:
-            self._ledger.drop_worker("it has left", LossCause.LEFT)
-            await self._report.set()
+    async def _take_goodbye(self, goodbye: Goodbye) -> None:
+        ledger = self._ledger
+        # One that names no start may be of an earlier one; a runner drains before it
+        # leaves, and one that is gone is found out all the same.
+        leaving = ledger.draining and get_runner(ledger.worker) == goodbye.runner
+        known = goodbye.worker == ledger.worker if goodbye.worker else leaving
+        if not known:
+            self._events.emit(
+                "goodbye.ignored",
+                runner=goodbye.runner,
+                sender=goodbye.worker,
+                worker=ledger.worker,
+                draining=ledger.draining,
+            )
+            return
+        ledger.drop_worker("it has left", LossCause.LEFT)
+        await self._report.set()
--- a/pistachiodeal/jobagent/renewal.py
+++ b/pistachiodeal/jobagent/renewal.py
@@ -6,6 +6,7 @@
 from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.paces import PaceKeeper
 from pistachiodeal.jobagent.signals import AgentSignals
@@ -36,10 +37,12 @@
         ledger: AgentLedger,
         runtime: Runtime,
         paces: PaceKeeper,
+        events: EventLog,
         signals: AgentSignals,
     ) -> None:
         self._ledger = ledger
         self._runtime = runtime
+        self._events = events
         self._paces = paces
         self._look = signals.look
         self._report = signals.report
@@ -96,6 +99,8 @@
         if listing.result is CallResult.DONE:
             await self._take(listing, now)
             return True
+        if listing.result is CallResult.UNREADABLE:
+            self._events.emit("listing.unreadable", worker=worker, cause=listing.detail)
         await self._take_failure(listing.result)
         return False
 
--- a/pistachiodeal/jobs/runtime.py
+++ b/pistachiodeal/jobs/runtime.py
@@ -23,6 +23,7 @@
     REFUSED = "refused"  # nothing was done
     ABSENT = "absent"  # nothing listens there
     UNKNOWN = "unknown"  # it may have been done, or may be done later
+    UNREADABLE = "unreadable"  # it was done, and its answer makes no sense
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,17 +45,31 @@
     labels: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Goodbye:
+    """A runner's last word before a planned end.
+
+    :param runner: name that all its starts share.
+    :param worker: its incarnation, empty where it doesn't say.
+    """
+
+    runner: str
+    worker: str
+
+
 @dataclass(frozen=True, slots=True)
 class Listing:
     """A runner's answer to a lease renewal.
 
     :param clock_ms: the runner's clock at its answer.
+    :param detail: what is wrong with an answer that can't be read.
     """
 
     result: CallResult
     clock_ms: int = 0
     running: tuple[RunningTask, ...] = ()
     ends: tuple[EndedTask, ...] = ()
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiodeal/platform/advice.py
+++ b/pistachiodeal/platform/advice.py
@@ -8,6 +8,7 @@
 
 from pistachiodeal.exceptions import AdviceError
 from pistachiodeal.jobs.advice import Advice
+from pistachiodeal.jobs.incarnations import get_runner
 from pistachiodeal.web.client import CallError, WebClient, create_client
 
 OK = 200
@@ -26,7 +27,9 @@
 
     async def advise(self, step: str, workers: tuple[str, ...]) -> Advice:
         """Ask which of some workers may run a step; see ``Adviser``."""
-        body = orjson.dumps({"step": step, "workers": list(workers)})
+        # The service knows runners by the name that all their starts share.
+        asked = {get_runner(worker): worker for worker in workers}
+        body = orjson.dumps({"step": step, "workers": list(asked)})
         headers = (("content-type", "application/json"),)
         peer = self._client.address
         try:
@@ -40,7 +43,7 @@
             detail = f"status {response.status}"
             raise AdviceError(detail, step="advice.ask", peer=peer)
         try:
-            return _decode(orjson.loads(response.body))
+            return _decode(orjson.loads(response.body), asked)
         except (ValueError, KeyError, TypeError) as error:
             raise AdviceError(repr(error), step="advice.decode", peer=peer) from None
 
@@ -50,6 +53,10 @@
     return PlatformAdvice(create_client(address, connections=CONNECTIONS))
 
 
-def _decode(document: dict[str, Any]) -> Advice:
-    tickets = {str(worker): str(ticket) for worker, ticket in document["approved"]}
+def _decode(document: dict[str, Any], asked: dict[str, str]) -> Advice:
+    tickets = {
+        asked[runner]: str(ticket)
+        for runner, ticket in document["approved"]
+        if runner in asked
+    }
     return Advice(tickets, float(document["valid_ms"]) / 1000)
--- a/pistachiodeal/platform/runner.py
+++ b/pistachiodeal/platform/runner.py
@@ -9,8 +9,10 @@
 
 from pistachiodeal.exceptions import Outcome, ProtocolError
 from pistachiodeal.jobs.checks import check_fields
+from pistachiodeal.jobs.incarnations import build_incarnation, get_runner
 from pistachiodeal.jobs.runtime import (
     CallResult,
+    Goodbye,
     Listing,
     StartCall,
     WorkerBeat,
@@ -22,6 +24,8 @@
 BEAT_PATH = "/api/Instances.Heartbeat/"
 LEAVE_PATH = "/api/Instances.Deregister/"
 DRAINING = "draining"
+# When this start of the runner was.
+BORN = "born"
 STATES = ("ready", DRAINING)
 OK = 200
 CONFLICT = 409
@@ -95,12 +99,7 @@
         result, answer = await self._call("/api/hold", worker, document, timeout)
         if result is not CallResult.DONE:
             return Listing(result)
-        return Listing(
-            result,
-            answer["clock_ms"],
-            tuple(_decode_running(row) for row in answer.get("running", ())),
-            tuple(EndedTask(*row[:5]) for row in answer.get("ended_at", ())),
-        )
+        return decode_listing(worker, answer)
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -113,7 +112,11 @@
         document: dict[str, Any],
         timeout: float = CALL_TIMEOUT_S,
     ) -> tuple[CallResult, dict[str, Any]]:
-        headers = (("content-type", "application/json"), ("expect-instance", worker))
+        # The header names all starts of a runner alike.
+        headers = (
+            ("content-type", "application/json"),
+            ("expect-instance", get_runner(worker)),
+        )
         body = orjson.dumps(document)
         try:
             response = await self._client.call(
@@ -147,7 +150,7 @@
         state = document["state"]
         labels = tuple(document.get("labels", ()))
         beat = WorkerBeat(
-            path.removeprefix(BEAT_PATH),
+            _read_incarnation(path.removeprefix(BEAT_PATH), document),
             document["service"],
             document["address"],
             state == DRAINING,
@@ -158,7 +161,7 @@
         )
         check_fields(beat)
         check_fields(beat.capacity)
-        if state not in STATES or not beat.worker or not beat.service:
+        if state not in STATES or path == BEAT_PATH or not beat.service:
             raise ValueError("its state is unknown, or it doesn't say who sent it")
         if any(type(label) is not str for label in labels):
             raise ValueError("a label is no text")
@@ -169,6 +172,53 @@
         raise ProtocolError(repr(error), step="heartbeat.decode") from None
 
 
+def decode_goodbye(path: str, body: bytes) -> Goodbye:
+    """Return a runner's goodbye.
+
+    :raises ProtocolError: it can't be read.
+    """
+    runner = path.removeprefix(LEAVE_PATH)
+    try:
+        document = orjson.loads(body) if body else {}
+        if not runner or not isinstance(document, dict):
+            raise ValueError("it doesn't say who sent it")
+        worker = _read_incarnation(runner, document) if BORN in document else ""
+        return Goodbye(runner, worker)
+    except ValueError as error:
+        raise ProtocolError(repr(error), step="goodbye.decode") from None
+
+
+def decode_listing(worker: str, answer: dict[str, Any]) -> Listing:
+    """Return what a runner answers to a call meant for one incarnation.
+
+    One that can't be read tells nothing, least of all that the incarnation has ended.
+    """
+    try:
+        if _read_incarnation(get_runner(worker), answer) != worker:
+            return Listing(CallResult.OTHER_INCARNATION)
+        listing = Listing(
+            CallResult.DONE,
+            answer["clock_ms"],
+            tuple(_decode_running(row) for row in answer.get("running", ())),
+            tuple(EndedTask(*row[:5]) for row in answer.get("ended_at", ())),
+        )
+        check_fields(listing)
+        return listing
+    except (ValueError, KeyError, TypeError, IndexError) as error:
+        return Listing(CallResult.UNREADABLE, detail=repr(error))
+
+
+def _read_incarnation(runner: str, document: dict[str, Any]) -> str:
+    """Return which start of a runner a message is from.
+
+    :raises ValueError: it doesn't say.
+    """
+    born = document.get(BORN)
+    if type(born) is not int or born < 0:
+        raise ValueError(f"{BORN} is {born!r}, and no whole number of milliseconds")
+    return build_incarnation(runner, born)
+
+
 def _decode_running(row: list[Any]) -> RunningTask:
     figure = int(row[4]) if len(row) > 4 and row[4] is not None else 0
     return RunningTask(row[0], row[1], row[2], int(row[3]), figure)
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -65,6 +65,8 @@
             MemoryRunner(f"w{number}", self.witness, 0.4, seed + number)
             for number in range(agents)
         ]
+        for runner in self.runners:
+            runner.keeps_id = 0.5
         self._folder = folder
         self._ports = {name: take_port() for name in ("peer", "front", "ready", "beat")}
         self._net = 2 + seed % 200
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -11,6 +11,7 @@
 import curio
 
 from pistachiodeal.exceptions import StoreUnavailableError, StoreUncertainError
+from pistachiodeal.jobs.incarnations import SEPARATOR, get_runner
 from pistachiodeal.jobs.runtime import CallResult, StartCall
 from pistachiodeal.store.row_store import (
     HistoryLostError,
@@ -128,7 +129,11 @@
     async def handle(self, operation: str, call: base.Call) -> base.Answer:
         """Carry a call out."""
         document = call.document()
-        worker = call.headers.get("expect-instance", "")
+        # The header says which runner is meant, and not which of its starts.
+        runner_id = call.headers.get("expect-instance", "")
+        worker = self.runner.worker
+        if get_runner(worker) != runner_id:
+            worker = runner_id
         if call.path == "/api/hold":
             return await self._hold_lease(worker, document)
         task, run = document["task"], document["run_id"]
@@ -147,7 +152,9 @@
         """Send heartbeats for ever."""
         while True:
             beat = self.runner.build_beat()
+            runner_id = get_runner(beat.worker)
             document = {
+                "born": _read_born(beat.worker),
                 "service": beat.service,
                 "address": "",
                 "state": "draining" if beat.draining else "ready",
@@ -159,7 +166,7 @@
             try:
                 await self._agent.call(
                     "POST",
-                    f"/api/Instances.Heartbeat/{beat.worker}",
+                    f"/api/Instances.Heartbeat/{runner_id}",
                     headers=(("content-type", "application/json"),),
                     body=json.dumps(document).encode(),
                     timeout=BEAT_TIMEOUT_S,
@@ -188,7 +195,12 @@
             for one in listing.ends
         ]
         return base.answer_json(
-            {"clock_ms": listing.clock_ms, "running": running, "ended_at": ended}
+            {
+                "born": _read_born(worker),
+                "clock_ms": listing.clock_ms,
+                "running": running,
+                "ended_at": ended,
+            }
         )
 
     def _answer(self, result: CallResult) -> base.Answer:
@@ -201,6 +213,10 @@
         return base.answer_json({"clock_ms": 1, "reason": REASONS[result]}, 409)
 
 
+def _read_born(worker: str) -> int:
+    return int(worker.rpartition(SEPARATOR)[2])
+
+
 def _encode_row(row: StoredRow) -> dict[str, Any]:
     encoded: dict[str, Any] = {"key": row.key, "schema_version": row.version}
     if row.removed:
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -144,7 +144,7 @@
         signals = AgentSignals()
         self.ledger = AgentLedger(events)
         paces = PaceKeeper(self.ledger, self.runner, events)
-        renewal = Renewal(self.ledger, self.runner, paces, signals)
+        renewal = Renewal(self.ledger, self.runner, paces, events, signals)
         executor = Executor(self.ledger, self.runner, events, signals)
         peers = PeerContext(
             Identity(AGENT_ROLE, f"node-{self.name}", self.lives, "dc"),
--- a/tests/standins/job_runner.py
+++ b/tests/standins/job_runner.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from pistachiodeal.jobs.incarnations import build_incarnation
 from pistachiodeal.jobs.runtime import CallResult, Listing, StartCall, WorkerBeat
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.job_messages import EndedTask, RunningTask
@@ -17,6 +18,7 @@
 TASK_SIZE = Resources(1_000, 1_000, 0)
 # A runner has told its agent of a smaller room by then.
 ROOM_TOLD_S = 0.3
+CLOCK_STEP_MS = 3_600_000
 
 
 @dataclass
@@ -97,7 +99,6 @@
     :param lost: share of the orders that are carried out and not answered.
     :param crashers: tasks that end the runner ``crash_after_s`` after their start.
     :param down_s: how long a crashed runner is away.
-    :param keeps_id: whether a crashed runner comes back under its id.
     """
 
     late: float = 0.0
@@ -106,21 +107,25 @@
     crashers: frozenset[str] = frozenset()
     crash_after_s: float = 0.0
     down_s: float = 0.0
-    keeps_id: bool = False
 
 
 class MemoryRunner:
-    """One runner's machine; :meth:`crash` gives it a new incarnation."""
+    """One runner's machine; :meth:`crash` gives it a new incarnation.
+
+    :ivar keeps_id: share of its crashes from which it comes back under its id.
+    """
 
     def __init__(self, name: str, witness: Witness, work_s: float, seed: int) -> None:
         self._name = name
         self._witness = witness
         self._work_s = work_s
         self._rng = random.Random(seed)
+        self._start_rng = random.Random(-seed)
         self._lives = 0
         self._ids = 1
         self._up_at = 0.0
         self.faults = RunnerFaults()
+        self.keeps_id = 0.0
         self.draining = False
         self.lasting: frozenset[str] = frozenset()
         self._room = ROOM
@@ -130,7 +135,7 @@
     @property
     def worker(self) -> str:
         """Return the incarnation."""
-        return f"{self._name}-{self._ids}"
+        return build_incarnation(f"{self._name}-{self._ids}", self._started_ms)
 
     @property
     def down(self) -> bool:
@@ -149,7 +154,7 @@
 
     def crash(self) -> None:
         """End everything and come back as another incarnation."""
-        self._ids += not self.faults.keeps_id
+        self._ids += self._start_rng.random() >= self.keeps_id
         for work in list(self._running.values()):
             self._witness.see_end(work.task, work.run, "lost")
         self._reset()
@@ -217,6 +222,9 @@
         self._ends: list[EndedTask] = []
         self._closed: dict[str, int] = {}
         self._born = time.monotonic()
+        # The time of day may step, also back, between two starts.
+        step_ms = self._start_rng.randrange(-CLOCK_STEP_MS, CLOCK_STEP_MS)
+        self._started_ms = int(time.time() * 1000) + step_ms
 
     def _read_clock_ms(self) -> int:
         return 1 + int((time.monotonic() - self._born) * 1000)
--- a/tests/unit/test_foreign_writers.py
+++ b/tests/unit/test_foreign_writers.py
@@ -15,7 +15,7 @@
 from pistachiodeal.jobs.checks import check_job
 from pistachiodeal.jobs.record import apply_progress, build_record, encode_progress
 from pistachiodeal.jobs.rows import decode_job, encode_job
-from pistachiodeal.jobs.runtime import WorkerBeat
+from pistachiodeal.jobs.runtime import CallResult, WorkerBeat
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY, Authority
 from pistachiodeal.leader.directory import Directory
@@ -26,7 +26,13 @@
 from pistachiodeal.peers import PeerContext
 from pistachiodeal.platform.configuration import decode_configuration
 from pistachiodeal.platform.rows import _decode_row
-from pistachiodeal.platform.runner import BEAT_PATH, decode_beat
+from pistachiodeal.platform.runner import (
+    BEAT_PATH,
+    LEAVE_PATH,
+    decode_beat,
+    decode_goodbye,
+    decode_listing,
+)
 from pistachiodeal.store.row_store import RowWrite, StoredRow, Transaction
 from pistachiodeal.wire.identity import ENTRY_ROLE, Identity
 from tests.standins.job_cluster import SECRET, build_job, create_quiet_log
@@ -41,6 +47,7 @@
     max_leaves=8,
 )
 BEAT = {
+    "born": 1_783_446_900_684,
     "service": "desk",
     "address": "10.0.0.1:80",
     "state": "ready",
@@ -48,6 +55,12 @@
     "capacity": {"cpu": 16_000, "mem_mb": 64_000},
     "labels": ["a", "r1"],
 }
+LISTING = {
+    "born": 1_783_446_900_684,
+    "clock_ms": 900,
+    "running": [["0000000000000001.0.0.1", 2, "00", 41, 3]],
+    "ended_at": [[58, "0000000000000001.0.0.0", 1, "done", ""]],
+}
 LEADER = {"epoch": 3, "node": "e1", "address": "10.0.0.2:7", "nonce": 9}
 ROUTE = {"name": "q", "host": "h", "path_prefix": "/p/", "service": "desk"}
 CONFIGURATION = {"version": 7, "routes": [ROUTE], "limits": {}}
@@ -107,12 +120,22 @@
     return orjson.loads(encode_progress(record))
 
 
+def read_listing(value: bytes) -> None:
+    """Take an answer of a runner in as the adapter does."""
+    with suppress(orjson.JSONDecodeError):
+        document = orjson.loads(value)
+        if isinstance(document, dict):
+            decode_listing("i-1@1783446900684", document)
+
+
 READERS = [
     (orjson.loads(encode_job(build_job(1))), read_job_row),
     (build_progress(), read_progress_row),
     (LEADER, lambda value: decode_leader_row(StoredRow("leader", value, 1))),
     (CONFIGURATION, decode_configuration),
     (BEAT, lambda value: decode_beat(BEAT_PATH + "i-1", value)),
+    ({"born": 1}, lambda value: decode_goodbye(LEAVE_PATH + "i-1", value)),
+    (LISTING, read_listing),
 ]
 
 
@@ -229,3 +252,27 @@
     job = build_job(1)
     check_job(job)
     assert decode_job(job.job_id, encode_job(job)) == job
+
+
+@pytest.mark.parametrize("born", [None, "1783446900684", 1.5, True, -1])
+def test_a_start_that_is_no_whole_number_is_refused(born):
+    """A message that doesn't say which start of a runner it is from counts for none."""
+    beat = orjson.dumps({**BEAT, "born": born})
+    with pytest.raises(ProtocolError, match="no whole number"):
+        decode_beat(BEAT_PATH + "i-1", beat)
+    with pytest.raises(ProtocolError, match="no whole number"):
+        decode_goodbye(LEAVE_PATH + "i-1", orjson.dumps({"born": born}))
+    listing = decode_listing("i-1@1783446900684", {**LISTING, "born": born})
+    assert listing.result is CallResult.UNREADABLE
+    assert "no whole number" in listing.detail
+
+
+def test_a_start_that_is_missing_is_refused():
+    beat, listed = (
+        {key: value for key, value in document.items() if key != "born"}
+        for document in (BEAT, LISTING)
+    )
+    with pytest.raises(ProtocolError):
+        decode_beat(BEAT_PATH + "i-1", orjson.dumps(beat))
+    listing = decode_listing("i-1@1783446900684", listed)
+    assert listing.result is CallResult.UNREADABLE
--- a/tests/unit/test_job_cluster.py
+++ b/tests/unit/test_job_cluster.py
@@ -293,6 +293,12 @@
     curio.run(main)
 
 
+def keep_some_ids(cluster: JobCluster) -> None:
+    """Let half of the runners that crash come back under their ids."""
+    for agent in cluster.agents:
+        agent.runner.keeps_id = 0.5
+
+
 async def disturb(cluster: JobCluster, rng: random.Random) -> None:
     """Do one harmful thing, and end it after a while."""
     kind = rng.choice(("entry", "agent", "runner", "late", "store", "history"))
@@ -326,6 +332,7 @@
 
     async def main():
         async with run_cluster(agents=3, work_s=0.25, seed=seed) as cluster:
+            keep_some_ids(cluster)
             await wait_for(cluster.find_leader)
             accepted = []
             for number in range(1, 11):
--- a/tests/unit/test_restarted_runners.py
+++ b/tests/unit/test_restarted_runners.py
@@ -12,7 +12,7 @@
 def keep_ids(cluster: JobCluster, *, down_s: float) -> None:
     """Let each runner that crashes come back under its id after a while."""
     for agent in cluster.agents:
-        agent.runner.faults.keeps_id = True
+        agent.runner.keeps_id = 1.0
         agent.runner.faults.down_s = down_s
 
 
