Failing tests: calls meant for an earlier start reach the next one

The header that names the intended runner is the same for all its starts. What was seen: a call to the earlier start, sent right after a fast restart, acknowledged ends up to 57 at the new one, which had listed none, and asked for a lease on the earlier clock; a start and a stop meant for the earlier one were carried out.

--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -5,6 +5,7 @@
 import json
 import time
 from base64 import b64decode, b64encode
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -126,6 +127,17 @@
         self.runner = runner
         self._agent = create_client(control, connections=2)
 
+    def connect(self) -> Callable[[base.Call], Awaitable[base.Answer]]:
+        """Return what answers a connection, which ends with this start."""
+        worker = self.runner.worker
+
+        async def answer(call: base.Call) -> base.Answer:
+            if self.runner.worker != worker:
+                raise base.AnswerLostError
+            return await self.answer(call)
+
+        return answer
+
     async def handle(self, operation: str, call: base.Call) -> base.Answer:
         """Carry a call out."""
         document = call.document()
--- a/tests/standins/base.py
+++ b/tests/standins/base.py
@@ -128,6 +128,10 @@
         """Return what ``GET /record`` shows."""
         return {"log": list(self.record.events)}
 
+    def connect(self) -> Callable[[Call], Awaitable[Answer]]:
+        """Return what answers the calls of one new connection."""
+        return self.answer
+
     async def answer(self, call: Call) -> Answer:
         """Answer a call, with the faults that are set."""
         if call.path == "/record":
@@ -263,7 +267,7 @@
     """Answer calls for ever."""
 
     async def serve_client(client: Socket, _address: Any) -> None:
-        await serve_http(client, stand_in.answer)
+        await serve_http(client, stand_in.connect())
 
     await run_server(sock, serve_client)
 
--- /dev/null
+++ b/tests/unit/test_platform_runner.py
@@ -0,0 +1,133 @@
+"""Calls to a runner that starts again at its address, under the id that it had."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from pistachiodeal.jobs.incarnations import build_incarnation
+from pistachiodeal.jobs.runtime import CallResult, StartCall
+from pistachiodeal.platform.runner import PlatformRunner, create_runner
+from tests.harness.ports import take_port
+from tests.standins import base
+
+RUNNER = "i-1"
+TOKEN = 7
+TASK = "0123456789abcdef.0.0.0"
+
+
+class RestartingRunner(base.StandIn):
+    """A runner whose connections end with each of its starts.
+
+    :ivar calls: start, path and document of each call that was carried out.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.born: Any = 1_000
+        self.calls: list[tuple[int, str, dict[str, Any]]] = []
+
+    @property
+    def worker(self) -> str:
+        """Return the incarnation."""
+        return build_incarnation(RUNNER, self.born)
+
+    def connect(self) -> Callable[[base.Call], Awaitable[base.Answer]]:
+        """Return what answers one connection."""
+        born = self.born
+
+        async def answer(call: base.Call) -> base.Answer:
+            if self.born != born:
+                raise base.AnswerLostError
+            return await self.answer(call)
+
+        return answer
+
+    async def handle(self, operation: str, call: base.Call) -> base.Answer:
+        """Carry a call out."""
+        if call.headers.get("expect-instance") != RUNNER:
+            return base.answer_json({}, 421)
+        self.calls.append((self.born, call.path, call.document()))
+        return base.answer_json({"born": self.born, "clock_ms": 50})
+
+    def list_calls(self, born: int) -> list[tuple[str, dict[str, Any]]]:
+        """Return what one start was asked."""
+        return [(path, document) for at, path, document in self.calls if at == born]
+
+
+async def serve(stand_in: RestartingRunner) -> PlatformRunner:
+    """Serve until the end, and return a client."""
+    address = f"{base.HOST}:{take_port()}"
+    port = int(address.rpartition(":")[2])
+    await curio.spawn(base.run_stand_in, stand_in, port, daemon=True)
+    await curio.sleep(0.05)
+    return create_runner(address)
+
+
+async def ask_twice(call: Callable[[], Awaitable[Any]]) -> Any:
+    """Return the second answer; the first may be lost with an old connection."""
+    await call()
+    return await call()
+
+
+def test_ends_of_an_earlier_start_are_not_acknowledged_at_the_next():
+    """A start whose first ends count as acknowledged never lists them."""
+
+    async def main():
+        stand_in = RestartingRunner()
+        runner = await serve(stand_in)
+        earlier = stand_in.worker
+        listing = await runner.renew(earlier, TOKEN, 57, 9_000, 0)
+        assert listing.result is CallResult.DONE
+        stand_in.born = 2_000
+        listing = await ask_twice(lambda: runner.renew(earlier, TOKEN, 58, 9_000, 0))
+        assert listing.result is CallResult.OTHER_INCARNATION
+        asked = stand_in.list_calls(2_000)
+        assert asked
+        assert {document["last_seen"] for _, document in asked} == {0}
+        assert not any("until_ms" in document for _, document in asked)
+
+    curio.run(main)
+
+
+def test_orders_for_an_earlier_start_are_not_carried_out_by_the_next():
+    """A run that its leader has placed elsewhere starts here, too."""
+
+    async def main():
+        stand_in = RestartingRunner()
+        runner = await serve(stand_in)
+        earlier = stand_in.worker
+        start = StartCall(earlier, TOKEN, TASK, 1, "text", 9_000, "", "")
+        assert await runner.start(start) is CallResult.DONE
+        stand_in.born = 500
+        result = await ask_twice(lambda: runner.start(start))
+        assert result is CallResult.OTHER_INCARNATION
+        result = await runner.stop(earlier, TOKEN, TASK, 1)
+        assert result is CallResult.OTHER_INCARNATION
+        result = await runner.pace(earlier, TOKEN, TASK, 1, 50)
+        assert result is CallResult.OTHER_INCARNATION
+        assert {path for path, _ in stand_in.list_calls(500)} == {"/api/hold"}
+        now = StartCall(stand_in.worker, TOKEN, TASK, 2, "text", 9_000, "", "")
+        assert await runner.start(now) is CallResult.DONE
+
+    curio.run(main)
+
+
+def test_a_start_that_does_not_say_which_it_is_gets_no_orders():
+    """An answer that names no start may be of any; nothing ends because of it."""
+
+    async def main():
+        stand_in = RestartingRunner()
+        runner = await serve(stand_in)
+        worker = stand_in.worker
+        stand_in.born = "soon"
+        start = StartCall(worker, TOKEN, TASK, 1, "text", 9_000, "", "")
+        assert await runner.start(start) is CallResult.REFUSED
+        listing = await runner.renew(worker, TOKEN, 5, 9_000, 0)
+        assert listing.result is CallResult.UNREADABLE
+        assert "no whole number" in listing.detail
+        assert {path for path, _ in stand_in.list_calls("soon")} == {"/api/hold"}
+
+    curio.run(main)
