A connection to a runner says which start it leads to before anything else

What callers saw, or would have: a task whose end was acknowledged unseen waits for ever or runs again after it was done; an order for a runner's earlier start begins at the next one, while its task is placed elsewhere.

Cause: the header that names the intended runner is the same for all its starts, so a call sent in the moments before the agent knows of a restart was carried out by the new start. It acknowledged ends by the earlier start's numbers, and asked for leases on its clock.

A connection belongs to one start and ends with it. Each new one begins with a listing that acknowledges and asks for nothing; its answer names the start, and only calls meant for that start follow on the connection. Everything else is told that another incarnation answers, before a byte of it was sent. A runner that doesn't say which start it is gets no orders.

One more call for each new connection, to the runner on the same VM.

--- a/pistachiodeal/jobs/runtime.py
+++ b/pistachiodeal/jobs/runtime.py
@@ -23,7 +23,7 @@
     REFUSED = "refused"  # nothing was done
     ABSENT = "absent"  # nothing listens there
     UNKNOWN = "unknown"  # it may have been done, or may be done later
-    UNREADABLE = "unreadable"  # it was done, and its answer makes no sense
+    UNREADABLE = "unreadable"  # the answer doesn't tell who gave it, or what it says
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiodeal/platform/runner.py
+++ b/pistachiodeal/platform/runner.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import astuple
+from functools import partial
 from typing import Any
 
 import orjson
+from logbook import Logger
 
 from pistachiodeal.exceptions import Outcome, ProtocolError
 from pistachiodeal.jobs.checks import check_fields
@@ -18,11 +20,21 @@
     WorkerBeat,
 )
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.web.client import CallError, WebClient, create_client
+from pistachiodeal.web.client import (
+    CallError,
+    Introduction,
+    OtherPeerError,
+    WebClient,
+    create_client,
+)
+from pistachiodeal.web.messages import WebResponse
 from pistachiodeal.wire.job_messages import EndedTask, RunningTask
 
+log = Logger("runner")
+
 BEAT_PATH = "/api/Instances.Heartbeat/"
 LEAVE_PATH = "/api/Instances.Deregister/"
+HOLD_PATH = "/api/hold"
 DRAINING = "draining"
 # When this start of the runner was.
 BORN = "born"
@@ -62,14 +74,12 @@
             document["last_checkpoint"] = call.checkpoint
         if call.ticket:
             document["ticket"] = call.ticket
-        result, _ = await self._call("/api/run-start", call.worker, document)
-        return result
+        return await self._order("/api/run-start", call.worker, document)
 
     async def stop(self, worker: str, token: int, task: str, run: int) -> CallResult:
         """Stop a run."""
         document = {"task": task, "run_id": run, "fencing_token": token}
-        result, _ = await self._call("/api/run-stop", worker, document)
-        return result
+        return await self._order("/api/run-stop", worker, document)
 
     async def pace(
         self, worker: str, token: int, task: str, run: int, percent: int
@@ -81,8 +91,7 @@
             "percent": percent,
             "fencing_token": token,
         }
-        result, _ = await self._call("/api/pace", worker, document)
-        return result
+        return await self._order("/api/pace", worker, document)
 
     async def renew(
         self, worker: str, token: int, noted: int, lease_end_ms: int, wait_ms: int
@@ -96,15 +105,28 @@
         if wait_ms:
             document["wait_ms"] = wait_ms
         timeout = CALL_TIMEOUT_S + wait_ms / 1000
-        result, answer = await self._call("/api/hold", worker, document, timeout)
-        if result is not CallResult.DONE:
-            return Listing(result)
-        return decode_listing(worker, answer)
+        try:
+            result, answer = await self._call(HOLD_PATH, worker, document, timeout)
+        except ProtocolError as error:
+            return Listing(CallResult.UNREADABLE, detail=str(error))
+        if result is CallResult.DONE:
+            return decode_listing(worker, answer)
+        return Listing(result)
 
     async def close(self) -> None:
         """Close the idle connections."""
         await self._client.close()
 
+    async def _order(
+        self, path: str, worker: str, document: dict[str, Any]
+    ) -> CallResult:
+        try:
+            result, _ = await self._call(path, worker, document)
+        except ProtocolError as error:
+            log.warning("runner: {} for {} was not sent: {}", path, worker, error)
+            return CallResult.REFUSED
+        return result
+
     async def _call(
         self,
         path: str,
@@ -112,16 +134,35 @@
         document: dict[str, Any],
         timeout: float = CALL_TIMEOUT_S,
     ) -> tuple[CallResult, dict[str, Any]]:
-        # The header names all starts of a runner alike.
+        """Make one call to one start of a runner.
+
+        :raises ProtocolError: who answers doesn't say which start it is; nothing was
+            asked of it.
+        """
+        # The header names all starts of a runner alike; the connection does not.
         headers = (
             ("content-type", "application/json"),
             ("expect-instance", get_runner(worker)),
         )
-        body = orjson.dumps(document)
+        introduction = Introduction(
+            worker,
+            "POST",
+            HOLD_PATH,
+            headers,
+            orjson.dumps({"fencing_token": document["fencing_token"], "last_seen": 0}),
+            partial(_read_name, get_runner(worker)),
+        )
         try:
             response = await self._client.call(
-                "POST", path, headers=headers, body=body, timeout=timeout
+                "POST",
+                path,
+                headers=headers,
+                body=orjson.dumps(document),
+                timeout=timeout,
+                introduction=introduction,
             )
+        except OtherPeerError:
+            return CallResult.OTHER_INCARNATION, {}
         except CallError as error:
             return _map_failure(error), {}
         if response.status == OK:
@@ -208,6 +249,19 @@
         return Listing(CallResult.UNREADABLE, detail=repr(error))
 
 
+def _read_name(runner: str, response: WebResponse) -> str:
+    """Return which start of a runner answers, empty where it refuses the call.
+
+    :raises ProtocolError: its listing doesn't say.
+    """
+    if response.status != OK:
+        return ""
+    try:
+        return _read_incarnation(runner, _parse(response.body))
+    except ValueError as error:
+        raise ProtocolError(str(error), step="runner.introduce") from None
+
+
 def _read_incarnation(runner: str, document: dict[str, Any]) -> str:
     """Return which start of a runner a message is from.
 
--- a/pistachiodeal/web/client.py
+++ b/pistachiodeal/web/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket as stdlib_socket
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import curio
@@ -35,6 +36,12 @@
         self.outcome = outcome
 
 
+class OtherPeerError(CallError):
+    """Another peer than the intended one is at the address; it was sent nothing."""
+
+    code = "other_peer"
+
+
 class UnsendableError(CallError):
     """The request itself cannot be sent as HTTP; the peer is not to blame."""
 
@@ -42,15 +49,34 @@
 
 
 @dataclass(frozen=True, slots=True)
+class Introduction:
+    """The first request on each connection, which asks who is at the other end.
+
+    :param expected: name of the peer that a call is meant for.
+    :param read_name: returns the peer's name from its answer, empty where it is a
+        refusal, which then answers the call itself.
+    """
+
+    expected: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    read_name: Callable[[WebResponse], str]
+
+
+@dataclass(slots=True)
 class _Line:
     """A connection and its place in the protocol.
 
     :param raw: the socket under ``sock``, for calls that never wait.
+    :param peer: name of who is at the other end, empty before it has said so.
     """
 
     raw: stdlib_socket.socket
     sock: Socket
     conn: h11.Connection
+    peer: str = ""
 
     def is_fresh(self) -> bool:
         """Tell whether the connection is open and has nothing unread.
@@ -145,18 +171,21 @@
         headers: Headers = (),
         body: bytes = b"",
         timeout: float = 5.0,
+        introduction: Introduction | None = None,
     ) -> WebResponse:
         """Return the whole answer.
 
         :param timeout: seconds for everything, waiting for a connection included.
+        :param introduction: sends the request only to the peer that it is meant for.
         :raises CallError: there was no whole answer in time.
+        :raises OtherPeerError: another peer is at the address.
         """
         request = self._build_request(method, target, headers, body)
         exchange = _Exchange(self._max_body)
         try:
             async with curio.timeout_after(timeout):
                 async with self._free:
-                    return await self._call(exchange, request, body)
+                    return await self._call(exchange, request, body, introduction)
         except curio.TaskTimeout:
             raise self._fail(exchange, f"no answer within {timeout:.3g} s") from None
         except (OSError, EOFError, ValueError, h11.ProtocolError) as error:
@@ -168,11 +197,19 @@
             await self._idle.pop().sock.close()
 
     async def _call(
-        self, exchange: _Exchange, request: h11.Request, body: bytes
+        self,
+        exchange: _Exchange,
+        request: h11.Request,
+        body: bytes,
+        introduction: Introduction | None,
     ) -> WebResponse:
-        line = await self._take()
+        line = await self._take(introduction.expected if introduction else "")
         reusable = False
         try:
+            if introduction is not None and not line.peer:
+                refusal = await self._introduce(line, introduction)
+                if refusal is not None:
+                    return refusal
             response = await exchange.run(line.sock, line.conn, request, body)
             reusable = line.start_next_cycle()
             return response
@@ -182,10 +219,38 @@
             else:
                 await line.sock.close()
 
-    async def _take(self) -> _Line:
+    async def _introduce(
+        self, line: _Line, introduction: Introduction
+    ) -> WebResponse | None:
+        """Learn who is at the other end; return the answer where it refuses to say.
+
+        :raises OtherPeerError: it is not the intended peer.
+        """
+        request = self._build_request(
+            introduction.method,
+            introduction.target,
+            introduction.headers,
+            introduction.body,
+        )
+        exchange = _Exchange(self._max_body)
+        answer = await exchange.run(line.sock, line.conn, request, introduction.body)
+        peer = introduction.read_name(answer)
+        if not peer:
+            return answer
+        if peer != introduction.expected:
+            raise OtherPeerError(
+                peer, Outcome.NOT_RUN, step="http.introduce", peer=self._address
+            )
+        if not line.start_next_cycle():
+            raise EOFError("the peer closed the connection after its introduction")
+        line.peer = peer
+        return None
+
+    async def _take(self, peer: str) -> _Line:
+        """Return a connection, to a certain peer where one is named."""
         while self._idle:
             line = self._idle.pop()
-            if line.is_fresh():
+            if (not peer or line.peer == peer) and line.is_fresh():
                 return line
             await line.sock.close()
         return await self._connect()
