A runner that tells no start goes by its id

What is missing is now told in one line, and the id alone names the incarnation. A start that is there and no whole number is still refused, and a listing that lacks it where the runner has said it before still tells nothing.

Heartbeats of an incarnation that was given up are no longer dropped unseen: its runner is asked, and who answers is adopted. So a runner that tells no start is found again, too.

--- a/pistachiodeal/jobagent/heartbeats.py
+++ b/pistachiodeal/jobagent/heartbeats.py
@@ -14,7 +14,7 @@
 from pistachiodeal.jobagent.renewal import Renewal
 from pistachiodeal.jobs.incarnations import get_runner
 from pistachiodeal.jobs.model import LossCause
-from pistachiodeal.jobs.runtime import Goodbye, WorkerBeat
+from pistachiodeal.jobs.runtime import CallResult, Goodbye, WorkerBeat
 from pistachiodeal.platform.runner import (
     BEAT_PATH,
     LEAVE_PATH,
@@ -57,28 +57,25 @@
     async def take(self, beat: WorkerBeat) -> None:
         """Take in one heartbeat."""
         ledger = self._ledger
-        if ledger.is_gone(beat.worker):
-            # A heartbeat that was held up by a cut may arrive after its sender's end.
-            self._events.emit(
-                "heartbeat.ignored",
-                worker=beat.worker,
-                sequence=beat.sequence,
-                why="its sender has ended",
-            )
-            return
         if beat.worker == ledger.worker:
             known = ledger.beat
             if ledger.update(beat):
                 self._log_change(known, beat)
                 await self._report.set()
             return
-        if not ledger.worker:
-            ledger.adopt(beat)
-            await self._report.set()
+        if not ledger.worker and not ledger.is_gone(beat.worker):
+            await self._adopt(beat)
             return
+        # A heartbeat that was held up by a cut may arrive after its sender's end.
         if not self._verifying:
             await curio.spawn(self._verify, beat, daemon=True)
 
+    async def _adopt(self, beat: WorkerBeat) -> None:
+        self._ledger.adopt(beat)
+        if get_runner(beat.worker) == beat.worker:
+            self._events.emit("worker.start_unknown", worker=beat.worker)
+        await self._report.set()
+
     def _decode(
         self, decode: Callable[[str, bytes], Message], request: WebRequest, name: str
     ) -> Message:
@@ -115,9 +112,19 @@
     async def _verify(self, beat: WorkerBeat) -> None:
         self._verifying = True
         try:
-            if await self._renewal.verify(beat):
-                self._ledger.adopt(beat)
-                await self._report.set()
+            known = self._ledger.worker
+            result = await self._renewal.verify(beat)
+            if result is CallResult.DONE and self._ledger.worker in (known, ""):
+                await self._adopt(beat)
+                return
+            self._events.emit(
+                "heartbeat.ignored",
+                worker=beat.worker,
+                sequence=beat.sequence,
+                known=self._ledger.worker,
+                why="its sender doesn't answer",
+                result=result.value,
+            )
         finally:
             self._verifying = False
 
@@ -126,8 +133,8 @@
         # One that names no start may be of an earlier one; a runner drains before it
         # leaves, and one that is gone is found out all the same.
         leaving = ledger.draining and get_runner(ledger.worker) == goodbye.runner
-        known = goodbye.worker == ledger.worker if goodbye.worker else leaving
-        if not known:
+        unsaid = goodbye.worker == goodbye.runner
+        if goodbye.worker != ledger.worker and not (unsaid and leaving):
             self._events.emit(
                 "goodbye.ignored",
                 runner=goodbye.runner,
--- a/pistachiodeal/jobagent/renewal.py
+++ b/pistachiodeal/jobagent/renewal.py
@@ -77,11 +77,11 @@
                 await curio.sleep(RETRY_S)
                 await self._look.set()
 
-    async def verify(self, beat: WorkerBeat) -> bool:
+    async def verify(self, beat: WorkerBeat) -> CallResult:
         """Tell whether an incarnation is the one that answers now."""
         token = self._ledger.authority.token
         listing = await self._runtime.renew(beat.worker, token, 0, 0, 0)
-        return listing.result is CallResult.DONE
+        return listing.result
 
     async def _renew(self, wait_ms: int) -> bool:
         """Make one call; tell whether it was answered."""
--- a/pistachiodeal/jobs/incarnations.py
+++ b/pistachiodeal/jobs/incarnations.py
@@ -19,6 +19,9 @@
 
 
 def get_runner(incarnation: str) -> str:
-    """Return the name that all starts of a runner share."""
+    """Return the name that all starts of a runner share.
+
+    Of a runner that doesn't tell its starts apart this is the incarnation itself.
+    """
     runner, separator, _ = incarnation.rpartition(SEPARATOR)
     return runner if separator else incarnation
--- a/pistachiodeal/jobs/runtime.py
+++ b/pistachiodeal/jobs/runtime.py
@@ -50,7 +50,7 @@
     """A runner's last word before a planned end.
 
     :param runner: name that all its starts share.
-    :param worker: its incarnation, empty where it doesn't say.
+    :param worker: its incarnation, the same name where it doesn't say which.
     """
 
     runner: str
--- a/pistachiodeal/platform/runner.py
+++ b/pistachiodeal/platform/runner.py
@@ -150,7 +150,7 @@
             HOLD_PATH,
             headers,
             orjson.dumps({"fencing_token": document["fencing_token"], "last_seen": 0}),
-            partial(_read_name, get_runner(worker)),
+            partial(_read_name, worker),
         )
         try:
             response = await self._client.call(
@@ -223,8 +223,7 @@
         document = orjson.loads(body) if body else {}
         if not runner or not isinstance(document, dict):
             raise ValueError("it doesn't say who sent it")
-        worker = _read_incarnation(runner, document) if BORN in document else ""
-        return Goodbye(runner, worker)
+        return Goodbye(runner, _read_incarnation(runner, document))
     except ValueError as error:
         raise ProtocolError(repr(error), step="goodbye.decode") from None
 
@@ -235,7 +234,7 @@
     One that can't be read tells nothing, least of all that the incarnation has ended.
     """
     try:
-        if _read_incarnation(get_runner(worker), answer) != worker:
+        if _read_answerer(worker, answer) != worker:
             return Listing(CallResult.OTHER_INCARNATION)
         listing = Listing(
             CallResult.DONE,
@@ -249,7 +248,7 @@
         return Listing(CallResult.UNREADABLE, detail=repr(error))
 
 
-def _read_name(runner: str, response: WebResponse) -> str:
+def _read_name(worker: str, response: WebResponse) -> str:
     """Return which start of a runner answers, empty where it refuses the call.
 
     :raises ProtocolError: its listing doesn't say.
@@ -257,17 +256,33 @@
     if response.status != OK:
         return ""
     try:
-        return _read_incarnation(runner, _parse(response.body))
+        return _read_answerer(worker, _parse(response.body))
     except ValueError as error:
         raise ProtocolError(str(error), step="runner.introduce") from None
 
 
+def _read_answerer(worker: str, answer: dict[str, Any]) -> str:
+    """Return which start of a runner has answered a call that is meant for one.
+
+    :raises ValueError: it doesn't say, and has said so before.
+    """
+    runner = get_runner(worker)
+    found = _read_incarnation(runner, answer)
+    if found == runner != worker:
+        raise ValueError(f"{BORN} is missing")
+    return found
+
+
 def _read_incarnation(runner: str, document: dict[str, Any]) -> str:
     """Return which start of a runner a message is from.
 
-    :raises ValueError: it doesn't say.
+    A runner of a platform that gives each start an id of its own says nothing more.
+
+    :raises ValueError: what it says makes no sense.
     """
-    born = document.get(BORN)
+    if BORN not in document:
+        return runner
+    born = document[BORN]
     if type(born) is not int or born < 0:
         raise ValueError(f"{BORN} is {born!r}, and no whole number of milliseconds")
     return build_incarnation(runner, born)
