Orders without an answer are settled at the runner's next start

What callers saw, or would have: a task runs twice, at its new worker and at the next start of the old one, which carried out the first order seconds later.

Cause: the fencing token was the link's, so a new start under the same id took an order of before its time; and the leader gave such a run up as soon as its worker was lost.

Agents now call each start under a token of its own, from a range that each directive grants, so that the first call to a start shuts out everything older. A run whose order had no answer stays with its node until the next start's first listing under that token says whether it is there; if none comes within 5 s it is given up. What a listing holds of runs ordered for an earlier start goes on there, its end counts. Runners that have an id for each start settle nothing: their orders name it.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -9,11 +9,13 @@
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.figures import FigureSampler, RunKey
 from pistachiodeal.jobagent.losses import LossHistory, LossWatch
+from pistachiodeal.jobs.incarnations import get_runner
 from pistachiodeal.jobs.model import LossCause, OrderState
 from pistachiodeal.jobs.runtime import Listing, WorkerBeat
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.interference import Pair
 from pistachiodeal.wire.job_messages import (
+    TOKENS_GRANTED,
     Directive,
     EndedTask,
     Label,
@@ -56,6 +58,12 @@
     started: bool = False
     reported_in: int = 0
 
+    @property
+    def unanswered(self) -> bool:
+        """Tell whether the runner may have been asked, and has never answered."""
+        pending = self.state is OrderState.PENDING
+        return self.sent and pending and not self.settled_at
+
 
 @dataclass(slots=True)
 class Lease:
@@ -90,12 +98,29 @@
 class Authority:
     """What the leader has given this agent.
 
+    :param granted: the lowest of the fencing tokens that it may use.
     :param granted_until: leases may run until then, boot clock.
+    :param starts: incarnations that were adopted under these tokens.
     """
 
     epoch: int = 0
-    token: int = 0
+    granted: int = 0
     granted_until: float = 0.0
+    starts: int = 0
+
+    @property
+    def token(self) -> int:
+        """Return the fencing token for calls now, 0 before the first.
+
+        It rises with each incarnation: orders for an earlier one may still be on their
+        way, and a runner that has just started has seen no token yet.
+        """
+        return self.granted and self.granted + min(self.starts, TOKENS_GRANTED - 1)
+
+    def take_token(self, granted: int) -> None:
+        """Take in the lowest token that a directive grants."""
+        if granted > self.granted:
+            self.granted, self.starts = granted, 0
 
 
 class AgentLedger:
@@ -145,7 +170,20 @@
         # Ends are counted from one by each incarnation: a number of the last one would
         # acknowledge ends that nobody has seen, and their tasks would run again.
         self.noted = 0
-        self._events.emit("worker.adopted", worker=beat.worker, draining=beat.draining)
+        self.authority.starts += 1
+        # The first listing under the higher token tells what became of orders that had
+        # no answer: what it doesn't hold is refused from then on.
+        now = read_boot_clock()
+        unsettled = self.history.take_unsettled()
+        for task, run in unsettled:
+            self.orders[task, run] = Order(task, run, settled_at=now, sent=True)
+        self._events.emit(
+            "worker.adopted",
+            worker=beat.worker,
+            draining=beat.draining,
+            token=self.authority.token,
+            unsettled=sorted(unsettled),
+        )
 
     def update(self, beat: WorkerBeat) -> bool:
         """Take in a heartbeat of the same incarnation; tell whether it says news."""
@@ -211,6 +249,12 @@
             cause=cause.value,
             runs=[(run.task, run.run, run.age_ms) for run in loss.runs],
         )
+        if get_runner(worker) != worker:
+            loss.unsettled = frozenset(
+                key
+                for key, order in self.orders.items()
+                if order.unanswered and key not in self.running
+            )
         self.history.add(loss)
         self.beat = None
         self.listed = False
@@ -257,7 +301,7 @@
         if directive.epoch < authority.epoch:
             return False
         authority.epoch = directive.epoch
-        authority.token = max(authority.token, directive.token)
+        authority.take_token(directive.token)
         if sent_at is not None:
             until = sent_at + directive.grant_ms / 1000
             authority.granted_until = max(authority.granted_until, until)
@@ -295,12 +339,14 @@
             # dropped after one would leave its task waiting for ever.
             if settled and self.listed and not order.reported_in:
                 order.reported_in = beat
+        now = read_boot_clock()
+        unsettled = [Order(*key) for key in self.history.list_unsettled(now)]
         capacity = known.capacity if known else None
         return WorkerReport(
             beat,
             self.authority.epoch,
             self.worker,
-            self.history.report(beat, read_boot_clock()),
+            self.history.report(beat, now),
             known.service if known else "",
             self.listed,
             self.draining,
@@ -311,7 +357,7 @@
             tuple(Label(label) for label in known.labels) if known else (),
             tuple(self.running.values()),
             self.ends,
-            tuple(_list_outcomes(self.orders.values())),
+            tuple(_list_outcomes([*self.orders.values(), *unsettled])),
         )
 
     def _list_begun(self) -> list[RunKey]:
--- a/pistachiodeal/jobagent/losses.py
+++ b/pistachiodeal/jobagent/losses.py
@@ -20,6 +20,9 @@
 KEPT_S = 20.0
 # A worker that ends again and again is back after some seconds each time.
 MOST_KEPT = 8
+# How long a run whose order had no answer waits for the runner's next start, which may
+# still be made to begin it. Longer, and its task is missed on a worker that stays away.
+UNSETTLED_S = 5.0
 
 
 @dataclass(slots=True)
@@ -29,6 +32,7 @@
     :param at: its first silence, seconds of the boot clock.
     :param reported_in: the first report on this link that tells of it, 0 before.
     :param heard: whether the leader has answered that report.
+    :param unsettled: runs that the next incarnation may still be made to begin.
     """
 
     worker: str
@@ -37,6 +41,7 @@
     runs: tuple[LostRun, ...]
     reported_in: int = 0
     heard: bool = False
+    unsettled: frozenset[RunKey] = frozenset()
 
 
 @dataclass(slots=True)
@@ -54,6 +59,25 @@
         kept = [loss for loss in self._losses if loss.worker != worker]
         self._losses = deque(kept, MOST_KEPT)
 
+    def take_unsettled(self) -> set[RunKey]:
+        """Return the runs that a new incarnation has to settle, and forget them."""
+        keys: set[RunKey] = set()
+        for loss in self._losses:
+            keys |= loss.unsettled
+            loss.unsettled = frozenset()
+        return keys
+
+    def list_unsettled(self, now: float) -> set[RunKey]:
+        """Return the runs that the leader may not give up yet."""
+        keys: set[RunKey] = set()
+        for loss in self._losses:
+            if loss.unsettled and now - loss.at >= UNSETTLED_S:
+                # The leader has to hear once more of what it has kept until now.
+                loss.unsettled = frozenset()
+                loss.reported_in, loss.heard = 0, False
+            keys |= loss.unsettled
+        return keys
+
     def report(self, beat: int, now: float) -> tuple[WorkerLoss, ...]:
         """Return what the leader has to hear of in a report."""
         told = []
--- a/pistachiodeal/leader/book.py
+++ b/pistachiodeal/leader/book.py
@@ -202,12 +202,19 @@
         self._release(task, "")
         self._save(record, None)
 
+    def move_run(self, task: Task, place: str) -> None:
+        """Note that a task's newest run is, or may be, at another place."""
+        self._leave_place(task)
+        task.place, task.running = place, False
+        self._runs.setdefault(place, {})[str(task.name)] = task
+        self._note_change(place)
+        self.touch(task)
+
     def forget_place(self, place: str) -> None:
-        """Give up all runs of a worker that is certainly gone."""
-        for task in list(self.get_runs(place).values()):
-            self.requeue(task)
-        self._runs.pop(place, None)
-        self._stamps.pop(place, None)
+        """Forget a place that has no runs any more."""
+        if not self.get_runs(place):
+            self._runs.pop(place, None)
+            self._stamps.pop(place, None)
 
     def take_unsaved(self, most: int) -> list[tuple[JobRecord, list[Effect]]]:
         """Return jobs to write, oldest change first, with their effects."""
@@ -285,11 +292,14 @@
         record.finished_at = read_boot_clock()
         self._open.pop(record.job_id, None)
 
-    def _release(self, task: Task, checkpoint: str) -> None:
+    def _leave_place(self, task: Task) -> None:
         runs = self._runs.get(task.place)
         if runs is not None:
             runs.pop(str(task.name), None)
             self._note_change(task.place)
+
+    def _release(self, task: Task, checkpoint: str) -> None:
+        self._leave_place(task)
         task.place, task.running, task.stopping = "", False, ""
         task.ready_at = read_boot_clock()
         if checkpoint:
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import dataclass
 
 from pistachiodeal.clock import read_boot_clock
@@ -44,6 +45,10 @@
     ends: dict[RunKey, EndedTask]
     outcomes: dict[RunKey, OrderOutcome]
 
+    def has(self, key: RunKey) -> bool:
+        """Tell whether the report says anything of a run."""
+        return key in self.running or key in self.ends or key in self.outcomes
+
 
 class Reconciler:
     """Applies reports to the book."""
@@ -72,8 +77,15 @@
         worker = self._fleet.get(attachment.node)
         attachment.beat, attachment.heard_at = report.beat, now
         worker.stamp += 1
+        listed = _index(report)
+        place = build_place(worker.node, report.worker) if report.worker else ""
+        if place and report.listed:
+            self._move_runs(worker, place, listed)
         for loss in report.losses:
-            self._take_loss(worker, report, loss, now)
+            if loss.worker != report.worker:
+                self._take_loss(worker, loss, now)
+                why = f"its agent saw it end: {loss.cause}"
+                self._lose_others(worker, place, why, listed.outcomes)
         if not report.worker:
             worker.listed = False
             return
@@ -84,8 +96,8 @@
         worker.leaving_at = now + report.leaving_ms / 1000 if report.draining else 0.0
         if not report.listed:
             return
-        self._forget_others(worker)
-        listed = _index(report)
+        # The agent has spoken with the one worker that the node has now.
+        self._lose_others(worker, place, "a new incarnation is at its address")
         self._apply_runs(worker, attachment, listed, now)
         self._apply_ends(worker, attachment, report)
         self._stop_strays(worker, attachment, listed)
@@ -130,9 +142,16 @@
         )
         attachment.order_start(build_order(task), record.job_id, record.job.text)
 
-    def lose(self, place: str, why: str) -> None:
-        """Give up the runs of a worker that is certainly gone."""
-        runs = list(self._book.get_runs(place).values())
+    def lose(self, place: str, why: str, kept: Container[RunKey] = ()) -> None:
+        """Give up the runs of a worker that is certainly gone.
+
+        :param kept: runs that may begin yet, at the worker's next incarnation.
+        """
+        runs = [
+            task
+            for name, task in self._book.get_runs(place).items()
+            if (name, task.run) not in kept
+        ]
         if runs:
             self._events.emit("worker.lost", place=place, why=why, runs=len(runs))
         now = read_boot_clock()
@@ -147,28 +166,48 @@
                 blames=task.blames,
                 placed_ms=int((now - task.placed_at) * 1000),
             )
+            self._book.requeue(task)
         self._book.forget_place(place)
 
-    def _take_loss(
-        self, worker: WorkerState, report: WorkerReport, loss: WorkerLoss, now: float
-    ) -> None:
-        if loss.worker == report.worker:
-            return
+    def _take_loss(self, worker: WorkerState, loss: WorkerLoss, now: float) -> None:
         if worker.worker == loss.worker:
             worker.renew("")
         # A worker that had said it would leave, or that was only cut off, tells nothing
         # about its tasks.
         if loss.cause == LossCause.CRASHED:
             self._crashes.note_crash(worker, loss, now)
-        place = build_place(worker.node, loss.worker)
-        self.lose(place, f"its agent saw it end: {loss.cause}")
 
-    def _forget_others(self, worker: WorkerState) -> None:
-        # A node has one worker at a time; the agent has spoken with the new one.
+    def _list_others(self, worker: WorkerState, place: str) -> list[str]:
+        """Return the places of earlier incarnations on a worker's node."""
         prefix = worker.node + PLACE_SEPARATOR
-        for place in self._book.list_places():
-            if place.startswith(prefix) and place != worker.place:
-                self.lose(place, "a new incarnation is at its address")
+        return [
+            other
+            for other in self._book.list_places()
+            if other.startswith(prefix) and other != place
+        ]
+
+    def _lose_others(
+        self,
+        worker: WorkerState,
+        place: str,
+        why: str,
+        kept: Container[RunKey] = (),
+    ) -> None:
+        for other in self._list_others(worker, place):
+            self.lose(other, why, kept)
+
+    def _move_runs(self, worker: WorkerState, place: str, listed: _Listed) -> None:
+        """Take in that orders for earlier incarnations were carried out by this one.
+
+        Queued again, such a task would run twice, or again after its end.
+        """
+        for other in self._list_others(worker, place):
+            for name, task in list(self._book.get_runs(other).items()):
+                if listed.has((name, task.run)):
+                    self._events.emit(
+                        "run.moved", task=name, run=task.run, place=place, was=other
+                    )
+                    self._book.move_run(task, place)
 
     def _apply_runs(
         self,
--- a/pistachiodeal/leader/sessions.py
+++ b/pistachiodeal/leader/sessions.py
@@ -10,7 +10,7 @@
 from pistachiodeal.leader.commits import CommitLog
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.workers import Attachment, Fleet, WorkerState
-from pistachiodeal.wire.job_messages import WorkerReport
+from pistachiodeal.wire.job_messages import TOKENS_GRANTED, WorkerReport
 from pistachiodeal.wire.link import Link
 
 log = Logger("leader")
@@ -21,7 +21,8 @@
 GRANT_S = 11.0
 # The runner's clock may be 2% slow and ends runs a little after their lease.
 LOST_MARGIN_S = 0.5
-TOKEN_SHIFT = 20
+# Bits for the tokens of one epoch.
+TOKEN_SHIFT = 30
 
 
 class AgentSessions:
@@ -46,7 +47,7 @@
     async def serve(self, link: Link) -> None:
         """Serve one agent until its link ends."""
         node = link.peer.node
-        self._tokens += 1
+        self._tokens += TOKENS_GRANTED
         token = (self._commits.epoch << TOKEN_SHIFT) + self._tokens
         attachment = Attachment(node, token)
         worker = self._fleet.get(node)
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -55,7 +55,8 @@
     Runs whose order was sent on an earlier link, or by an earlier leader, have to be
     settled again: ``ordered`` and ``stopped`` begin empty with each link.
 
-    :param token: fencing token of the agent's calls, higher than any earlier one's.
+    :param token: the lowest of the agent's fencing tokens, higher than any earlier
+        one's.
     :param beat: the newest report's number, received at ``heard_at`` (boot clock).
     """
 
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -175,13 +175,17 @@
     text: str
 
 
+TOKENS_GRANTED = 1_024
+"""Fencing tokens that a directive grants, from the one that it names."""
+
+
 @dataclass(frozen=True, slots=True)
 class Directive:
     """Leader to agent: the answer to a report, or new orders.
 
     :param beat: the report that it answers.
     :param grant_ms: leases may run until this long after that report was sent.
-    :param token: fencing token for calls to the runner.
+    :param token: the lowest of the fencing tokens for calls to the runner.
     :param worker: the incarnation that the orders are for.
     :param ends_noted: ends up to this number are durable.
     :param known: runs that are at work already, described for a new agent.
--- a/tests/unit/test_jobagent_losses.py
+++ b/tests/unit/test_jobagent_losses.py
@@ -6,10 +6,10 @@
 
 from pistachiodeal.jobagent import ledger as ledger_module
 from pistachiodeal.jobagent.ledger import AgentLedger, Order
-from pistachiodeal.jobagent.losses import KEPT_S, MOST_KEPT
+from pistachiodeal.jobagent.losses import KEPT_S, MOST_KEPT, UNSETTLED_S
 from pistachiodeal.jobs.model import LossCause, OrderState
 from pistachiodeal.jobs.runtime import CallResult, Listing
-from pistachiodeal.wire.job_messages import RunningTask
+from pistachiodeal.wire.job_messages import TOKENS_GRANTED, RunningTask
 from tests.unit.test_jobagent_ledger import (
     build_beat,
     build_directive,
@@ -123,3 +123,64 @@
         ledger.adopt(build_beat(f"w{life}"))
         ledger.drop_worker("nothing listens at its address")
     assert len(ledger.build_report(1).losses) == MOST_KEPT
+
+
+def drop_unanswered(monkeypatch, worker: str) -> AgentLedger:
+    """Return the ledger of an agent that lost a worker with an order on its way."""
+    ledger = create_ledger()
+    ledger.adopt(build_beat(worker))
+    begin(ledger, TASK, 1.0)
+    set_clock(monkeypatch, 2.0)
+    ledger.drop_worker("nothing listens at its address")
+    return ledger
+
+
+def list_outcomes(ledger: AgentLedger, beat: int) -> list[tuple[str, str]]:
+    return [(one.task, one.outcome) for one in ledger.build_report(beat).outcomes]
+
+
+def test_an_order_without_an_answer_is_kept_for_the_next_start(monkeypatch):
+    """The leader gives the run up, and the runner's next start begins it."""
+    ledger = drop_unanswered(monkeypatch, "w@1")
+    assert list_outcomes(ledger, 1) == [(TASK, "pending")]
+    set_clock(monkeypatch, 3.0)
+    ledger.adopt(build_beat("w@2"))
+    assert list_outcomes(ledger, 2) == [(TASK, "pending")]
+    ledger.take_listing(Listing(CallResult.DONE, 100), 3.0, 3.1)
+    assert list_outcomes(ledger, 3) == [(TASK, "pending")]
+    ledger.take_listing(Listing(CallResult.DONE, 200), 3.2, 3.3)
+    assert list_outcomes(ledger, 4) == [(TASK, "void")]
+
+
+def test_the_leader_hears_again_of_a_worker_that_stays_away(monkeypatch):
+    """A task waits for ever for a runner that never comes back."""
+    ledger = drop_unanswered(monkeypatch, "w@1")
+    ledger.build_report(1)
+    ledger.take_directive(build_directive("", epoch=1), None)
+    assert ledger.build_report(2).losses == ()
+    set_clock(monkeypatch, 2.0 + UNSETTLED_S)
+    report = ledger.build_report(3)
+    assert report.outcomes == ()
+    assert [loss.worker for loss in report.losses] == ["w@1"]
+
+
+def test_a_runner_with_an_id_for_each_start_settles_nothing(monkeypatch):
+    """Its orders name the start that is gone; their tasks need not wait."""
+    assert list_outcomes(drop_unanswered(monkeypatch, "w"), 1) == []
+
+
+def test_each_start_is_called_under_a_higher_token():
+    """An order for an earlier start is carried out after the new one was listed."""
+    ledger = create_ledger()
+    ledger.take_directive(build_directive(""), None)
+    ledger.adopt(build_beat("w@1"))
+    first = ledger.authority.token
+    ledger.drop_worker("it has left", LossCause.LEFT)
+    ledger.adopt(build_beat("w@2"))
+    second = ledger.authority.token
+    assert second == first + 1
+    ledger.take_directive(replace(build_directive(""), token=7 + TOKENS_GRANTED), None)
+    assert ledger.authority.token > second
+    for _ in range(2 * TOKENS_GRANTED):
+        ledger.adopt(build_beat("w@2"))
+    assert ledger.authority.token < 7 + 2 * TOKENS_GRANTED
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -17,6 +17,7 @@
     Label,
     OrderOutcome,
     RunningTask,
+    WorkerLoss,
     WorkerReport,
 )
 from tests.standins.job_cluster import build_job, create_quiet_log
@@ -46,12 +47,12 @@
             for effect in effects:
                 effect()
 
-    def report(self, worker="w1", running=(), ends=(), outcomes=()) -> None:
+    def report(self, worker="w1", running=(), ends=(), outcomes=(), losses=()) -> None:
         """Apply a report of the node's agent."""
         self.reconciler.apply(
             self.attachment,
             WorkerReport(
-                1, 1, worker, (), "svc", True, False, 0, 16_000, 64_000, 0,
+                1, 1, worker, tuple(losses), "svc", True, False, 0, 16_000, 64_000, 0,
                 (Label("a"), Label("r1")), tuple(running), tuple(ends), tuple(outcomes),
             ),
         )  # fmt: skip
@@ -325,3 +326,42 @@
     stage.book.place(stage.task, 1, "node/w1", lambda: None)
     stage.report(ends=[end])
     assert stage.task.failures == 1
+
+
+LOSS = WorkerLoss("w1", "crashed", 100, ())
+
+
+def test_a_run_that_the_next_start_has_begun_goes_on_there():
+    """A task is queued again although its order was carried out by the next start."""
+    stage = Stage()
+    stage.report(worker="w2", running=[RunningTask(TASK, 1, "", 5, 0)], losses=[LOSS])
+    assert (stage.task.place, stage.task.running) == ("node/w2", True)
+    assert stage.attachment.outbox.stops == []
+
+
+def test_an_end_at_the_next_start_counts():
+    """A task that was done at the next start runs again."""
+    stage = Stage()
+    stage.report(worker="w2", ends=[EndedTask(1, TASK, 1, "done", "")])
+    assert stage.task.done
+
+
+def test_a_run_that_may_begin_yet_is_not_given_up():
+    """A task runs twice: its unanswered order begins at the next start."""
+    stage = Stage()
+    pending = OrderOutcome(TASK, 1, "pending", "")
+    stage.report(worker="", outcomes=[pending], losses=[LOSS])
+    assert stage.task.place == "node/w1"
+    stage.report(worker="w2", outcomes=[pending])
+    assert stage.task.place == "node/w2"
+    stage.report(worker="w2", outcomes=[OrderOutcome(TASK, 1, "void", "")])
+    assert stage.task.waits
+
+
+def test_a_run_that_nobody_waits_for_any_more_is_given_up():
+    """A task waits for ever for a runner that stays away."""
+    stage = Stage()
+    pending = OrderOutcome(TASK, 1, "pending", "")
+    stage.report(worker="", outcomes=[pending], losses=[LOSS])
+    stage.report(worker="", losses=[LOSS])
+    assert stage.task.waits
