--- a/tests/unit/test_restarted_runners.py
+++ b/tests/unit/test_restarted_runners.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import random
+from dataclasses import replace
+
 import curio
 import pytest
 
+from pistachiodeal.jobs.incarnations import get_runner
 from pistachiodeal.jobs.model import JobState
+from pistachiodeal.platform.runner import LEAVE_PATH
+from pistachiodeal.web.messages import WebRequest
 from tests.standins.job_cluster import JobCluster, build_job, run_cluster
 from tests.unit.test_job_cluster import check, wait_for, wait_until_begun
 
@@ -77,3 +83,154 @@
             check(cluster)
 
     curio.run(main)
+
+
+@pytest.mark.parametrize("away", ["agent", "leader", "both"])
+def test_a_restart_while_agent_or_leader_is_away_runs_nothing_twice(away):
+    """Whoever comes back takes the runs of the earlier start for those of the new."""
+
+    async def main():
+        async with run_cluster(agents=2, work_s=0.8) as cluster:
+            keep_ids(cluster, down_s=0.0)
+            jobs = [build_job(number, steps=1) for number in range(1, 4)]
+            for job in jobs:
+                await cluster.entries[0].submit(job)
+            await wait_until_begun(cluster, 9)
+            processes = [cluster.agents[0]] if away != "leader" else []
+            if away != "agent":
+                processes.append(await wait_for(cluster.find_leader))
+            for process in processes:
+                await process.kill()
+            cluster.agents[0].runner.crash()
+            await curio.sleep(0.2)
+            for process in processes:
+                await process.boot()
+            for job in jobs:
+                await cluster.wait_for_state(job, JobState.COMPLETED, 10.0)
+            check(cluster)
+
+    curio.run(main)
+
+
+def test_two_restarts_within_a_second_lose_no_task():
+    """The second start is taken for the first, or never known."""
+
+    async def main():
+        async with run_cluster(agents=1, work_s=0.8) as cluster:
+            keep_ids(cluster, down_s=0.05)
+            job = build_job(1, steps=1)
+            await cluster.entries[0].submit(job)
+            await wait_until_begun(cluster, 3)
+            for _ in range(3):
+                cluster.agents[0].runner.crash()
+                await curio.sleep(0.2)
+            await cluster.wait_for_state(job, JobState.COMPLETED, 6.0)
+            check(cluster)
+
+    curio.run(main)
+
+
+def test_a_heartbeat_of_an_earlier_start_changes_nothing():
+    """A heartbeat that was held up ends the start that is at work, and all its runs."""
+
+    async def main():
+        async with run_cluster(agents=1, work_s=1.0) as cluster:
+            keep_ids(cluster, down_s=0.0)
+            agent = cluster.agents[0]
+            earlier = agent.runner.build_beat()
+            unknown = replace(earlier, worker=f"{get_runner(earlier.worker)}@7")
+            agent.runner.crash()
+            job = build_job(1, steps=1)
+            await cluster.entries[0].submit(job)
+            await wait_until_begun(cluster, 3)
+            for beat in (earlier, unknown):
+                await agent.heartbeats.take(replace(beat, sequence=900))
+                await curio.sleep(0.1)
+                assert agent.ledger.worker == agent.runner.worker
+            await cluster.wait_for_state(job, JobState.COMPLETED, 6.0)
+            check(cluster)
+            assert {one.starts for one in cluster.witness.tasks.values()} == {1}
+
+    curio.run(main)
+
+
+def say_goodbye(born: int | None) -> WebRequest:
+    """Return a runner's goodbye as the platform sends it."""
+    body = b"" if born is None else b'{"born":%d}' % born
+    return WebRequest("POST", f"{LEAVE_PATH}w0-1", (), body)
+
+
+def test_a_goodbye_counts_only_for_the_start_that_sent_it():
+    """A goodbye that was held up ends the start that is at work."""
+
+    async def main():
+        async with run_cluster(agents=1) as cluster:
+            agent = cluster.agents[0]
+            worker = await wait_for(lambda: agent.ledger.worker)
+            born = int(worker.rpartition("@")[2])
+            for request in (say_goodbye(born - 1), say_goodbye(None)):
+                await agent.heartbeats.handle(request)
+                assert agent.ledger.worker == worker
+            await agent.heartbeats.handle(say_goodbye(born))
+            assert agent.ledger.worker == ""
+
+    curio.run(main)
+
+
+def test_a_goodbye_that_names_no_start_counts_while_its_runner_drains():
+    """A runner that has left is missed only once nothing answers there."""
+
+    async def main():
+        async with run_cluster(agents=1) as cluster:
+            agent = cluster.agents[0]
+            agent.runner.draining = True
+            await wait_for(lambda: agent.ledger.draining)
+            await agent.heartbeats.handle(say_goodbye(None))
+            assert agent.ledger.worker == ""
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize("seed", range(101, 105))
+def test_random_restarts_break_no_promise(seed):
+    """A task twice, or a job never done, among restarts and late orders in series."""
+    play_restarts(seed)
+
+
+def play_restarts(seed: int) -> None:
+    """Restart runners all the time, and now and then an agent or entry beside them."""
+    rng = random.Random(seed)
+
+    async def main():
+        async with run_cluster(agents=3, work_s=0.3, seed=seed) as cluster:
+            keep_ids(cluster, down_s=0.0)
+            jobs = [build_job(number, steps=1) for number in range(1, 9)]
+            await wait_for(cluster.find_leader)
+            for job in jobs:
+                await cluster.entries[job is jobs[0]].submit(job)
+                await disturb_restarts(cluster, rng)
+            for agent in cluster.agents:
+                agent.runner.faults.late = agent.runner.faults.lost = 0.0
+            for job in jobs:
+                await cluster.wait_for_state(job, JobState.COMPLETED, 30.0)
+            check(cluster)
+
+    curio.run(main)
+
+
+async def disturb_restarts(cluster: JobCluster, rng: random.Random) -> None:
+    """Crash a runner, perhaps again, and perhaps with its agent or the leader."""
+    agent = rng.choice(cluster.agents)
+    faults = agent.runner.faults
+    faults.down_s = rng.choice((0.0, 0.05, 0.4, 0.7))
+    faults.late, faults.lost = rng.choice(((0.0, 0.0), (0.4, 0.0), (0.2, 0.3)))
+    faults.late_s = rng.uniform(0.2, 1.5)
+    others = [None, None, agent, cluster.find_leader()]
+    other = rng.choice(others)
+    if other is not None:
+        await other.kill()
+    for _ in range(rng.randint(1, 3)):
+        agent.runner.crash()
+        await curio.sleep(rng.uniform(0.0, 0.3))
+    if other is not None:
+        await other.boot()
