A runner that is back is asked until it answers, and no heartbeat of it is dropped

What callers saw, or would have: no task starts on a worker that is back until its second heartbeat, 1.5 s after the first.

Cause: a heartbeat of another start than the known one was looked into once; where its sender didn't listen yet, or another sender was being asked, nothing came of it. Heartbeats wait their turn now, one for each start, and a sender that doesn't answer is asked five times more within half a second, as long as the answer decides nothing.

--- a/pistachiodeal/jobagent/heartbeats.py
+++ b/pistachiodeal/jobagent/heartbeats.py
@@ -25,6 +25,11 @@
 
 log = Logger("heartbeats")
 
+# A runner that is starting is asked this often, sooner than it sends another heartbeat.
+VERIFY_RETRIES = 5
+VERIFY_PAUSE_S = 0.1
+DECIDED = (CallResult.DONE, CallResult.OTHER_INCARNATION, CallResult.FENCED)
+
 Message = TypeVar("Message", WorkerBeat, Goodbye)
 
 
@@ -42,6 +47,7 @@
         self._renewal = renewal
         self._events = events
         self._report = report
+        self._unverified: dict[str, WorkerBeat] = {}
         self._verifying = False
 
     async def handle(self, request: WebRequest) -> WebResponse:
@@ -67,8 +73,9 @@
             await self._adopt(beat)
             return
         # A heartbeat that was held up by a cut may arrive after its sender's end.
+        self._unverified[beat.worker] = beat
         if not self._verifying:
-            await curio.spawn(self._verify, beat, daemon=True)
+            await curio.spawn(self._verify, daemon=True)
 
     async def _adopt(self, beat: WorkerBeat) -> None:
         self._ledger.adopt(beat)
@@ -109,25 +116,37 @@
                 accelerators=beat.capacity.accelerators,
             )
 
-    async def _verify(self, beat: WorkerBeat) -> None:
+    async def _verify(self) -> None:
+        """Look into the heartbeats of incarnations that are not the known one."""
         self._verifying = True
         try:
-            known = self._ledger.worker
-            result = await self._renewal.verify(beat)
-            if result is CallResult.DONE and self._ledger.worker in (known, ""):
-                await self._adopt(beat)
-                return
-            self._events.emit(
-                "heartbeat.ignored",
-                worker=beat.worker,
-                sequence=beat.sequence,
-                known=self._ledger.worker,
-                why="its sender doesn't answer",
-                result=result.value,
-            )
+            while self._unverified:
+                worker = next(iter(self._unverified))
+                await self._verify_one(self._unverified.pop(worker))
         finally:
             self._verifying = False
 
+    async def _verify_one(self, beat: WorkerBeat) -> None:
+        known = self._ledger.worker
+        result = await self._renewal.verify(beat)
+        for _ in range(VERIFY_RETRIES):
+            if result in DECIDED:
+                break
+            # A runner may send its first heartbeat before it listens.
+            await curio.sleep(VERIFY_PAUSE_S)
+            result = await self._renewal.verify(beat)
+        if result is CallResult.DONE and self._ledger.worker in (known, ""):
+            await self._adopt(beat)
+            return
+        self._events.emit(
+            "heartbeat.ignored",
+            worker=beat.worker,
+            sequence=beat.sequence,
+            known=self._ledger.worker,
+            why="its sender doesn't answer",
+            result=result.value,
+        )
+
     async def _take_goodbye(self, goodbye: Goodbye) -> None:
         ledger = self._ledger
         # One that names no start may be of an earlier one; a runner drains before it
