--- a/tests/unit/test_restarted_runners.py
+++ b/tests/unit/test_restarted_runners.py
@@ -191,7 +191,7 @@
     curio.run(main)
 
 
-@pytest.mark.parametrize("seed", range(101, 105))
+@pytest.mark.parametrize("seed", [101, 102, 103, 104, 1_030])
 def test_random_restarts_break_no_promise(seed):
     """A task twice, or a job never done, among restarts and late orders in series."""
     play_restarts(seed)
