Failing test: a refused ticket is offered again

A ticket holds for one start of a runner. One that was asked for just as the runner restarted is refused (409), and was used for each next try until it ran out.

--- a/tests/unit/test_leader_advice.py
+++ b/tests/unit/test_leader_advice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import replace
 
 import curio
@@ -14,7 +15,7 @@
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.workers import Attachment, Fleet
 from pistachiodeal.scheduling.interference import InterferenceModel
-from pistachiodeal.wire.job_messages import Label, WorkerReport
+from pistachiodeal.wire.job_messages import Label, OrderOutcome, WorkerReport
 from tests.standins.job_cluster import build_job, create_quiet_log
 
 KEY = ("0000000000000001", 0, 0)
@@ -47,8 +48,8 @@
         self.book = JobBook(events)
         fleet = Fleet()
         model = InterferenceModel()
-        reconciler = Reconciler(self.book, fleet, model, events)
         self.advice = AdviceKeeper(adviser, events, self.note_change)
+        self.reconciler = reconciler = Reconciler(self.book, fleet, model, events)
         self.planner = Planner(
             self.book,
             fleet,
@@ -59,16 +60,20 @@
             advice=self.advice,
         )
         self.book.add(build_job(1, count=2, steps=1), 0.0)
-        for number in range(workers):
-            attachment = Attachment(f"n{number}", number + 1)
+        self.attachments = [Attachment(f"n{n}", n + 1) for n in range(workers)]
+        for number, attachment in enumerate(self.attachments):
             fleet.get(f"n{number}").attachment = attachment
-            reconciler.apply(
-                attachment,
-                WorkerReport(
-                    1, 1, f"w{number}", (), "svc", True, False, 0, 16_000, 64_000, 0,
-                    (Label("a"), Label("r1")), (), (), (),
-                ),
-            )  # fmt: skip
+            self.report(number)
+
+    def report(self, number: int, outcomes: Iterable[OrderOutcome] = ()) -> None:
+        """Apply a report of an agent."""
+        self.reconciler.apply(
+            self.attachments[number],
+            WorkerReport(
+                1, 1, f"w{number}", (), "svc", True, False, 0, 16_000, 64_000, 0,
+                (Label("a"), Label("r1")), (), (), tuple(outcomes),
+            ),
+        )  # fmt: skip
 
     async def note_change(self) -> None:
         self.planner.plan()
@@ -148,3 +153,21 @@
 
     curio.run(main)
     assert stage.list_tickets() == {("n0/w0", "t-w0")}
+
+
+def test_a_ticket_that_the_worker_refused_is_not_used_again():
+    """A ticket for a runner's earlier start is offered until it has run out."""
+    adviser = FakeAdviser({"w1"})
+    stage = Stage(adviser, 2)
+    curio.run(stage.run, 0.05)
+    assert stage.list_tickets() == {("n1/w1", "t-w1")}
+    tasks = list(stage.book.records[KEY[0]].iterate_tasks())
+    stage.report(
+        1, [OrderOutcome(str(task.name), 1, "refused", "no_ticket") for task in tasks]
+    )
+    for task in tasks:
+        task.held_until = 0.0
+    assert stage.advice.find_ticket(KEY, "w1") == ""
+    curio.run(stage.run, 0.05)
+    assert [workers for _, workers in adviser.calls[1:]] == [("w1",)]
+    assert stage.list_tickets() == {("n1/w1", "t-w1")}
