A ticket that a worker has refused is asked for anew

What callers saw, or would have: a step of an advised queue starts nowhere for as long as a ticket is valid, each try refused.

Cause: a ticket was believed until its time was over; one that was asked for as its runner restarted is of the earlier start. A refusal for the ticket now ends it, and the worker is asked for again.

--- a/pistachiodeal/leader/advice.py
+++ b/pistachiodeal/leader/advice.py
@@ -61,6 +61,14 @@
         ticket, until = known.tickets.get(worker, ("", 0.0)) if known else ("", 0.0)
         return ticket if read_boot_clock() + TICKET_MARGIN_S < until else ""
 
+    def forget_ticket(self, key: StepKey, worker: str) -> None:
+        """Note that a worker has refused a ticket; it may be of an earlier start."""
+        known = self._steps.get(key)
+        ticket, _ = known.tickets.get(worker, ("", 0.0)) if known else ("", 0.0)
+        if known is not None and ticket:
+            # Its entry stays, so that this worker is asked for again.
+            known.tickets[worker] = (ticket, 0.0)
+
     def want(self, key: StepKey, workers: Iterable[str]) -> None:
         """Note that a step waits for a ticket on any of some workers, best first."""
         known = self._steps.get(key) or _StepAdvice()
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -79,7 +79,12 @@
         self._feed = JobFeed(store, self._book, events, self._cancel, self._touch)
         self._commits = CommitLog(store, authority, events)
         interference = InterferenceModel()
-        self._reconciler = Reconciler(self._book, self._fleet, interference, events)
+        self._advice = None
+        if adviser is not None:
+            self._advice = AdviceKeeper(adviser, events, self._changed.set)
+        self._reconciler = Reconciler(
+            self._book, self._fleet, interference, events, advice=self._advice
+        )
         self._lessons = LessonKeeper(
             store,
             self._commits,
@@ -87,9 +92,6 @@
             self._book.expectations.durations,
             events,
         )
-        self._advice = None
-        if adviser is not None:
-            self._advice = AdviceKeeper(adviser, events, self._changed.set)
         self._planner = Planner(
             self._book,
             self._fleet,
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -9,6 +9,8 @@
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobs.model import EndKind, LossCause, OrderState
 from pistachiodeal.jobs.record import Task
+from pistachiodeal.jobs.runtime import CallResult
+from pistachiodeal.leader.advice import AdviceKeeper
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.crashes import CrashTracker
 from pistachiodeal.leader.neighbours import NeighbourWatch
@@ -59,7 +61,10 @@
         fleet: Fleet,
         interference: InterferenceModel,
         events: EventLog,
+        *,
+        advice: AdviceKeeper | None = None,
     ) -> None:
+        self._advice = advice
         self._book = book
         self._fleet = fleet
         self._crashes = CrashTracker(book, fleet, events)
@@ -278,6 +283,10 @@
             outcome=outcome.outcome,
             detail=outcome.detail,
         )
+        if outcome.detail == CallResult.NO_TICKET and self._advice is not None:
+            record = self._book.records[task.name.job_id]
+            key = record.find_step(task.name).key
+            self._advice.forget_ticket(key, worker.worker)
         self._book.requeue(task)
         if outcome.outcome == OrderState.REFUSED:
             # Placed again at once, it would be refused again as fast as orders travel.
--- a/tests/unit/test_leader_advice.py
+++ b/tests/unit/test_leader_advice.py
@@ -49,7 +49,9 @@
         fleet = Fleet()
         model = InterferenceModel()
         self.advice = AdviceKeeper(adviser, events, self.note_change)
-        self.reconciler = reconciler = Reconciler(self.book, fleet, model, events)
+        self.reconciler = reconciler = Reconciler(
+            self.book, fleet, model, events, advice=self.advice
+        )
         self.planner = Planner(
             self.book,
             fleet,
