--- a/tests/unit/test_jobagent_heartbeats.py
+++ b/tests/unit/test_jobagent_heartbeats.py
@@ -88,3 +88,19 @@
         assert len(renewal.asked) < 10
 
     curio.run(main)
+
+
+def test_a_start_adopted_meanwhile_outlasts_an_older_look():
+    """The look at an earlier heartbeat ends the start that has been adopted since."""
+
+    async def main():
+        renewal = FakeRenewal("w@2")
+        heartbeats, ledger = build_stage(renewal)
+        await heartbeats.take(build_beat("w@2"))
+        await curio.sleep(0.01)
+        ledger.adopt(build_beat("w@3"))
+        await curio.sleep(0.1)
+        assert renewal.asked == ["w@2"]
+        assert ledger.worker == "w@3"
+
+    curio.run(main)
--- a/tests/unit/test_platform_runner.py
+++ b/tests/unit/test_platform_runner.py
@@ -146,3 +146,21 @@
         assert [path for _, path, _ in stand_in.calls] == ["/api/run-start"]
 
     curio.run(main)
+
+
+def test_a_connection_to_an_earlier_start_carries_no_call_for_the_next():
+    """The first calls to a start that is back are lost with connections of before."""
+
+    async def main():
+        stand_in = RestartingRunner()
+        runner = await serve(stand_in)
+        earlier = stand_in.worker
+        async with curio.TaskGroup() as group:
+            for _ in range(3):
+                await group.spawn(runner.renew, earlier, TOKEN, 0, 0, 0)
+        stand_in.born = 2_000
+        for _ in range(3):
+            listing = await runner.renew(stand_in.worker, TOKEN, 0, 0, 0)
+            assert listing.result is CallResult.DONE
+
+    curio.run(main)
--- a/tests/unit/test_restarted_runners.py
+++ b/tests/unit/test_restarted_runners.py
@@ -13,6 +13,7 @@
 from pistachiodeal.platform.runner import LEAVE_PATH
 from pistachiodeal.web.messages import WebRequest
 from tests.standins.job_cluster import JobCluster, build_job, run_cluster
+from tests.unit.test_crashing_tasks import plant
 from tests.unit.test_job_cluster import check, wait_for, wait_until_begun
 
 
@@ -234,3 +235,21 @@
         await curio.sleep(rng.uniform(0.0, 0.3))
     if other is not None:
         await other.boot()
+
+
+def test_a_task_that_ends_its_runners_is_given_up_where_they_are_back_at_once():
+    """A crash that nobody noticed blames no task, which goes on for ever."""
+
+    async def main():
+        async with run_cluster(agents=3, work_s=0.3) as cluster:
+            plant(cluster)
+            keep_ids(cluster, down_s=0.0)
+            jobs = [build_job(number, steps=1) for number in range(1, 4)]
+            for job in jobs:
+                await cluster.entries[0].submit(job)
+            await cluster.wait_for_state(jobs[0], JobState.FAILED, 15.0)
+            for job in jobs[1:]:
+                await cluster.wait_for_state(job, JobState.COMPLETED, 15.0)
+            check(cluster)
+
+    curio.run(main)
