A runner that names no start is found again; places of a node are listed once a report

Such a runner that is back under its id was adopted while the leader still had its earlier runs there, and would have taken them for runs on their way: its end is heard first. A worker that was only silent is adopted at once, as before. Names of ended incarnations are kept for the last 64. The leader lists the earlier places of a node once a report, not twice.

--- a/pistachiodeal/jobagent/heartbeats.py
+++ b/pistachiodeal/jobagent/heartbeats.py
@@ -8,6 +8,7 @@
 import curio
 from logbook import Logger
 
+from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import ProtocolError, RequestError
 from pistachiodeal.jobagent.ledger import AgentLedger
@@ -69,9 +70,14 @@
                 self._log_change(known, beat)
                 await self._report.set()
             return
-        if not ledger.worker and not ledger.is_gone(beat.worker):
+        gone = ledger.is_gone(beat.worker)
+        if not ledger.worker and not gone:
             await self._adopt(beat)
             return
+        if gone and ledger.history.awaits_hearing(beat.worker, read_boot_clock()):
+            # A runner that doesn't tell its starts apart may be back. The leader must
+            # first give up what ended with it, and would take it for never gone.
+            return
         # A heartbeat that was held up by a cut may arrive after its sender's end.
         self._unverified[beat.worker] = beat
         if not self._verifying:
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -35,6 +36,9 @@
 # The runner's clock may be this much slower than ours.
 SLOWEST_CLOCK = 0.98
 TEXTS_KEPT = 400
+# Incarnations that have ended; whoever answers under an older one is adopted and soon
+# found out.
+MOST_GONE = 64
 # Pairs of images; a worker has a dozen of either kind at once.
 PRESSES_KEPT = 1_000
 
@@ -145,7 +149,7 @@
         self._listing_ms = 0
         self._other_service = ""
         self._texts: dict[str, str] = {}
-        self._gone: set[str] = set()
+        self._gone: deque[str] = deque(maxlen=MOST_GONE)
 
     @property
     def worker(self) -> str:
@@ -158,7 +162,7 @@
         return self.beat is not None and self.beat.draining
 
     def is_gone(self, worker: str) -> bool:
-        """Tell whether an incarnation has certainly ended."""
+        """Tell whether an incarnation has ended, as far as is known."""
         return worker in self._gone
 
     def adopt(self, beat: WorkerBeat) -> None:
@@ -239,7 +243,7 @@
         if cause is LossCause.CRASHED and self.draining:
             cause = LossCause.LEFT
         if cause is not LossCause.SILENT:
-            self._gone.add(worker)
+            self._gone.append(worker)
         now = read_boot_clock()
         loss = self.losses.build_loss(worker, cause, self._list_begun(), now)
         self._events.emit(
--- a/pistachiodeal/jobagent/losses.py
+++ b/pistachiodeal/jobagent/losses.py
@@ -59,6 +59,13 @@
         kept = [loss for loss in self._losses if loss.worker != worker]
         self._losses = deque(kept, MOST_KEPT)
 
+    def awaits_hearing(self, worker: str, now: float) -> bool:
+        """Tell whether the leader has yet to hear that an incarnation ended."""
+        return any(
+            loss.worker == worker and not loss.heard and now - loss.at < KEPT_S
+            for loss in self._losses
+        )
+
     def take_unsettled(self) -> set[RunKey]:
         """Return the runs that a new incarnation has to settle, and forget them."""
         keys: set[RunKey] = set()
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -84,13 +84,14 @@
         worker.stamp += 1
         listed = _index(report)
         place = build_place(worker.node, report.worker) if report.worker else ""
+        others = self._list_others(worker, place)
         if place and report.listed:
-            self._move_runs(worker, place, listed)
+            self._move_runs(others, place, listed)
         for loss in report.losses:
             if loss.worker != report.worker:
                 self._take_loss(worker, loss, now)
                 why = f"its agent saw it end: {loss.cause}"
-                self._lose_others(worker, place, why, listed.outcomes)
+                self._lose_all(others, why, listed.outcomes)
         if not report.worker:
             worker.listed = False
             return
@@ -102,7 +103,7 @@
         if not report.listed:
             return
         # The agent has spoken with the one worker that the node has now.
-        self._lose_others(worker, place, "a new incarnation is at its address")
+        self._lose_all(others, "a new incarnation is at its address")
         self._apply_runs(worker, attachment, listed, now)
         self._apply_ends(worker, attachment, report)
         self._stop_strays(worker, attachment, listed)
@@ -191,22 +192,18 @@
             if other.startswith(prefix) and other != place
         ]
 
-    def _lose_others(
-        self,
-        worker: WorkerState,
-        place: str,
-        why: str,
-        kept: Container[RunKey] = (),
+    def _lose_all(
+        self, places: list[str], why: str, kept: Container[RunKey] = ()
     ) -> None:
-        for other in self._list_others(worker, place):
-            self.lose(other, why, kept)
+        for place in places:
+            self.lose(place, why, kept)
 
-    def _move_runs(self, worker: WorkerState, place: str, listed: _Listed) -> None:
+    def _move_runs(self, others: list[str], place: str, listed: _Listed) -> None:
         """Take in that orders for earlier incarnations were carried out by this one.
 
         Queued again, such a task would run twice, or again after its end.
         """
-        for other in self._list_others(worker, place):
+        for other in others:
             for name, task in list(self._book.get_runs(other).items()):
                 if listed.has((name, task.run)):
                     self._events.emit(
--- a/tests/standins/job_runner.py
+++ b/tests/standins/job_runner.py
@@ -113,6 +113,7 @@
     """One runner's machine; :meth:`crash` gives it a new incarnation.
 
     :ivar keeps_id: share of its crashes from which it comes back under its id.
+    :ivar tells_start: whether it says when it started.
     """
 
     def __init__(self, name: str, witness: Witness, work_s: float, seed: int) -> None:
@@ -127,6 +128,7 @@
         self._late = False
         self.faults = RunnerFaults()
         self.keeps_id = 0.0
+        self.tells_start = True
         self.draining = False
         self.lasting: frozenset[str] = frozenset()
         self._room = ROOM
@@ -136,7 +138,10 @@
     @property
     def worker(self) -> str:
         """Return the incarnation."""
-        return build_incarnation(f"{self._name}-{self._ids}", self._started_ms)
+        runner = f"{self._name}-{self._ids}"
+        if not self.tells_start:
+            return runner
+        return build_incarnation(runner, self._started_ms)
 
     @property
     def down(self) -> bool:
--- a/tests/unit/test_jobagent_heartbeats.py
+++ b/tests/unit/test_jobagent_heartbeats.py
@@ -8,9 +8,10 @@
 
 from pistachiodeal.jobagent.heartbeats import Heartbeats
 from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobs.model import LossCause
 from pistachiodeal.jobs.runtime import CallResult, WorkerBeat
 from tests.standins.job_cluster import create_quiet_log
-from tests.unit.test_jobagent_ledger import build_beat
+from tests.unit.test_jobagent_ledger import build_beat, build_directive
 
 # Shorter than the pause between two heartbeats of a runner.
 SOON_S = 0.8
@@ -104,3 +105,34 @@
         assert ledger.worker == "w@3"
 
     curio.run(main)
+
+
+def test_a_worker_that_was_silent_is_adopted_without_its_leader():
+    """A worker that answers again stands idle until the leader has heard of its end."""
+
+    async def main():
+        heartbeats, ledger = build_stage(FakeRenewal("w@1"))
+        ledger.drop_worker("it is silent", LossCause.SILENT)
+        await heartbeats.take(build_beat("w@1"))
+        assert ledger.worker == "w@1"
+
+    curio.run(main)
+
+
+def test_a_name_whose_end_the_leader_has_not_heard_of_waits():
+    """The leader takes a runner that is back for one that was never gone."""
+
+    async def main():
+        renewal = FakeRenewal("w")
+        heartbeats, ledger = build_stage(renewal)
+        ledger.adopt(build_beat("w"))
+        ledger.drop_worker("nothing listens at its address")
+        await heartbeats.take(build_beat("w"))
+        await curio.sleep(0.05)
+        assert ledger.worker == ""
+        ledger.build_report(1)
+        ledger.take_directive(build_directive(""), None)
+        await heartbeats.take(build_beat("w"))
+        await wait_for_worker(ledger, "w")
+
+    curio.run(main)
--- a/tests/unit/test_restarted_runners.py
+++ b/tests/unit/test_restarted_runners.py
@@ -46,6 +46,23 @@
     curio.run(main)
 
 
+def test_a_runner_that_tells_no_start_is_found_again_once_it_was_away():
+    """A runner that keeps its id and names no start gets no work for good."""
+
+    async def main():
+        async with run_cluster(agents=1, work_s=0.5) as cluster:
+            keep_ids(cluster, down_s=0.6)
+            cluster.agents[0].runner.tells_start = False
+            job = build_job(1, steps=1)
+            await cluster.entries[0].submit(job)
+            await wait_until_begun(cluster, 3)
+            cluster.agents[0].runner.crash()
+            await cluster.wait_for_state(job, JobState.COMPLETED, 6.0)
+            check(cluster)
+
+    curio.run(main)
+
+
 def test_a_restart_that_nobody_noticed_loses_no_task():
     """Runs that ended in a restart faster than any silence are taken for running."""
 
