--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -550,3 +550,19 @@
     known = Casualty("f", 0.3, True)
     assert judge([young, known]).blames == {"f": BLAME_FRESH}
     assert judge([unknown, old]).involved == {"d", "e"}
+
+
+def test_one_worker_that_ends_again_and_again_costs_no_job(monkeypatch):
+    """A sound job is given up for a runner that starts and ends by itself in a loop."""
+    stage = Stage(monkeypatch, ["r1"])
+    job = stage.add(1, Step(1, SIZE, 2.0))
+    task = stage.find(job)
+    for _ in range(CRASHES_TO_GIVE_UP - 1):
+        place(stage)
+        stage.crash_under(task)
+        assert stage.book.records[job.job_id].state is JobState.ACTIVE
+    assert task.blames == BLAME_AT_ONCE
+    place(stage)
+    stage.crash_under(task)
+    place(stage)
+    assert stage.book.records[job.job_id].state is JobState.FAILED
