A worker that ends again under the same task weighs once

What callers saw, or would have: a sound job is failed, "its runs end their workers", since its task was sent to a runner that starts and ends by itself in a loop, now that such a runner is back, and noticed, at once.

Cause: each crash within 0.1 s of the start weighed the same, also of the same worker. Now a worker weighs once against a task (a successor of the leader may count it again), and a suspect goes back there only if it found no other place for two seconds.

--- a/pistachiodeal/leader/crashes.py
+++ b/pistachiodeal/leader/crashes.py
@@ -87,13 +87,20 @@
         ]
         restless = any(not one.explained for one in self._recent)
         verdict = judge(at_work, restless=restless)
+        # A runner that starts and ends in a loop hits a task more than once; only its
+        # end under another task, or of another worker under this one, tells them apart.
+        blames = {
+            name: weight
+            for name, weight in verdict.blames.items()
+            if not (runs[name].blames and worker.node in runs[name].avoid)
+        }
         crash = _Crash(
             now - loss.ago_ms / 1000,
             worker,
             loss.worker,
             suspected=any(one.suspect for one in at_work),
             explained=verdict.explained,
-            blames=verdict.blames,
+            blames=blames,
         )
         for one in at_work:
             if one.task not in verdict.involved:
@@ -101,7 +108,7 @@
             task = runs[one.task]
             crash.counted.append(task)
             task.crashes += 1
-            task.blames += verdict.blames.get(one.task, 0)
+            task.blames += blames.get(one.task, 0)
             if is_suspect(task):
                 # It may be the worker that ends whatever begins there; emptied by its
                 # end it would be the first choice again.
--- a/pistachiodeal/leader/probation.py
+++ b/pistachiodeal/leader/probation.py
@@ -80,7 +80,10 @@
             self._left -= 1
             quiet = self._now - task.ready_at < PATIENCE_S
             alone = replace(request, alone=True, quiet=quiet, avoid=task.avoid)
-            view = choose_worker(alone, views, self._interference)
+            others = [one for one in views if one.node not in task.avoid]
+            # Its end on the same worker once more would tell nothing of the task.
+            choice = others if quiet and others else views
+            view = choose_worker(alone, choice, self._interference)
         if view is None:
             self._explain_wait(task, request.key, exposed, limit)
             return None
