--- a/pistachiodeal/jobagent/executor.py
+++ b/pistachiodeal/jobagent/executor.py
@@ -7,7 +7,8 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
-from pistachiodeal.jobagent.ledger import AgentLedger, Order
+from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.orders import Order
 from pistachiodeal.jobagent.signals import AgentSignals
 from pistachiodeal.jobs.model import OrderState
 from pistachiodeal.jobs.runtime import CallResult, Runtime, StartCall
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -3,38 +3,30 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
-from dataclasses import dataclass
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
+from pistachiodeal.jobagent.authority import Authority, Lease
 from pistachiodeal.jobagent.figures import FigureSampler, RunKey
 from pistachiodeal.jobagent.losses import LossHistory, LossWatch
+from pistachiodeal.jobagent.orders import Order, list_outcomes
 from pistachiodeal.jobs.incarnations import get_runner
 from pistachiodeal.jobs.model import LossCause, OrderState
 from pistachiodeal.jobs.runtime import Listing, WorkerBeat
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.interference import Pair
 from pistachiodeal.wire.job_messages import (
-    TOKENS_GRANTED,
     Directive,
     EndedTask,
     Label,
-    OrderOutcome,
     RunningTask,
     RunOrder,
     WorkerReport,
 )
 
-# How long runs outlive their agent. A killed agent is back, attached and heard its
-# runner's heartbeat after 6 s; a runner that vanished without a trace holds its tasks
-# back for as long.
-LEASE_S = 8.0
 # A runner that doesn't answer gets no longer lease: every call may still be carried
 # out, and the end of the last lease is what its tasks' next runs wait for.
 SILENT_S = 1.5
-# The runner's clock may be this much slower than ours.
-SLOWEST_CLOCK = 0.98
 TEXTS_KEPT = 400
 # Incarnations that have ended; whoever answers under an older one is adopted and soon
 # found out.
@@ -43,90 +35,6 @@
 PRESSES_KEPT = 1_000
 
 
-@dataclass(slots=True)
-class Order:
-    """A run that was ordered, or has to be settled, and is not listed.
-
-    :param settled_at: when the runner answered the last call about it, boot clock; a
-        listing asked for later than that tells what became of it.
-    :param sent: whether the runner may have been asked to start it.
-    :param reported_in: the report that carried its outcome, 0 before.
-    """
-
-    task: str
-    run: int
-    state: OrderState = OrderState.PENDING
-    detail: str = ""
-    settled_at: float = 0.0
-    sent: bool = False
-    started: bool = False
-    reported_in: int = 0
-
-    @property
-    def unanswered(self) -> bool:
-        """Tell whether the runner may have been asked, and has never answered."""
-        pending = self.state is OrderState.PENDING
-        return self.sent and pending and not self.settled_at
-
-
-@dataclass(slots=True)
-class Lease:
-    """The lease of all runs on the worker, and both clocks.
-
-    :param until: no lease that was ever asked for runs longer, boot clock.
-    :param clock_ms: the runner's clock at ``sampled_at`` of ours.
-    """
-
-    until: float = 0.0
-    clock_ms: int = 0
-    sampled_at: float = 0.0
-
-    def sample(self, clock_ms: int, now: float) -> None:
-        """Note the runner's clock."""
-        if clock_ms > self.clock_ms:
-            self.clock_ms, self.sampled_at = clock_ms, now
-
-    def extend(self, now: float, granted_until: float) -> int:
-        """Return the end of a new lease on the runner's clock, 0 for no extension."""
-        until = min(now + LEASE_S, granted_until)
-        if not self.clock_ms or until <= now:
-            return 0
-        self.until = max(self.until, until)
-        # A slow clock reaches a given reading later; so the lease is asked for as if
-        # the runner's clock were the slowest allowed, and surely ends by ``until``.
-        span_ms = (until - self.sampled_at) * 1000 * SLOWEST_CLOCK
-        return self.clock_ms + int(span_ms)
-
-
-@dataclass(slots=True)
-class Authority:
-    """What the leader has given this agent.
-
-    :param granted: the lowest of the fencing tokens that it may use.
-    :param granted_until: leases may run until then, boot clock.
-    :param starts: incarnations that were adopted under these tokens.
-    """
-
-    epoch: int = 0
-    granted: int = 0
-    granted_until: float = 0.0
-    starts: int = 0
-
-    @property
-    def token(self) -> int:
-        """Return the fencing token for calls now, 0 before the first.
-
-        It rises with each incarnation: orders for an earlier one may still be on their
-        way, and a runner that has just started has seen no token yet.
-        """
-        return self.granted and self.granted + min(self.starts, TOKENS_GRANTED - 1)
-
-    def take_token(self, granted: int) -> None:
-        """Take in the lowest token that a directive grants."""
-        if granted > self.granted:
-            self.granted, self.starts = granted, 0
-
-
 class AgentLedger:
     """The agent's memory; a restarted agent learns everything again."""
 
@@ -361,7 +269,7 @@
             tuple(Label(label) for label in known.labels) if known else (),
             tuple(self.running.values()),
             self.ends,
-            tuple(_list_outcomes([*self.orders.values(), *unsettled])),
+            tuple(list_outcomes([*self.orders.values(), *unsettled])),
         )
 
     def _list_begun(self) -> list[RunKey]:
@@ -400,10 +308,3 @@
     """Return what a run reserves; what fills reserves no processor."""
     cpu_milli = 0 if order.fills else order.cpu_milli
     return Resources(cpu_milli, order.memory_mib, order.accelerators)
-
-
-def _list_outcomes(orders: Iterable[Order]) -> list[OrderOutcome]:
-    return [
-        OrderOutcome(order.task, order.run, order.state.value, order.detail)
-        for order in orders
-    ]
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Container
-from dataclasses import dataclass
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
@@ -13,6 +12,7 @@
 from pistachiodeal.leader.advice import AdviceKeeper
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.crashes import CrashTracker
+from pistachiodeal.leader.listed import ListedRuns, RunKey, index_report
 from pistachiodeal.leader.neighbours import NeighbourWatch
 from pistachiodeal.leader.workers import (
     PLACE_SEPARATOR,
@@ -31,27 +31,12 @@
     WorkerReport,
 )
 
-RunKey = tuple[str, int]
-
 # A filling task below this pace hardly moves.
 SLOW_PACE = 0.25
 # A runner that refuses a start for want of room lists what took it soon after.
 REFUSED_S = 0.3
 
 
-@dataclass(frozen=True, slots=True)
-class _Listed:
-    """A report's runs by task and run."""
-
-    running: dict[RunKey, RunningTask]
-    ends: dict[RunKey, EndedTask]
-    outcomes: dict[RunKey, OrderOutcome]
-
-    def has(self, key: RunKey) -> bool:
-        """Tell whether the report says anything of a run."""
-        return key in self.running or key in self.ends or key in self.outcomes
-
-
 class Reconciler:
     """Applies reports to the book."""
 
@@ -82,7 +67,7 @@
         worker = self._fleet.get(attachment.node)
         attachment.beat, attachment.heard_at = report.beat, now
         worker.stamp += 1
-        listed = _index(report)
+        listed = index_report(report)
         place = build_place(worker.node, report.worker) if report.worker else ""
         others = self._list_others(worker, place)
         if place and report.listed:
@@ -198,7 +183,7 @@
         for place in places:
             self.lose(place, why, kept)
 
-    def _move_runs(self, others: list[str], place: str, listed: _Listed) -> None:
+    def _move_runs(self, others: list[str], place: str, listed: ListedRuns) -> None:
         """Take in that orders for earlier incarnations were carried out by this one.
 
         Queued again, such a task would run twice, or again after its end.
@@ -215,7 +200,7 @@
         self,
         worker: WorkerState,
         attachment: Attachment,
-        listed: _Listed,
+        listed: ListedRuns,
         now: float,
     ) -> None:
         for name, task in list(self._book.get_runs(worker.place).items()):
@@ -339,7 +324,7 @@
             self.stop(other, "the job has failed")
 
     def _stop_strays(
-        self, worker: WorkerState, attachment: Attachment, listed: _Listed
+        self, worker: WorkerState, attachment: Attachment, listed: ListedRuns
     ) -> None:
         worker.strays = {}
         runs = self._book.get_runs(worker.place)
@@ -351,11 +336,3 @@
             # its end is listed.
             worker.strays[name] = run
             attachment.order_stop(name, run)
-
-
-def _index(report: WorkerReport) -> _Listed:
-    return _Listed(
-        {(one.task, one.run): one for one in report.running},
-        {(one.task, one.run): one for one in report.ends},
-        {(one.task, one.run): one for one in report.outcomes},
-    )
--- a/tests/unit/test_jobagent_ledger.py
+++ b/tests/unit/test_jobagent_ledger.py
@@ -6,7 +6,9 @@
 from dataclasses import replace
 
 from pistachiodeal.events import EventLog
-from pistachiodeal.jobagent.ledger import SLOWEST_CLOCK, AgentLedger, Lease, Order
+from pistachiodeal.jobagent.authority import SLOWEST_CLOCK, Lease
+from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.orders import Order
 from pistachiodeal.jobs.model import LossCause, OrderState
 from pistachiodeal.jobs.runtime import CallResult, Listing, WorkerBeat
 from pistachiodeal.model.resources import Resources
--- a/tests/unit/test_jobagent_losses.py
+++ b/tests/unit/test_jobagent_losses.py
@@ -5,8 +5,9 @@
 from dataclasses import replace
 
 from pistachiodeal.jobagent import ledger as ledger_module
-from pistachiodeal.jobagent.ledger import AgentLedger, Order
+from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.losses import KEPT_S, MOST_KEPT, UNSETTLED_S
+from pistachiodeal.jobagent.orders import Order
 from pistachiodeal.jobs.model import LossCause, OrderState
 from pistachiodeal.jobs.runtime import CallResult, Listing
 from pistachiodeal.wire.job_messages import TOKENS_GRANTED, RunningTask
--- a/tests/unit/test_jobagent_paces.py
+++ b/tests/unit/test_jobagent_paces.py
@@ -4,7 +4,8 @@
 
 import curio
 
-from pistachiodeal.jobagent.ledger import AgentLedger, Order
+from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.orders import Order
 from pistachiodeal.jobagent.paces import PaceKeeper
 from pistachiodeal.jobs.runtime import CallResult, Listing
 from pistachiodeal.wire.job_messages import RunningTask, RunOrder
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.jobagent.ledger import LEASE_S, SLOWEST_CLOCK, Lease
+from pistachiodeal.jobagent.authority import LEASE_S, SLOWEST_CLOCK, Lease
 from pistachiodeal.jobs.model import EndKind
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.moves import HELD_BACK_S, STALL_S, Mover
