--- a/pistachiodeal/jobagent/heartbeats.py
+++ b/pistachiodeal/jobagent/heartbeats.py
@@ -75,8 +75,8 @@
             await self._adopt(beat)
             return
         if gone and ledger.history.awaits_hearing(beat.worker, read_boot_clock()):
-            # A runner that doesn't tell its starts apart may be back. The leader must
-            # first give up what ended with it, and would take it for never gone.
+            # A runner that doesn't tell its starts apart may be back; a leader that has
+            # not heard of its end would wait for the runs that ended with it.
             return
         # A heartbeat that was held up by a cut may arrive after its sender's end.
         self._unverified[beat.worker] = beat
--- a/tests/unit/test_restarted_runners.py
+++ b/tests/unit/test_restarted_runners.py
@@ -24,59 +24,47 @@
         agent.runner.faults.down_s = down_s
 
 
-def test_a_runner_that_is_back_under_its_id_gets_work_again():
-    """Four of eleven runners ended and were back under their ids 0.7 s later, and none
-    of them got work for the rest of the day; the same happened after each further
-    crash, until serving tasks found no place. Agents kept the ids of runners that had
-    ended and dropped every heartbeat under one of them as one that was held up. After
-    "worker.dropped" with "cause":"crashed" each agent logged only "heartbeat.ignored"
-    with "sequence":1, 2, 3 and on, and "why":"its sender has ended".
-    """
+def restart_under_work(
+    *, down_s: float, tells_start: bool = True, crashes: int = 1
+) -> None:
+    """Let the only runner crash under a job, which is done all the same."""
 
     async def main():
-        async with run_cluster(agents=1, work_s=0.5) as cluster:
-            keep_ids(cluster, down_s=0.6)
+        async with run_cluster(agents=1, work_s=0.8) as cluster:
+            keep_ids(cluster, down_s=down_s)
+            runner = cluster.agents[0].runner
+            runner.tells_start = tells_start
             job = build_job(1, steps=1)
             await cluster.entries[0].submit(job)
             await wait_until_begun(cluster, 3)
-            cluster.agents[0].runner.crash()
+            for _ in range(crashes):
+                runner.crash()
+                await curio.sleep(0.2)
             await cluster.wait_for_state(job, JobState.COMPLETED, 6.0)
             check(cluster)
 
     curio.run(main)
 
 
-def test_a_runner_that_tells_no_start_is_found_again_once_it_was_away():
-    """A runner that keeps its id and names no start gets no work for good."""
+def test_a_runner_that_is_back_under_its_id_gets_work_again():
+    """Four of eleven runners ended and were back under their ids 0.7 s later, and none
+    of them got work for the rest of the day; the same happened after each further
+    crash, until serving tasks found no place. Agents kept the ids of runners that had
+    ended and dropped every heartbeat under one of them as one that was held up. After
+    "worker.dropped" with "cause":"crashed" each agent logged only "heartbeat.ignored"
+    with "sequence":1, 2, 3 and on, and "why":"its sender has ended".
+    """
+    restart_under_work(down_s=0.6)
 
-    async def main():
-        async with run_cluster(agents=1, work_s=0.5) as cluster:
-            keep_ids(cluster, down_s=0.6)
-            cluster.agents[0].runner.tells_start = False
-            job = build_job(1, steps=1)
-            await cluster.entries[0].submit(job)
-            await wait_until_begun(cluster, 3)
-            cluster.agents[0].runner.crash()
-            await cluster.wait_for_state(job, JobState.COMPLETED, 6.0)
-            check(cluster)
 
-    curio.run(main)
+def test_a_runner_that_tells_no_start_is_found_again_once_it_was_away():
+    """A runner that keeps its id and names no start gets no work for good."""
+    restart_under_work(down_s=0.6, tells_start=False)
 
 
 def test_a_restart_that_nobody_noticed_loses_no_task():
     """Runs that ended in a restart faster than any silence are taken for running."""
-
-    async def main():
-        async with run_cluster(agents=1, work_s=0.8) as cluster:
-            keep_ids(cluster, down_s=0.0)
-            job = build_job(1, steps=1)
-            await cluster.entries[0].submit(job)
-            await wait_until_begun(cluster, 3)
-            cluster.agents[0].runner.crash()
-            await cluster.wait_for_state(job, JobState.COMPLETED, 6.0)
-            check(cluster)
-
-    curio.run(main)
+    restart_under_work(down_s=0.0)
 
 
 @pytest.mark.parametrize("late_s", [0.3, 0.8])
@@ -132,20 +120,7 @@
 
 def test_two_restarts_within_a_second_lose_no_task():
     """The second start is taken for the first, or never known."""
-
-    async def main():
-        async with run_cluster(agents=1, work_s=0.8) as cluster:
-            keep_ids(cluster, down_s=0.05)
-            job = build_job(1, steps=1)
-            await cluster.entries[0].submit(job)
-            await wait_until_begun(cluster, 3)
-            for _ in range(3):
-                cluster.agents[0].runner.crash()
-                await curio.sleep(0.2)
-            await cluster.wait_for_state(job, JobState.COMPLETED, 6.0)
-            check(cluster)
-
-    curio.run(main)
+    restart_under_work(down_s=0.05, crashes=3)
 
 
 def test_a_heartbeat_of_an_earlier_start_changes_nothing():
