Failing test: starts go on in a closed data centre

Nothing reads the operator's rows of closed data centres. Agents of the stand-in cluster now have a data centre each, and its witness keeps which runner began what.

--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -33,12 +33,15 @@
 from pistachiodeal.leader.election import Election
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.peers import PeerContext
+from pistachiodeal.store.row_store import RowWrite, Transaction
 from pistachiodeal.wire.identity import AGENT_ROLE, ENTRY_ROLE, Identity
 from tests.harness.ports import take_port
 from tests.standins.job_runner import MemoryRunner, Witness
 from tests.standins.rows import MemoryRows, RowsState
 
 QUEUE = Queue("q", "host", "/q/", "svc", 0, 4, 2.0, 1.0)
+CLOSURES_TABLE = "op"
+CLOSURES_PREFIX = "evacuate/"
 SECRET = "secret"
 BEAT_S = 0.1
 
@@ -132,6 +135,7 @@
     ) -> None:
         super().__init__()
         self.name = name
+        self.data_centre = f"dc-{name}"
         self.state = state
         self.addresses = addresses
         self.runner = runner
@@ -147,7 +151,7 @@
         renewal = Renewal(self.ledger, self.runner, paces, events, signals)
         executor = Executor(self.ledger, self.runner, events, signals)
         peers = PeerContext(
-            Identity(AGENT_ROLE, f"node-{self.name}", self.lives, "dc"),
+            Identity(AGENT_ROLE, f"node-{self.name}", self.lives, self.data_centre),
             "",
             SECRET,
             Directory(tuple(self.addresses)),
@@ -181,6 +185,16 @@
                 return entry
         return None
 
+    def close(self, data_centre: str) -> None:
+        """Close a data centre, as the operator does."""
+        write = RowWrite(CLOSURES_TABLE, CLOSURES_PREFIX + data_centre, b"{}")
+        self.state.apply(Transaction((), (write,)))
+
+    def reopen(self, data_centre: str) -> None:
+        """Take the closing of a data centre back."""
+        write = RowWrite(CLOSURES_TABLE, CLOSURES_PREFIX + data_centre, None)
+        self.state.apply(Transaction((), (write,)))
+
     async def wait_for_state(
         self, job: Job, state: JobState, timeout: float = 10.0
     ) -> None:
--- a/tests/standins/job_runner.py
+++ b/tests/standins/job_runner.py
@@ -42,14 +42,17 @@
 class Witness:
     """Watches all runners for a broken promise.
 
+    :ivar begun: names of the tasks that each runner has begun, by incarnation.
     :ivar broken: one line for each.
     """
 
     tasks: dict[str, TaskHistory] = field(default_factory=dict)
+    begun: dict[str, list[str]] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
 
     def see_start(self, task: str, run: int, worker: str) -> None:
         """Note that a runner began a run."""
+        self.begun.setdefault(worker, []).append(task)
         history = self.tasks.setdefault(task, TaskHistory())
         if history.alive:
             self.broken.append(f"twice: {task} run {run} on {worker}, {history.alive}")
