Closed data centres: nothing is started there until they are opened again

Cause: only the configuration's row was read. Orders that have not left are taken back. Why it holds against a leader that stands still, an order that is held up, or a store that doesn't answer: each directive says until when its starts may begin, counted from the leader's last look and from the agent's own report, so nobody's clock is compared.

--- a/pistachiodeal/config/deployment.py
+++ b/pistachiodeal/config/deployment.py
@@ -50,6 +50,8 @@
 
     :param longest_lease_ms: the runner cuts longer leases to this.
     :param leave_ms: a draining worker starts nothing later than this.
+    :param closing_ms: nothing starts in a data centre later than this after the
+        operator has closed it.
     :param grace_s: seconds between the signal to stop and the kill.
     :param stop_ms: a stopped task ends within this.
     :param gang_wait_ms: members of a gang wait this long for each other.
@@ -61,6 +63,7 @@
 
     longest_lease_ms: int = 10_000
     leave_ms: int = 2_000
+    closing_ms: int = 5_000
     grace_s: float = 6.0
     stop_ms: int = 1_000
     gang_wait_ms: int = 3_000
--- a/pistachiodeal/jobagent/authority.py
+++ b/pistachiodeal/jobagent/authority.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 
 from pistachiodeal.wire.job_messages import TOKENS_GRANTED
 
@@ -49,12 +50,15 @@
 
     :param granted: the lowest of the fencing tokens that it may use.
     :param granted_until: leases may run until then, boot clock.
+    :param starts_until: orders of the newest directive may begin until then, boot
+        clock: what the leader knew when it decided may be out of date later.
     :param starts: incarnations that were adopted under these tokens.
     """
 
     epoch: int = 0
     granted: int = 0
     granted_until: float = 0.0
+    starts_until: float = inf
     starts: int = 0
 
     @property
@@ -66,6 +70,14 @@
         """
         return self.granted and self.granted + min(self.starts, TOKENS_GRANTED - 1)
 
+    def take_start_limit(self, sent_at: float, starts_ms: int) -> None:
+        """Take in until when the orders of a directive may begin.
+
+        :param sent_at: when the report that it answers was sent, boot clock.
+        :param starts_ms: counted from then, negative for no limit.
+        """
+        self.starts_until = sent_at + starts_ms / 1000 if starts_ms >= 0 else inf
+
     def take_token(self, granted: int) -> None:
         """Take in the lowest token that a directive grants."""
         if granted > self.granted:
--- a/pistachiodeal/jobagent/executor.py
+++ b/pistachiodeal/jobagent/executor.py
@@ -145,6 +145,8 @@
         now = read_boot_clock()
         if now >= ledger.authority.granted_until:
             return "the leader's grant has run out"
+        if now >= ledger.authority.starts_until:
+            return "the leader's look at closed data centres is too old"
         # An agent that stood still finds old orders first, and behind them what its
         # runner has said meanwhile: that it drains, or that its room has shrunk.
         if ledger.is_silent(now):
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -217,6 +217,7 @@
         if sent_at is not None:
             until = sent_at + directive.grant_ms / 1000
             authority.granted_until = max(authority.granted_until, until)
+            authority.take_start_limit(sent_at, directive.starts_ms)
         self._drop_reported(directive.beat)
         self.history.note_answer(directive.beat)
         if self.worker and directive.worker == self.worker:
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -39,8 +39,6 @@
 # limit is applied when a body is parsed.
 BODY_BYTES = 262_144
 IDLE_S = 60.0
-# A final state is kept a little longer than promised.
-KEPT_MARGIN_S = 30.0
 
 
 class EntryApp:
@@ -58,7 +56,7 @@
             store,
             peers,
             self._configuration.refresh,
-            settings.limits.kept_s + KEPT_MARGIN_S,
+            settings.limits,
             create_advice(settings.advice) if settings.advice else None,
         )
         fitness = compute_fitness(settings.processor.cores, settings.link_mbps)
--- a/pistachiodeal/jobentry/seat.py
+++ b/pistachiodeal/jobentry/seat.py
@@ -10,6 +10,7 @@
 from logbook import Logger
 
 from pistachiodeal.addresses import split_address
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.exceptions import (
     FencedError,
     LinkClosedError,
@@ -62,7 +63,7 @@
         store: RowStore,
         peers: PeerContext,
         refresh_queue: Callable[[Queue], Queue],
-        kept_s: float,
+        limits: LimitSettings,
         adviser: Adviser | None = None,
     ) -> None:
         self._store = store
@@ -70,7 +71,7 @@
         self._directory = peers.directory
         self._address = peers.address
         self._refresh_queue = refresh_queue
-        self._kept_s = kept_s
+        self._limits = limits
         self._adviser = adviser
         self._events = peers.events
         self._leadership: Leadership | None = None
@@ -115,7 +116,7 @@
             self._store,
             authority,
             self._refresh_queue,
-            self._kept_s,
+            self._limits,
             self._events,
             adviser=self._adviser,
         )
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -10,6 +10,7 @@
 from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import FencedError, ProtocolError, StoreError
 from pistachiodeal.jobs.advice import Adviser
@@ -24,6 +25,7 @@
 from pistachiodeal.jobs.tables import read_tables
 from pistachiodeal.leader.advice import AdviceKeeper
 from pistachiodeal.leader.book import JobBook
+from pistachiodeal.leader.closures import ClosureWatch
 from pistachiodeal.leader.commits import REMOVALS, Authority, CommitLog
 from pistachiodeal.leader.feed import JobFeed
 from pistachiodeal.leader.lessons import LessonKeeper
@@ -34,7 +36,7 @@
 from pistachiodeal.leader.workers import Fleet, split_place
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.store.row_store import RowStore, StoredRow
-from pistachiodeal.task_groups import Child, run_until_one_ends
+from pistachiodeal.task_groups import Child, gather, run_until_one_ends
 
 log = Logger("leader")
 
@@ -49,6 +51,8 @@
 WRITERS = 3
 # A write that takes longer than this is of a slow store; usual are 4 to 10 ms.
 SLOW_WRITE_S = 0.06
+# A final state is kept a little longer than promised.
+KEPT_MARGIN_S = 30.0
 # A leader that has led for less, or whose store is away, has enough to do.
 CALM_S = 2.0
 
@@ -61,7 +65,7 @@
         store: RowStore,
         authority: Authority,
         find_queue: Callable[[Queue], Queue],
-        kept_s: float,
+        limits: LimitSettings,
         events: EventLog,
         *,
         adviser: Adviser | None = None,
@@ -69,13 +73,16 @@
         self._store = store
         self._authority = authority
         self._took_at = authority.taken_by
-        self._kept_s = kept_s
+        self._kept_s = limits.kept_s + KEPT_MARGIN_S
         self._events = events
         self._changed = curio.Event()
         self._unsaved = curio.Event()
         self._superseded = curio.Event()
         self._book = JobBook(events)
         self._fleet = Fleet()
+        self._closures = ClosureWatch(
+            store, self._fleet, limits.closing_ms / 1000, events
+        )
         self._feed = JobFeed(store, self._book, events, self._cancel, self._touch)
         self._commits = CommitLog(store, authority, events)
         interference = InterferenceModel()
@@ -105,8 +112,9 @@
             self._commits,
             self._fleet,
             self._reconciler,
-            events,
-            self._changed,
+            self._closures,
+            events=events,
+            changed=self._changed,
         )
         self._loaded = False
         self._loaded_at = 0.0
@@ -201,6 +209,7 @@
             self._keep_planning,
             self._keep_right,
             self._lessons.run,
+            self._closures.run,
         ]
         if self._advice is not None:
             keepers.append(self._advice.run)
@@ -209,7 +218,9 @@
     async def _load(self) -> None:
         while not self._loaded:
             try:
-                await self._read_everything()
+                await gather(self._closures.look, self._read_everything)
+                self._loaded = True
+                await self._touch()
             except StoreError as error:
                 log.info("leader: cannot read the jobs yet: {}", error)
                 await curio.sleep(RETRY_S)
@@ -237,8 +248,6 @@
         for job_id in cancelled:
             self._cancel(job_id)
         self._feed.start_after(jobs.version)
-        self._loaded = True
-        await self._touch()
 
     def _restore(self, row: StoredRow, progress: StoredRow | None) -> None:
         known = self._book.records.get(row.key)
--- a/pistachiodeal/leader/sessions.py
+++ b/pistachiodeal/leader/sessions.py
@@ -7,6 +7,7 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
+from pistachiodeal.leader.closures import ClosureWatch
 from pistachiodeal.leader.commits import CommitLog
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.workers import Attachment, Fleet, WorkerState
@@ -33,10 +34,13 @@
         commits: CommitLog,
         fleet: Fleet,
         reconciler: Reconciler,
+        closures: ClosureWatch,
+        *,
         events: EventLog,
         changed: curio.Event,
     ) -> None:
         self._commits = commits
+        self._closures = closures
         self._fleet = fleet
         self._reconciler = reconciler
         self._events = events
@@ -51,6 +55,7 @@
         token = (self._commits.epoch << TOKEN_SHIFT) + self._tokens
         attachment = Attachment(node, token)
         worker = self._fleet.get(node)
+        self._fleet.locate(worker, link.peer.data_centre)
         worker.attach(attachment)
         self._links[node] = (link, attachment)
         self._events.emit("agent.attached", node=node, token=token)
@@ -96,12 +101,23 @@
     async def _send(
         self, link: Link, worker: WorkerState, attachment: Attachment
     ) -> None:
+        if worker.closed:
+            attachment.withdraw_starts()
         # The grant may not outlive this process's own right to lead: a successor
         # waits for it from the moment of its own take-over.
         until = min(attachment.heard_at, self._commits.confirmed_at) + GRANT_S
-        grant_ms = max(0, int((until - attachment.heard_at) * 1000))
+        grant_ms = _measure_ms(attachment, until)
         worker.granted_until = max(worker.granted_until, until)
         directive = attachment.build_directive(
-            self._commits.epoch, worker.worker, worker.ends_noted, grant_ms
+            self._commits.epoch,
+            worker.worker,
+            worker.ends_noted,
+            grant_ms,
+            _measure_ms(attachment, self._closures.starts_until),
         )
         await link.send(directive)
+
+
+def _measure_ms(attachment: Attachment, until: float) -> int:
+    """Return the time from an agent's newest report to a moment of the boot clock."""
+    return max(0, int((until - attachment.heard_at) * 1000))
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -84,6 +84,12 @@
         self.outbox.texts[job_id] = text
         self.outbox.starts.append(order)
 
+    def withdraw_starts(self) -> None:
+        """Take back the starts that were not sent; a stop settles each of them."""
+        starts, self.outbox.starts = self.outbox.starts, []
+        for order in starts:
+            self.order_stop(order.task, order.run)
+
     def describe(self, order: RunOrder) -> None:
         """Tell a new agent once what it has to know of a run at work."""
         if (order.task, order.run) not in self.described | self.ordered:
@@ -98,7 +104,7 @@
             self.outbox.presses.append(PairPress(*pair, int(press * 1000)))
 
     def build_directive(
-        self, epoch: int, worker: str, ends_noted: int, grant_ms: int
+        self, epoch: int, worker: str, ends_noted: int, grant_ms: int, starts_ms: int
     ) -> Directive:
         """Return everything that the agent has to be told, and clear it."""
         outbox, self.outbox = self.outbox, Outbox()
@@ -115,6 +121,7 @@
             tuple(outbox.stops),
             tuple(outbox.known),
             tuple(outbox.presses),
+            starts_ms,
         )
 
 
@@ -126,6 +133,7 @@
     :param attachment: the link to its agent, None while there is none.
     :param granted_until: until when its leases may run, boot clock.
     :param ends_noted: ends up to this number are durable.
+    :param closed: whether its data centre is closed: nothing is started there.
     :param shrunk: whether it may have too little memory for its runs: it has less
         than before, or this leader has not looked yet.
     :param stamp: rises with each report and link, so that whoever keeps something
@@ -135,6 +143,7 @@
     """
 
     node: str
+    data_centre: str = ""
     worker: str = ""
     service: str = ""
     capacity: Resources = field(default_factory=Resources)
@@ -150,6 +159,7 @@
     strays: dict[str, int] = field(default_factory=dict)
     alone: dict[str, float] = field(default_factory=dict)
     health: WorkerHealth = field(default_factory=WorkerHealth)
+    closed: bool = False
     shrunk: bool = True
     stamp: int = 0
 
@@ -166,9 +176,8 @@
     @property
     def open(self) -> bool:
         """Tell whether the worker takes new tasks."""
-        return bool(self.worker and self.listed and self.attachment) and (
-            not self.draining
-        )
+        present = bool(self.worker and self.listed and self.attachment)
+        return present and not self.draining and not self.closed
 
     def attach(self, attachment: Attachment) -> None:
         """Take in a new link to the agent; nothing is placed before its first listing.
@@ -219,12 +228,29 @@
 
     def __init__(self) -> None:
         self._workers: dict[str, WorkerState] = {}
+        self._closed: frozenset[str] = frozenset()
 
     @property
     def workers(self) -> dict[str, WorkerState]:
         """Return the workers by node."""
         return self._workers
 
+    @property
+    def closed(self) -> frozenset[str]:
+        """Return the data centres in which nothing may be started."""
+        return self._closed
+
+    def close(self, data_centres: frozenset[str]) -> None:
+        """Close these data centres, and open all others."""
+        self._closed = data_centres
+        for worker in self._workers.values():
+            self._apply_closing(worker)
+
+    def locate(self, worker: WorkerState, data_centre: str) -> None:
+        """Note in which data centre a worker is."""
+        worker.data_centre = data_centre
+        self._apply_closing(worker)
+
     def get(self, node: str) -> WorkerState:
         """Return a node's worker; makes one for a new node."""
         if node not in self._workers:
@@ -236,6 +262,12 @@
         worker = self._workers.get(split_place(place)[0])
         return worker if worker is not None and worker.place == place else None
 
+    def _apply_closing(self, worker: WorkerState) -> None:
+        closed = worker.data_centre in self._closed
+        if closed != worker.closed:
+            worker.closed = closed
+            worker.stamp += 1
+
 
 def build_order(task: Task) -> RunOrder:
     """Return the order to start a task's newest run."""
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -190,6 +190,8 @@
     :param ends_noted: ends up to this number are durable.
     :param known: runs that are at work already, described for a new agent.
     :param presses: news of which images disturb each other on this worker.
+    :param starts_ms: starts may begin until this long after that report was sent;
+        -1 of a leader of a version that knows no such limit.
     """
 
     epoch: int
@@ -203,6 +205,7 @@
     stops: tuple[RunRef, ...]
     known: tuple[RunOrder, ...]
     presses: tuple[PairPress, ...] = ()
+    starts_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -300,6 +300,7 @@
   stops @8 :List(RunRef);
   known @9 :List(RunOrder);
   presses @10 :List(PairPress);
+  startsMs @11 :Int64 = -1;
 }
 
 struct LeaderNotice {
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -14,6 +14,7 @@
 
 import curio
 
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.executor import Executor
 from pistachiodeal.jobagent.heartbeats import Heartbeats
@@ -33,6 +34,7 @@
 from pistachiodeal.leader.election import Election
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.peers import PeerContext
+from pistachiodeal.platform.closures import CLOSURE_PREFIX, CLOSURES_TABLE
 from pistachiodeal.store.row_store import RowWrite, Transaction
 from pistachiodeal.wire.identity import AGENT_ROLE, ENTRY_ROLE, Identity
 from tests.harness.ports import take_port
@@ -40,8 +42,6 @@
 from tests.standins.rows import MemoryRows, RowsState
 
 QUEUE = Queue("q", "host", "/q/", "svc", 0, 4, 2.0, 1.0)
-CLOSURES_TABLE = "op"
-CLOSURES_PREFIX = "evacuate/"
 SECRET = "secret"
 BEAT_S = 0.1
 
@@ -96,7 +96,9 @@
             Directory(tuple(self.addresses)),
             events,
         )
-        self.seat = Seat(self.store, peers, lambda queue: queue, 100.0)
+        self.seat = Seat(
+            self.store, peers, lambda queue: queue, LimitSettings(kept_s=100.0)
+        )
         self.election = Election(
             self.store, peers, self.seat.lead, fitness=self.fitness
         )
@@ -187,13 +189,11 @@
 
     def close(self, data_centre: str) -> None:
         """Close a data centre, as the operator does."""
-        write = RowWrite(CLOSURES_TABLE, CLOSURES_PREFIX + data_centre, b"{}")
-        self.state.apply(Transaction((), (write,)))
+        close_data_centre(self.state, data_centre)
 
     def reopen(self, data_centre: str) -> None:
         """Take the closing of a data centre back."""
-        write = RowWrite(CLOSURES_TABLE, CLOSURES_PREFIX + data_centre, None)
-        self.state.apply(Transaction((), (write,)))
+        close_data_centre(self.state, data_centre, value=None)
 
     async def wait_for_state(
         self, job: Job, state: JobState, timeout: float = 10.0
@@ -214,6 +214,14 @@
         raise AssertionError(f"{job.job_id} is {shown}, not {state}")
 
 
+def close_data_centre(
+    state: RowsState, data_centre: str, *, value: bytes | None = b"{}"
+) -> None:
+    """Write the row that closes a data centre; no value removes it."""
+    write = RowWrite(CLOSURES_TABLE, CLOSURE_PREFIX + data_centre, value)
+    state.apply(Transaction((), (write,)))
+
+
 @asynccontextmanager
 async def run_cluster(
     *, entries: int = 2, agents: int = 2, work_s: float = 0.2, seed: int = 1
--- a/tests/unit/test_closed_data_centres.py
+++ b/tests/unit/test_closed_data_centres.py
@@ -2,13 +2,39 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
+
 import curio
+import pytest
 
+from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.jobs.model import JobState
-from tests.standins.job_cluster import JobCluster, build_job, run_cluster
+from pistachiodeal.leader.closures import ClosureWatch
+from pistachiodeal.leader.workers import Attachment, Fleet
+from pistachiodeal.store.row_store import RowPage
+from pistachiodeal.wire.job_messages import RunOrder, RunRef
+from tests.standins.job_cluster import (
+    JobCluster,
+    build_job,
+    close_data_centre,
+    create_quiet_log,
+    run_cluster,
+)
+from tests.standins.rows import MemoryRows, RowsState
+from tests.unit.test_jobagent_executor import build_stage
 
 # A closing is in force within this.
 IN_FORCE_S = 1.0
+CLOSING_S = 5.0
+
+
+async def wait_until(check: Callable[[], object], timeout: float = 5.0) -> None:
+    """Wait until something is true."""
+    deadline = time.monotonic() + timeout
+    while not check():
+        assert time.monotonic() < deadline, "it did not come true in time"
+        await curio.sleep(0.01)
 
 
 def list_starts(cluster: JobCluster, worker: str) -> list[str]:
@@ -36,3 +62,193 @@
             assert cluster.witness.broken == []
 
     curio.run(main)
+
+
+def test_a_data_centre_that_is_open_again_takes_tasks():
+    """Guards against workers that stay empty after their data centre is opened."""
+
+    async def main():
+        async with run_cluster(agents=1) as cluster:
+            cluster.close("dc-0")
+            await curio.sleep(IN_FORCE_S)
+            job = build_job(1)
+            await cluster.entries[1].submit(job)
+            await curio.sleep(IN_FORCE_S)
+            assert list_starts(cluster, "w0") == []
+            cluster.reopen("dc-0")
+            await cluster.wait_for_state(job, JobState.COMPLETED)
+
+    curio.run(main)
+
+
+def test_a_new_leader_starts_nothing_in_a_closed_data_centre():
+    """Guards against a successor that decides before it knows what is closed."""
+
+    async def main():
+        async with run_cluster(entries=3, work_s=1.0) as cluster:
+            await cluster.entries[0].submit(build_job(1, count=8))
+            cluster.close("dc-0")
+            await curio.sleep(IN_FORCE_S)
+            before = len(list_starts(cluster, "w0"))
+            for _ in range(2):
+                leader = cluster.find_leader()
+                if leader is not None:
+                    await leader.kill()
+                await curio.sleep(IN_FORCE_S)
+            await cluster.entries[2].boot()
+            await curio.sleep(2 * IN_FORCE_S)
+            assert len(list_starts(cluster, "w0")) == before
+            assert cluster.witness.broken == []
+
+    curio.run(main)
+
+
+def test_what_runs_in_a_closed_data_centre_goes_on():
+    """Guards against work that is thrown away since its data centre was closed."""
+
+    async def main():
+        async with run_cluster(agents=1, work_s=1.5) as cluster:
+            job = build_job(1, steps=1)
+            await cluster.entries[0].submit(job)
+            await wait_until(lambda: len(list_starts(cluster, "w0")) == 3)
+            cluster.close("dc-0")
+            await cluster.wait_for_state(job, JobState.COMPLETED)
+            assert len(list_starts(cluster, "w0")) == 3
+
+    curio.run(main)
+
+
+def test_a_closing_is_noticed_while_history_is_dropped_and_the_store_is_slow():
+    """Guards against a closing that is known only by a change that was lost."""
+
+    async def main():
+        async with run_cluster() as cluster:
+            await wait_until(cluster.find_leader)
+            cluster.state.faults.slow_s = 0.2
+            cluster.close("dc-0")
+            cluster.state.drop_history()
+            leadership = cluster.find_leader().seat.leadership
+            await wait_until(lambda: leadership.fleet.closed, IN_FORCE_S)
+
+    curio.run(main)
+
+
+def test_unknown_names_and_all_data_centres_may_be_closed():
+    """Guards against a leader that ends, or starts work, when everything is closed."""
+
+    async def main():
+        async with run_cluster() as cluster:
+            for name in ("dc-0", "dc-1", "nowhere", ""):
+                cluster.close(name)
+            await curio.sleep(IN_FORCE_S)
+            job = build_job(1)
+            await cluster.entries[0].submit(job)
+            await curio.sleep(IN_FORCE_S)
+            assert not cluster.witness.tasks
+            cluster.reopen("dc-1")
+            cluster.close("dc-1")
+            cluster.reopen("dc-1")
+            await cluster.wait_for_state(job, JobState.COMPLETED)
+            assert list_starts(cluster, "w0") == []
+
+    curio.run(main)
+
+
+def attach_worker(fleet: Fleet, data_centre: str) -> Attachment:
+    """Attach a listed worker in a data centre."""
+    worker = fleet.get(f"node-{data_centre}")
+    attachment = Attachment(worker.node, 1)
+    worker.attach(attachment)
+    worker.worker, worker.service, worker.listed = "w", "svc", True
+    fleet.locate(worker, data_centre)
+    return attachment
+
+
+def test_orders_that_have_not_left_are_taken_back():
+    """Guards against an order that was decided before a closing and sent after it."""
+    fleet = Fleet()
+    attachment = attach_worker(fleet, "a")
+    attachment.order_start(RunOrder("t", 1, "", "", False, 0), "job", "text")
+    attachment.withdraw_starts()
+    directive = attachment.build_directive(1, "w", 0, 1_000, 1_000)
+    assert not directive.starts
+    assert directive.stops == (RunRef("t", 1),)
+
+
+def test_only_workers_of_closed_data_centres_are_closed():
+    """Guards against views of other workers that are built anew for each closing."""
+    fleet = Fleet()
+    for name in ("a", "b"):
+        attach_worker(fleet, name)
+    stamps = {node: worker.stamp for node, worker in fleet.workers.items()}
+    fleet.close(frozenset(("a",)))
+    assert not fleet.get("node-a").open
+    assert fleet.get("node-b").open
+    assert fleet.get("node-b").stamp == stamps["node-b"]
+    fleet.close(frozenset())
+    assert fleet.get("node-a").open
+
+
+class LateRows(MemoryRows):
+    """A store whose answers are on their way for a while."""
+
+    late_s = 0.0
+
+    async def read(
+        self,
+        table: str,
+        start: str = "",
+        end: str = "",
+        limit: int = 0,
+        partition: str = "",
+    ) -> RowPage:
+        late_s = self.late_s
+        page = await super().read(table, start, end, limit, partition)
+        await curio.sleep(late_s)
+        return page
+
+
+def test_an_older_answer_changes_nothing():
+    """Guards against an answer that was overtaken, and opens what is closed."""
+
+    async def main():
+        state = RowsState()
+        fleet, store = Fleet(), LateRows(state)
+        watch = ClosureWatch(store, fleet, CLOSING_S, create_quiet_log())
+        store.late_s = 0.3
+        late = await curio.spawn(watch.look)
+        await curio.sleep(0.1)
+        store.late_s = 0.0
+        close_data_centre(state, "a")
+        await watch.look()
+        await late.join()
+        assert fleet.closed == {"a"}
+
+    curio.run(main)
+
+
+def test_starts_end_before_a_closing_that_was_not_seen_is_in_force():
+    """Guards against a leader that stands still, wakes, and sends what it decided."""
+
+    async def main():
+        state = RowsState()
+        watch = ClosureWatch(MemoryRows(state), Fleet(), CLOSING_S, create_quiet_log())
+        assert watch.starts_until <= CLOSING_S
+        before = read_boot_clock()
+        await watch.look()
+        assert before < watch.starts_until < before + CLOSING_S - 0.5
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize(("starts_ms", "expected"), [(1_000, 1), (0, 0), (-1, 1)])
+def test_an_agent_begins_no_order_whose_time_is_over(starts_ms: int, expected: int):
+    """Guards against starts by an order that was held up on its way."""
+
+    async def main():
+        async with build_stage() as stage:
+            stage.ledger.authority.take_start_limit(read_boot_clock(), starts_ms)
+            await stage.order()
+            assert len(stage.runtime.starts) == expected
+
+    curio.run(main)
--- a/tests/unit/test_leader_commits.py
+++ b/tests/unit/test_leader_commits.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.exceptions import FencedError
 from pistachiodeal.jobs.model import EndKind, JobState
 from pistachiodeal.jobs.record import read_state
@@ -145,7 +146,7 @@
         state.faults.slow_s = 0.4
         events = create_quiet_log()
         leadership = Leadership(
-            MemoryRows(state), authority, lambda queue: queue, 100.0, events
+            MemoryRows(state), authority, lambda queue: queue, LimitSettings(), events
         )
         ordered: dict[int, float] = {}
         began_at = read_boot_clock()
--- a/tests/unit/test_leader_sessions.py
+++ b/tests/unit/test_leader_sessions.py
@@ -29,6 +29,13 @@
     confirmed_at: float = field(default_factory=read_boot_clock)
 
 
+@dataclass
+class FakeClosures:
+    """When starts have to begin that are decided now."""
+
+    starts_until: float = field(default_factory=lambda: read_boot_clock() + 4.0)
+
+
 @dataclass(eq=False)
 class FakeLink:
     """A link of one agent; what the leader sends is kept."""
@@ -72,6 +79,7 @@
     def __init__(self) -> None:
         events = create_quiet_log()
         self.commits, self.fleet = FakeCommits(), Fleet()
+        self.closures = FakeClosures()
         reconciler = Reconciler(
             JobBook(events), self.fleet, InterferenceModel(), events
         )
@@ -79,8 +87,9 @@
             self.commits,  # type: ignore[arg-type]
             self.fleet,
             reconciler,
-            events,
-            curio.Event(),
+            self.closures,  # type: ignore[arg-type]
+            events=events,
+            changed=curio.Event(),
         )
 
     async def attach(self) -> FakeLink:
