Limits that decide nothing leave the settings; those that stay have ranges

Nothing read leave_ms (an agent starts nothing on a draining worker at all), gang_wait_ms (gangs are placed whole) and away_notice_ms (a lasting task is stopped only on a worker that leaves). Files that still name them load as before. A limit out of its range is told together with all other faults; the reference page shows the ranges.

--- a/pistachiodeal/config/deployment.py
+++ b/pistachiodeal/config/deployment.py
@@ -44,33 +44,32 @@
     row_bytes: int = 65_536
 
 
+def _between(default: Any, least: float, most: float) -> Any:
+    """Return a field whose value has to lie within a range."""
+    return field(default=default, metadata={"least": least, "most": most})
+
+
 @dataclass(frozen=True, slots=True)
 class LimitSettings:
     """Times that the deployment promises or demands.
 
     :param longest_lease_ms: the runner cuts longer leases to this.
-    :param leave_ms: a draining worker starts nothing later than this.
     :param closing_ms: nothing starts in a data centre later than this after the
         operator has closed it.
     :param grace_s: seconds between the signal to stop and the kill.
     :param stop_ms: a stopped task ends within this.
-    :param gang_wait_ms: members of a gang wait this long for each other.
-    :param away_notice_ms: a task that lasts counts as away for this long.
     :param remote_factor: tasks far from their data take this many times as long.
     :param kept_s: a final state can be asked for this long.
     :param interference_ms: a serving task may be over its aim for this long.
     """
 
-    longest_lease_ms: int = 10_000
-    leave_ms: int = 2_000
-    closing_ms: int = 5_000
-    grace_s: float = 6.0
-    stop_ms: int = 1_000
-    gang_wait_ms: int = 3_000
-    away_notice_ms: int = 4_500
-    remote_factor: float = 1.5
-    kept_s: float = 120.0
-    interference_ms: int = 4_000
+    longest_lease_ms: int = _between(10_000, 1_000, 3_600_000)
+    closing_ms: int = _between(5_000, 0, 3_600_000)
+    grace_s: float = _between(6.0, 1.0, 3_600.0)
+    stop_ms: int = _between(1_000, 0, 60_000)
+    remote_factor: float = _between(1.5, 1.0, 1_000.0)
+    kept_s: float = _between(120.0, 0.0, 604_800.0)
+    interference_ms: int = _between(4_000, 500, 600_000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,9 +158,18 @@
             _demand(item, name, faults)
             continue
         values[item.name] = _convert(hints[item.name], value, name, faults)
+        _check_range(item, values[item.name], name, faults)
     return None if faults else cls(**values)
 
 
+def _check_range(item: Any, value: Any, name: str, faults: list[str]) -> None:
+    if not item.metadata or type(value) not in (int, float):
+        return
+    least, most = item.metadata["least"], item.metadata["most"]
+    if not least <= value <= most:
+        faults.append(f"{name}: is {value}, not from {least} to {most}")
+
+
 def _demand(item: Any, name: str, faults: list[str]) -> None:
     if item.default is MISSING and item.default_factory is MISSING:
         faults.append(f"{name}: is missing")
--- a/pistachiodeal/config/deployment_reference.py
+++ b/pistachiodeal/config/deployment_reference.py
@@ -44,6 +44,9 @@
             yield from _describe(hints[item.name], name)
             continue
         meaning = " ".join(meanings[item.name].replace("``", "`").split())
+        if item.metadata:
+            least, most = item.metadata["least"], item.metadata["most"]
+            meaning += f" From {least} to {most}."
         kind = TYPE_NAMES[hints[item.name]]
         yield f"| `{name}` | {kind} | {_format_default(item)} | {meaning} |\n"
 
--- /dev/null
+++ b/tests/unit/test_deployment_settings.py
@@ -0,0 +1,46 @@
+"""Settings of the programs on the users' platform, and what decides by them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from pistachiodeal.config.deployment import DeploymentSettings, load_deployment
+from pistachiodeal.exceptions import SettingsError
+
+DOCUMENT = {
+    "node": "n",
+    "host": "127.0.0.1",
+    "data_centre": "dc",
+    "peer_ports": [1],
+    "peer_secret": "s",
+    "listen": {},
+    "store": {"address": "127.0.0.1:1"},
+}
+
+
+def load(tmp_path: Path, **changes: Any) -> DeploymentSettings:
+    """Load settings with some fields changed."""
+    path = tmp_path / "settings.json"
+    path.write_bytes(orjson.dumps({**DOCUMENT, **changes}))
+    return load_deployment(str(path))
+
+
+def test_all_faults_are_told_at_once(tmp_path: Path):
+    """Guards against a file that is refused once for each of its faults."""
+    limits = {"stop_ms": -1, "longest_lease_ms": "6000", "remote_factor": 0.5}
+    with pytest.raises(SettingsError) as raised:
+        load(tmp_path, limits=limits, link_mbps="fast")
+    text = str(raised.value)
+    assert "limits.stop_ms: is -1, not from 0 to 60000" in text
+    assert "limits.longest_lease_ms: is not of type int" in text
+    assert "limits.remote_factor: is 0.5, not from 1.0 to 1000.0" in text
+    assert "link_mbps: is not of type float" in text
+
+
+def test_a_limit_that_the_platform_does_not_give_has_its_default(tmp_path: Path):
+    """Guards against a platform without a limit on which no process starts."""
+    assert load(tmp_path, limits={"closing_ms": None}).limits.closing_ms == 5_000
