Leases are counted no longer than the runner keeps them

A runner cuts leases to the deployment's limit (6 s on the shifted one, 10 s before); the agent went on for 8 s believing that its silent runner's tasks may run, and they waited two seconds for nothing. Where the limit is 8 s or more nothing changes.

--- a/pistachiodeal/jobagent/app.py
+++ b/pistachiodeal/jobagent/app.py
@@ -34,7 +34,8 @@
         self._events = events
         agent_signals = AgentSignals()
         runtime = create_runner(settings.runner)
-        ledger = AgentLedger(events)
+        limits = settings.limits
+        ledger = AgentLedger(events, limits.longest_lease_ms / 1000)
         paces = PaceKeeper(ledger, runtime, events)
         self._renewal = Renewal(ledger, runtime, paces, events, agent_signals)
         executor = Executor(ledger, runtime, events, agent_signals)
--- a/pistachiodeal/jobagent/authority.py
+++ b/pistachiodeal/jobagent/authority.py
@@ -19,10 +19,12 @@
 class Lease:
     """The lease of all runs on the worker, and both clocks.
 
+    :param longest_s: the runner cuts longer leases to this.
     :param until: no lease that was ever asked for runs longer, boot clock.
     :param clock_ms: the runner's clock at ``sampled_at`` of ours.
     """
 
+    longest_s: float = LEASE_S
     until: float = 0.0
     clock_ms: int = 0
     sampled_at: float = 0.0
@@ -34,7 +36,7 @@
 
     def extend(self, now: float, granted_until: float) -> int:
         """Return the end of a new lease on the runner's clock, 0 for no extension."""
-        until = min(now + LEASE_S, granted_until)
+        until = min(now + min(LEASE_S, self.longest_s), granted_until)
         if not self.clock_ms or until <= now:
             return 0
         self.until = max(self.until, until)
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -6,7 +6,7 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
-from pistachiodeal.jobagent.authority import Authority, Lease
+from pistachiodeal.jobagent.authority import LEASE_S, Authority, Lease
 from pistachiodeal.jobagent.figures import FigureSampler, RunKey
 from pistachiodeal.jobagent.losses import LossHistory, LossWatch
 from pistachiodeal.jobagent.orders import Order, list_outcomes
@@ -36,12 +36,16 @@
 
 
 class AgentLedger:
-    """The agent's memory; a restarted agent learns everything again."""
+    """The agent's memory; a restarted agent learns everything again.
 
-    def __init__(self, events: EventLog) -> None:
+    :param longest_lease_s: the runner cuts longer leases to this.
+    """
+
+    def __init__(self, events: EventLog, longest_lease_s: float = LEASE_S) -> None:
         self._events = events
+        self._longest_lease_s = longest_lease_s
         self.authority = Authority()
-        self.lease = Lease()
+        self.lease = Lease(longest_lease_s)
         self.beat: WorkerBeat | None = None
         self.listed = False
         self.history = LossHistory()
@@ -170,7 +174,7 @@
         self.history.add(loss)
         self.beat = None
         self.listed = False
-        self.lease = Lease()
+        self.lease = Lease(self._longest_lease_s)
         self.running, self.ends = {}, ()
         self.figures, self.losses = FigureSampler(), LossWatch()
         self.orders, self.described = {}, {}
--- a/tests/unit/test_deployment_settings.py
+++ b/tests/unit/test_deployment_settings.py
@@ -10,6 +10,10 @@
 
 from pistachiodeal.config.deployment import DeploymentSettings, load_deployment
 from pistachiodeal.exceptions import SettingsError
+from pistachiodeal.jobagent.authority import LEASE_S
+from pistachiodeal.jobagent.ledger import AgentLedger
+from tests.standins.job_cluster import create_quiet_log
+from tests.unit.test_jobagent_ledger import build_beat
 
 DOCUMENT = {
     "node": "n",
@@ -44,3 +48,17 @@
 def test_a_limit_that_the_platform_does_not_give_has_its_default(tmp_path: Path):
     """Guards against a platform without a limit on which no process starts."""
     assert load(tmp_path, limits={"closing_ms": None}).limits.closing_ms == 5_000
+
+
+@pytest.mark.parametrize(("longest_s", "expected_s"), [(6.0, 6.0), (10.0, LEASE_S)])
+def test_a_lease_is_no_longer_than_the_runner_keeps_it(
+    longest_s: float, expected_s: float
+):
+    """Guards against tasks of a silent runner that wait for a lease that has ended."""
+    ledger = AgentLedger(create_quiet_log(), longest_s)
+    ledger.adopt(build_beat("w"))
+    for _ in range(2):
+        ledger.lease.sample(1_000, 100.0)
+        ledger.lease.extend(100.0, 200.0)
+        assert ledger.lease.until == 100.0 + expected_s
+        ledger.drop_worker("a test")
