The time of a stop and of a restore come from the deployment's settings

A task on a worker that leaves was moved 0.6 s before, and a task that saves its progress was taken to lose 0.5 s: figures of deployments whose stops take 0.4 s. Here a stop takes up to 0.9 s, so one begun 0.6 s before the end lost its progress. Victims are chosen by the time of their move; what is stopped saves its progress then, so the interval of saves decides nothing and isn't a setting. Tests by 0.2 and 2 s.

--- a/bench/slopes/leader.py
+++ b/bench/slopes/leader.py
@@ -8,6 +8,7 @@
 
 from bench.slopes.fitting import Slope, fit_line
 from bench.slopes.probes import watch_cpu
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobs.model import Job, Queue, Step
 from pistachiodeal.leader.book import JobBook
@@ -112,7 +113,13 @@
     book, fleet, model = JobBook(events), Fleet(), InterferenceModel()
     reconciler = Reconciler(book, fleet, model, events)
     planner = Planner(
-        book, fleet, reconciler, model, lambda queue: queue, events=events
+        book,
+        fleet,
+        reconciler,
+        model,
+        lambda queue: queue,
+        limits=LimitSettings(),
+        events=events,
     )
     for number in range(workers):
         worker = fleet.get(f"n{number}")
--- a/pistachiodeal/config/deployment.py
+++ b/pistachiodeal/config/deployment.py
@@ -58,6 +58,7 @@
         operator has closed it.
     :param grace_s: seconds between the signal to stop and the kill.
     :param stop_ms: a stopped task ends within this.
+    :param restore_ms: a task goes on from its saved progress after this.
     :param remote_factor: tasks far from their data take this many times as long.
     :param kept_s: a final state can be asked for this long.
     :param interference_ms: a serving task may be over its aim for this long.
@@ -67,10 +68,16 @@
     closing_ms: int = _between(5_000, 0, 3_600_000)
     grace_s: float = _between(6.0, 1.0, 3_600.0)
     stop_ms: int = _between(1_000, 0, 60_000)
+    restore_ms: int = _between(250, 0, 60_000)
     remote_factor: float = _between(1.5, 1.0, 1_000.0)
     kept_s: float = _between(120.0, 0.0, 604_800.0)
     interference_ms: int = _between(4_000, 500, 600_000)
 
+    @property
+    def move_s(self) -> float:
+        """Return for how long a task is not at work when it is stopped and moved."""
+        return (self.stop_ms + self.restore_ms) / 1000
+
 
 @dataclass(frozen=True, slots=True)
 class ProcessorSettings:
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -105,6 +105,7 @@
             self._reconciler,
             interference,
             find_queue,
+            limits=limits,
             events=events,
             advice=self._advice,
         )
--- a/pistachiodeal/leader/moves.py
+++ b/pistachiodeal/leader/moves.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.jobs.record import Task
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.reconcile import Reconciler
@@ -24,8 +25,9 @@
 STALL_SHARE = 1 / 20
 # A filling task that works at less than this pace may well show no progress.
 STALL_PACE = 0.5
-# A task that can't end before its worker leaves is moved; this is kept for the stop.
-LEAVE_MARGIN_S = 0.6
+# A task that can't end before its worker leaves is moved. Beside the time of the stop
+# this is kept for the order's way.
+LEAVE_MARGIN_S = 0.2
 # A worker that has too little memory for its runs may have it back soon; after this
 # long the runs that cost least go. The machine would else end one of its own choice.
 SHRUNK_S = 1.0
@@ -45,7 +47,10 @@
         book: JobBook,
         fleet: Fleet,
         reconciler: Reconciler,
+        limits: LimitSettings,
     ) -> None:
+        self._move_s = limits.move_s
+        self._stop_s = limits.stop_ms / 1000
         self._book = book
         self._fleet = fleet
         self._reconciler = reconciler
@@ -85,7 +90,7 @@
         for worker in self._fleet.workers.values():
             if not worker.draining or not worker.listed:
                 continue
-            left_s = worker.leaving_at - now - LEAVE_MARGIN_S
+            left_s = worker.leaving_at - now - self._stop_s - LEAVE_MARGIN_S
             for task in list(self._book.get_runs(worker.place).values()):
                 if (
                     task.running
@@ -129,7 +134,7 @@
 
     def _make_fit(self, runs: list[Task], missing: Resources, now: float) -> None:
         candidates = [
-            build_victim(task, self._get_priority(task), now)
+            build_victim(task, self._get_priority(task), now, self._move_s)
             for task in runs
             if task.running and not task.stopping and not task.step.lasts
         ]
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.jobs.record import JobRecord, StepRecord, Task
@@ -55,6 +56,7 @@
     """Places waiting tasks.
 
     :param find_queue: returns a queue as the newest configuration has it.
+    :param limits: times that the deployment promises.
     :param advice: answers of the outside service, where there is one.
     """
 
@@ -66,14 +68,15 @@
         interference: InterferenceModel,
         find_queue: FindQueue,
         *,
+        limits: LimitSettings,
         events: EventLog,
         advice: AdviceKeeper | None = None,
     ) -> None:
         self._interference = interference
-        self._mover = Mover(book, fleet, reconciler)
+        self._mover = Mover(book, fleet, reconciler, limits)
         self._views = FleetViews(book, fleet)
         self._attempts = Attempts()
-        self._preemptor = Preemptor(book, fleet, reconciler, find_queue)
+        self._preemptor = Preemptor(book, fleet, reconciler, find_queue, limits)
         self._probation = Probation(book, reconciler, interference, events)
         self._moved_at = 0.0
         self._book = book
--- a/pistachiodeal/leader/preemptor.py
+++ b/pistachiodeal/leader/preemptor.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.jobs.record import Task
 from pistachiodeal.leader.book import JobBook
@@ -32,8 +33,14 @@
     """
 
     def __init__(
-        self, book: JobBook, fleet: Fleet, reconciler: Reconciler, find_queue: FindQueue
+        self,
+        book: JobBook,
+        fleet: Fleet,
+        reconciler: Reconciler,
+        find_queue: FindQueue,
+        limits: LimitSettings,
     ) -> None:
+        self._move_s = limits.move_s
         self._book = book
         self._fleet = fleet
         self._reconciler = reconciler
@@ -97,7 +104,7 @@
                 continue
             record = self._book.records[task.name.job_id]
             priority = self._find_queue(record.job.queue).priority
-            victim = build_victim(task, priority, now)
+            victim = build_victim(task, priority, now, self._move_s)
             if not task.step.lasts and victim.room != Resources():
                 victims.append(victim)
         return victims
--- a/pistachiodeal/leader/victims.py
+++ b/pistachiodeal/leader/victims.py
@@ -7,11 +7,12 @@
 from pistachiodeal.scheduling.views import reserve_size
 
 
-def build_victim(task: Task, priority: int, now: float) -> Victim:
+def build_victim(task: Task, priority: int, now: float, move_s: float) -> Victim:
     """Return what stopping a task's run would cost, and set free.
 
     :param priority: of its queue.
     :param now: seconds of the boot clock.
+    :param move_s: for how long a task is not at work when it is moved.
     """
     return Victim(
         str(task.name),
@@ -19,5 +20,6 @@
         priority,
         task.step.checkpoints,
         now - task.began_at,
+        move_s,
         reserve_size(task.step),
     )
--- a/pistachiodeal/scheduling/preemption.py
+++ b/pistachiodeal/scheduling/preemption.py
@@ -2,7 +2,7 @@
 
 The load that this answers: large tasks of a lower priority hold every worker when
 urgent ones arrive. The cheapest victim is the one that loses least work: one that saves
-its progress, or the one that began last.
+its progress loses the time of its move, any other all that it has done.
 """
 
 from __future__ import annotations
@@ -12,15 +12,13 @@
 
 from pistachiodeal.model.resources import Resources
 
-# Work that saves its progress loses at most the time since its last save.
-SAVED_LOSS_S = 0.5
-
 
 @dataclass(frozen=True, slots=True)
 class Victim:
     """A run that could be stopped.
 
     :param worked_s: how long it has been at work.
+    :param move_s: for how long it would not be at work if it were moved.
     :param room: what its stop sets free.
     """
 
@@ -29,12 +27,14 @@
     priority: int
     checkpoints: bool
     worked_s: float
+    move_s: float
     room: Resources
 
     @property
     def loss(self) -> float:
         """Return what is thrown away, core-seconds."""
-        lost_s = min(self.worked_s, SAVED_LOSS_S) if self.checkpoints else self.worked_s
+        # What is stopped saves its progress then.
+        lost_s = self.move_s if self.checkpoints else self.worked_s + self.move_s
         return lost_s * max(self.room.cpu_milli, 1) / 1000
 
 
--- a/tests/unit/test_deployment_settings.py
+++ b/tests/unit/test_deployment_settings.py
@@ -8,12 +8,22 @@
 import orjson
 import pytest
 
-from pistachiodeal.config.deployment import DeploymentSettings, load_deployment
+from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.config.deployment import (
+    DeploymentSettings,
+    LimitSettings,
+    load_deployment,
+)
 from pistachiodeal.exceptions import SettingsError
 from pistachiodeal.jobagent.authority import LEASE_S
 from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.leader.moves import Mover
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.scheduling.preemption import Victim, choose_victims
+from pistachiodeal.wire.job_messages import RunningTask
 from tests.standins.job_cluster import create_quiet_log
 from tests.unit.test_jobagent_ledger import build_beat
+from tests.unit.test_leader_reconcile import TASK, Stage
 
 DOCUMENT = {
     "node": "n",
@@ -62,3 +72,29 @@
         ledger.lease.extend(100.0, 200.0)
         assert ledger.lease.until == 100.0 + expected_s
         ledger.drop_worker("a test")
+
+
+@pytest.mark.parametrize(("stop_ms", "expected"), [(200, False), (2_000, True)])
+def test_a_task_leaves_in_time_for_its_stop(stop_ms: int, expected: bool):
+    """Guards against a stop that ends after its worker, so that progress is lost."""
+    stage = Stage()
+    stage.report(running=[RunningTask(TASK, 1, "", 0, 0)])
+    worker = stage.fleet.get("node")
+    now = read_boot_clock()
+    work_s = stage.book.get_expected_s(stage.task)
+    worker.draining, worker.leaving_at = True, now + work_s + 1.0
+    limits = LimitSettings(stop_ms=stop_ms)
+    Mover(stage.book, stage.fleet, stage.reconciler, limits).move(now)
+    assert bool(stage.task.stopping) is expected
+
+
+def test_what_saves_its_progress_costs_the_time_of_its_move():
+    """Guards against stops of what has done much where a move is dear."""
+    room = Resources(1_000, 0, 0)
+    for move_s, cheapest in ((0.5, "saved"), (4.0, "young")):
+        victims = [
+            Victim("saved", "p", 2, True, 9.0, move_s, room),
+            Victim("young", "p", 2, False, 1.0, 0.5, room),
+        ]
+        chosen = choose_victims(room, Resources(), victims, 0)
+        assert [one.task for one in chosen] == [cheapest]
--- a/tests/unit/test_leader_advice.py
+++ b/tests/unit/test_leader_advice.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.exceptions import AdviceError
 from pistachiodeal.jobs.advice import Advice
 from pistachiodeal.leader.advice import WORKERS_A_CALL, AdviceKeeper
@@ -58,6 +59,7 @@
             reconciler,
             model,
             lambda queue: replace(queue, advised=True),
+            limits=LimitSettings(),
             events=events,
             advice=self.advice,
         )
--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -8,6 +8,7 @@
 import pytest
 
 from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.jobs.model import Job, JobState, LossCause, Queue, Step
 from pistachiodeal.jobs.record import apply_progress, build_record, encode_progress
 from pistachiodeal.leader.book import JobBook
@@ -61,6 +62,7 @@
             self.reconciler,
             model,
             lambda queue: queue,
+            limits=LimitSettings(),
             events=events,
         )
         self.racks = racks
--- a/tests/unit/test_leader_planner.py
+++ b/tests/unit/test_leader_planner.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.jobs.model import EndKind, Job, Queue, Step
 from pistachiodeal.leader.book import JobBook
 from pistachiodeal.leader.planner import SLICE_S, Planner
@@ -32,7 +33,13 @@
         model = InterferenceModel()
         reconciler = Reconciler(self.book, self.fleet, model, events)
         self.planner = Planner(
-            self.book, self.fleet, reconciler, model, lambda queue: queue, events=events
+            self.book,
+            self.fleet,
+            reconciler,
+            model,
+            lambda queue: queue,
+            limits=LimitSettings(),
+            events=events,
         )
         for number in range(workers):
             worker = self.fleet.get(f"n{number}")
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.jobagent.authority import LEASE_S, SLOWEST_CLOCK, Lease
 from pistachiodeal.jobs.model import EndKind
 from pistachiodeal.leader.book import JobBook
@@ -151,7 +152,7 @@
     stage = Stage()
     step = replace(stage.task.step, fills=True, checkpoints=True, image="f")
     stage.task.step = step
-    mover = Mover(stage.book, stage.fleet, stage.reconciler)
+    mover = Mover(stage.book, stage.fleet, stage.reconciler, LimitSettings())
     now = read_boot_clock()
     stage.report(running=[RunningTask(TASK, 1, "", 10, 0, 900)])
     stage.task.slow_since = now
@@ -166,7 +167,7 @@
     """Return why a task is stopped that shows no progress while it is listed."""
     stage = Stage()
     stage.task.step = replace(stage.task.step, fills=fills, image="f")
-    mover = Mover(stage.book, stage.fleet, stage.reconciler)
+    mover = Mover(stage.book, stage.fleet, stage.reconciler, LimitSettings())
     stage.report(running=[RunningTask(TASK, 1, "", 10, 0, pace_milli)])
     stage.task.moved_at -= listed_s
     # Held back by its pace is another reason, which has a test of its own.
@@ -193,7 +194,7 @@
     guard against: the time without a listing counted as time without progress.
     """
     stage = Stage()
-    mover = Mover(stage.book, stage.fleet, stage.reconciler)
+    mover = Mover(stage.book, stage.fleet, stage.reconciler, LimitSettings())
     stage.report(running=[RunningTask(TASK, 1, "", 10, 0, 1000)])
     mover.move(read_boot_clock() + STALL_S + 3.0)
     assert not stage.task.stopping
--- a/tests/unit/test_scheduling_load.py
+++ b/tests/unit/test_scheduling_load.py
@@ -303,9 +303,9 @@
     need = Resources(2_000, 1_000, 0)
     room = Resources(2_000, 2_000, 0)
     victims = [
-        Victim("long", "p", 2, False, 9.0, room),
-        Victim("saved", "p", 2, True, 9.0, room),
-        Victim("peer", "p", 0, True, 0.1, room),
+        Victim("long", "p", 2, False, 9.0, 1.0, room),
+        Victim("saved", "p", 2, True, 9.0, 1.0, room),
+        Victim("peer", "p", 0, True, 0.1, 1.0, room),
     ]
     chosen = choose_victims(need, Resources(), victims, 0)
     assert [victim.task for victim in chosen] == ["saved"]
