What a far rack costs follows from the deployment's factor

The cost was 0.5 of a worker's load, which is right where work far from its data takes 1.5 times as long (factor less one); on the shifted deployment it takes three times as long. Tests by both.

--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -78,6 +78,8 @@
         self._attempts = Attempts()
         self._preemptor = Preemptor(book, fleet, reconciler, find_queue, limits)
         self._probation = Probation(book, reconciler, interference, events)
+        # A task that takes twice as long elsewhere needs a whole worker's time more.
+        self._remote_cost = limits.remote_factor - 1.0
         self._moved_at = 0.0
         self._book = book
         self._fleet = fleet
@@ -163,6 +165,7 @@
             urgent=is_urgent(queue.priority, step.step, _measure_wait_s(step)),
             racks=self._list_racks(step, views),
             bold=self._is_starved(record, step),
+            remote_cost=self._remote_cost,
         )
         allowed = self._list_allowed(request, queue, views)
         suspects = [task for task in waiting if is_suspect(task)]
@@ -217,6 +220,7 @@
             step.step,
             step.key,
             urgent=is_urgent(queue.priority, step.step, _measure_wait_s(step)),
+            remote_cost=self._remote_cost,
         )
         allowed = self._list_allowed(request, queue, views)
         trial = [view.copy() for view in allowed]
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -44,8 +44,6 @@
 # Slack that a filling task may take beyond what its neighbours have to spare now, as
 # figures are off by about as much.
 SPARE_MARGIN = 0.1
-# How a rack other than that of the data counts against load (1.0 is a full worker).
-REMOTE_COST = 0.5
 # What each task of the same step on a worker costs: a worker that fails all it starts
 # then takes one attempt of a job's tasks, and not all of them.
 SPREAD_COST = 0.05
@@ -65,6 +63,8 @@
     :param racks: racks on which tasks of the step are already.
     :param bold: whether it may disturb its neighbours; their agent paces it then.
     :param alone: whether it may end its worker.
+    :param remote_cost: what a rack other than that of the data, or of the other tasks
+        of the step, counts against load (1.0 is a full worker).
     :param quiet: whether it goes only where all that was ordered is seen at work.
     """
 
@@ -76,6 +76,7 @@
     bold: bool = False
     alone: bool = False
     quiet: bool = False
+    remote_cost: float = 0.5
 
 
 def is_urgent(priority: int, step: Step, waited_s: float) -> bool:
@@ -126,9 +127,9 @@
     step, racks = request.step, request.racks
     cost = 0.0
     if step.data_rack and view.rack != step.data_rack:
-        cost += REMOTE_COST
+        cost += request.remote_cost
     if step.same_rack and racks and view.rack not in racks:
-        cost += REMOTE_COST
+        cost += request.remote_cost
     if request.alone:
         # Where least is lost if it does end the worker.
         return cost + view.load + (EXPOSED_SERVING_COST if view.serving else 0.0)
--- a/tests/unit/test_deployment_settings.py
+++ b/tests/unit/test_deployment_settings.py
@@ -17,14 +17,19 @@
 from pistachiodeal.exceptions import SettingsError
 from pistachiodeal.jobagent.authority import LEASE_S
 from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobs.model import Step
 from pistachiodeal.leader.moves import Mover
 from pistachiodeal.model.resources import Resources
+from pistachiodeal.scheduling.interference import InterferenceModel
+from pistachiodeal.scheduling.placement import Request, choose_worker
 from pistachiodeal.scheduling.preemption import Victim, choose_victims
+from pistachiodeal.scheduling.views import WorkerView
 from pistachiodeal.wire.job_messages import RunningTask
 from tests.standins.job_cluster import create_quiet_log
 from tests.unit.test_jobagent_ledger import build_beat
 from tests.unit.test_leader_reconcile import TASK, Stage
 
+ROOM = Resources(16_000, 64_000, 0)
 DOCUMENT = {
     "node": "n",
     "host": "127.0.0.1",
@@ -98,3 +103,20 @@
         ]
         chosen = choose_victims(room, Resources(), victims, 0)
         assert [one.task for one in chosen] == [cheapest]
+
+
+@pytest.mark.parametrize(("remote_factor", "expected"), [(1.5, "far"), (3.0, "near")])
+def test_a_task_goes_far_from_its_data_where_that_costs_little(
+    remote_factor: float, expected: str
+):
+    """Guards against tasks that go far from their data where that takes three times as
+    long, and that wait beside it where it takes hardly longer.
+    """
+    near = WorkerView("near", "near", "r1", frozenset(), ROOM)
+    far = WorkerView("far", "far", "r2", frozenset(), ROOM)
+    near.used = Resources(12_000, 0, 0)
+    step = Step(1, Resources(1_000, 100, 0), 1.0, data_rack="r1")
+    request = Request(step, ("j", 0, 0), remote_cost=remote_factor - 1.0)
+    chosen = choose_worker(request, [near, far], InterferenceModel())
+    assert chosen is not None
+    assert chosen.place == expected
