Neighbours of a serving task stand within the time that the deployment allows

The guard of 1.8 s fits deployments that allow 4 s over the aim; one that allows less would have had harm. It is now the time allowed less what the figures lag, 1.8 s at most, so deployments at hand decide as before.

--- a/pistachiodeal/jobagent/app.py
+++ b/pistachiodeal/jobagent/app.py
@@ -36,7 +36,7 @@
         runtime = create_runner(settings.runner)
         limits = settings.limits
         ledger = AgentLedger(events, limits.longest_lease_ms / 1000)
-        paces = PaceKeeper(ledger, runtime, events)
+        paces = PaceKeeper(ledger, runtime, events, limits.interference_ms / 1000)
         self._renewal = Renewal(ledger, runtime, paces, events, agent_signals)
         executor = Executor(ledger, runtime, events, agent_signals)
         self._leader_link = LeaderLink(
--- a/pistachiodeal/jobagent/paces.py
+++ b/pistachiodeal/jobagent/paces.py
@@ -10,17 +10,31 @@
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobs.runtime import CallResult, Runtime
 from pistachiodeal.scheduling.interference import FIRST_PRESS, compute_effort
-from pistachiodeal.scheduling.pacing import FillingLoad, Pacer, ServingTail
+from pistachiodeal.scheduling.pacing import (
+    FillingLoad,
+    Pacer,
+    ServingTail,
+    compute_guard_s,
+)
 
 
 class PaceKeeper:
-    """Applies a pace to the filling tasks of each image."""
+    """Applies a pace to the filling tasks of each image.
 
-    def __init__(self, ledger: AgentLedger, runtime: Runtime, events: EventLog) -> None:
+    :param interference_s: a serving task may be over its aim for this long.
+    """
+
+    def __init__(
+        self,
+        ledger: AgentLedger,
+        runtime: Runtime,
+        events: EventLog,
+        interference_s: float,
+    ) -> None:
         self._ledger = ledger
         self._runtime = runtime
         self._events = events
-        self._pacer = Pacer()
+        self._pacer = Pacer(compute_guard_s(interference_s))
 
     async def apply(self) -> None:
         """Decide by the newest figures, and tell the runner what has changed."""
--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -46,8 +46,11 @@
 # A tail below this part of its aim is of the task's first moments.
 FIRST_STRAIN = 0.1
 # A serving task over its aim for this long, whatever is believed of its neighbours,
-# has them stand still. Harm counts after four seconds.
+# has them stand still.
 GUARD_S = 1.8
+# From then on it takes this long until its tail shows that they do, and until it is
+# within its aim again.
+GUARD_LAG_S = 2.2
 # A serving task over its aim with nobody at work beside it is slow by itself: to have
 # its neighbours stand gains nothing. Looked at again after this long.
 OWN_FAULT_S = 2.0
@@ -154,6 +157,7 @@
 class Pacer:
     """Decides the paces on one worker.
 
+    :ivar guard_s: neighbours of a serving task that is over its aim for longer stand.
     :ivar paces: the paces decided last, by image.
     :ivar decided_at: when that was.
     :ivar over_since: since when a serving task is over its aim, 0 while none is.
@@ -161,6 +165,7 @@
     :ivar suspects: pairs of images and until when they are suspected.
     """
 
+    guard_s: float = GUARD_S
     paces: dict[str, int] = field(default_factory=dict)
     decided_at: float = 0.0
     over_since: float = 0.0
@@ -242,7 +247,15 @@
             self.over_since = 0.0
         elif not self.over_since:
             self.over_since = now
-        return bool(self.over_since) and now - self.over_since > GUARD_S
+        return bool(self.over_since) and now - self.over_since > self.guard_s
+
+
+def compute_guard_s(interference_s: float) -> float:
+    """Return how long neighbours of a serving task over its aim may go on.
+
+    :param interference_s: a serving task may be over its aim for this long.
+    """
+    return max(0.0, min(GUARD_S, interference_s - GUARD_LAG_S))
 
 
 def share_slack(
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -149,7 +149,7 @@
         events = create_quiet_log()
         signals = AgentSignals()
         self.ledger = AgentLedger(events)
-        paces = PaceKeeper(self.ledger, self.runner, events)
+        paces = PaceKeeper(self.ledger, self.runner, events, 4.0)
         renewal = Renewal(self.ledger, self.runner, paces, events, signals)
         executor = Executor(self.ledger, self.runner, events, signals)
         peers = PeerContext(
--- a/tests/unit/test_deployment_settings.py
+++ b/tests/unit/test_deployment_settings.py
@@ -21,6 +21,13 @@
 from pistachiodeal.leader.moves import Mover
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.interference import InterferenceModel
+from pistachiodeal.scheduling.pacing import (
+    GUARD_S,
+    FillingLoad,
+    Pacer,
+    ServingTail,
+    compute_guard_s,
+)
 from pistachiodeal.scheduling.placement import Request, choose_worker
 from pistachiodeal.scheduling.preemption import Victim, choose_victims
 from pistachiodeal.scheduling.views import WorkerView
@@ -120,3 +127,22 @@
     chosen = choose_worker(request, [near, far], InterferenceModel())
     assert chosen is not None
     assert chosen.place == expected
+
+
+@pytest.mark.parametrize(
+    ("interference_s", "expected_s"), [(3.0, 0.8), (4.0, 1.8), (10.0, GUARD_S)]
+)
+def test_neighbours_stand_in_time(interference_s: float, expected_s: float):
+    """Guards against harm to a serving task for longer than its deployment allows."""
+    assert compute_guard_s(interference_s) == pytest.approx(expected_s)
+    tail = ServingTail("s", 120, 100)
+    pacer = Pacer(compute_guard_s(interference_s))
+
+    def decide(now: float) -> int:
+        # Too little at work to be suspected sooner.
+        fills = {"f": FillingLoad(1, 0.15)}
+        return pacer.decide([tail], fills, lambda filling, serving: 0.0, now)["f"]
+
+    assert decide(10.0) > 0
+    assert decide(10.0 + expected_s - 0.1) > 0
+    assert decide(10.0 + expected_s + 0.1) == 0
--- a/tests/unit/test_jobagent_renewal.py
+++ b/tests/unit/test_jobagent_renewal.py
@@ -47,7 +47,7 @@
     ledger.take_directive(build_directive("w@1"), read_boot_clock())
     ledger.adopt(build_beat("w@1"))
     runtime, signals = FakeRuntime(listing), AgentSignals()
-    paces = PaceKeeper(ledger, runtime, events)
+    paces = PaceKeeper(ledger, runtime, events, 4.0)
     renewal = Renewal(ledger, runtime, paces, events, signals)
     return Stage(ledger, runtime, signals, renewal)
 
