--- a/pistachiodeal/commands/job.py
+++ b/pistachiodeal/commands/job.py
@@ -32,6 +32,7 @@
 )
 from pistachiodeal.jobs.tables import read_submission, read_tables
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
+from pistachiodeal.platform.closures import ClosedDataCentres, read_closed
 from pistachiodeal.platform.rows import create_rows
 from pistachiodeal.store.row_store import RowStore, StoredRow, read_row
 
@@ -66,7 +67,8 @@
     queues = add_leaf(group, common, "queues", "count jobs by queue", run_queues)
     for leaf in (show, why):
         leaf.add_argument("job_id")
-    for leaf in (show, why, listing, queues):
+    closed = add_leaf(group, common, "closed", "list closed data centres", run_closed)
+    for leaf in (show, why, listing, queues, closed):
         leaf.add_argument(
             "--store",
             metavar="IP:PORT",
@@ -131,6 +133,15 @@
     print_table(("queue", *names), rows)
 
 
+async def run_closed(context: Context, args: argparse.Namespace) -> None:
+    """Print the data centres in which nothing is started."""
+    names = sorted((await _read(_read_closed, args)).names)
+    if context.as_json:
+        print_json(names)
+    else:
+        print_table(("data_centre",), [[name] for name in names])
+
+
 async def _read(read: Any, args: argparse.Namespace) -> Any:
     """Read from the store; its errors end the command."""
     if not is_address(args.store):
@@ -173,6 +184,10 @@
     ]
 
 
+async def _read_closed(store: RowStore, _: argparse.Namespace) -> ClosedDataCentres:
+    return await read_closed(store)
+
+
 async def _find_leader(store: RowStore, _: argparse.Namespace) -> str:
     page = await read_row(store, CONTROL_TABLE, LEADER_KEY)
     return str(orjson.loads(page.rows[0].value)["node"]) if page.rows else ""
--- a/tests/unit/test_commands_job.py
+++ b/tests/unit/test_commands_job.py
@@ -13,7 +13,7 @@
 from pistachiodeal.jobs.record import build_record, encode_progress
 from pistachiodeal.jobs.rows import CANCEL_VALUE, build_cancel_key, encode_job
 from pistachiodeal.store.row_store import StoredRow
-from tests.standins.job_cluster import build_job
+from tests.standins.job_cluster import build_job, close_data_centre
 from tests.standins.rows import MemoryRows, RowsState
 
 STORE = ["--store", "127.0.0.1:1"]
@@ -77,6 +77,15 @@
     assert "queue" in capsys.readouterr().out
 
 
+def test_closed_data_centres_are_listed(state, capsys):
+    assert run_json(capsys, "job", "closed") == []
+    close_data_centre(state, "b")
+    close_data_centre(state, "a")
+    assert run_json(capsys, "job", "closed") == ["a", "b"]
+    assert main(["job", "closed", *STORE]) == exit_codes.OK
+    assert "data_centre" in capsys.readouterr().out
+
+
 def test_an_unknown_job_and_a_store_that_is_away_end_with_their_status(state, capsys):
     assert main(["job", "show", "f" * 16, *STORE]) == exit_codes.NOT_FOUND
     state.faults.down = True
