Owed: expiry of unsettled runs has its own name; twin lines of two tests

LossHistory.list_unsettled ended what had waited too long, which its name didn't say. No behaviour changes.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -257,7 +257,8 @@
             if settled and self.listed and not order.reported_in:
                 order.reported_in = beat
         now = read_boot_clock()
-        unsettled = [Order(*key) for key in self.history.list_unsettled(now)]
+        self.history.expire_unsettled(now)
+        unsettled = [Order(*key) for key in self.history.list_unsettled()]
         capacity = known.capacity if known else None
         return WorkerReport(
             beat,
--- a/pistachiodeal/jobagent/losses.py
+++ b/pistachiodeal/jobagent/losses.py
@@ -74,16 +74,17 @@
             loss.unsettled = frozenset()
         return keys
 
-    def list_unsettled(self, now: float) -> set[RunKey]:
-        """Return the runs that the leader may not give up yet."""
-        keys: set[RunKey] = set()
+    def expire_unsettled(self, now: float) -> None:
+        """Forget the runs that have waited too long for a new incarnation."""
         for loss in self._losses:
             if loss.unsettled and now - loss.at >= UNSETTLED_S:
                 # The leader has to hear once more of what it has kept until now.
                 loss.unsettled = frozenset()
                 loss.reported_in, loss.heard = 0, False
-            keys |= loss.unsettled
-        return keys
+
+    def list_unsettled(self) -> set[RunKey]:
+        """Return the runs that the leader may not give up yet."""
+        return {key for loss in self._losses for key in loss.unsettled}
 
     def report(self, beat: int, now: float) -> tuple[WorkerLoss, ...]:
         """Return what the leader has to hear of in a report."""
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -195,6 +195,14 @@
         """Take the closing of a data centre back."""
         close_data_centre(self.state, data_centre, value=None)
 
+    async def fail_first(self, jobs: list[Job], timeout: float) -> None:
+        """Hand jobs in; wait until the first has failed and the others are done."""
+        for job in jobs:
+            await self.entries[0].submit(job)
+        await self.wait_for_state(jobs[0], JobState.FAILED, timeout)
+        for job in jobs[1:]:
+            await self.wait_for_state(job, JobState.COMPLETED, 15.0)
+
     async def wait_for_state(
         self, job: Job, state: JobState, timeout: float = 10.0
     ) -> None:
--- a/tests/unit/test_crashing_tasks.py
+++ b/tests/unit/test_crashing_tasks.py
@@ -94,11 +94,7 @@
             # The crasher works until it ends its runner; the others end before.
             for agent in cluster.agents:
                 agent.runner.lasting = frozenset((CRASHER,))
-            for job in jobs:
-                await cluster.entries[0].submit(job)
-            await cluster.wait_for_state(jobs[0], JobState.FAILED, 20.0)
-            for job in jobs[1:]:
-                await cluster.wait_for_state(job, JobState.COMPLETED, 15.0)
+            await cluster.fail_first(jobs, 20.0)
             check(cluster)
 
     curio.run(main)
--- a/tests/unit/test_restarted_runners.py
+++ b/tests/unit/test_restarted_runners.py
@@ -237,11 +237,7 @@
             plant(cluster)
             keep_ids(cluster, down_s=0.0)
             jobs = [build_job(number, steps=1) for number in range(1, 4)]
-            for job in jobs:
-                await cluster.entries[0].submit(job)
-            await cluster.wait_for_state(jobs[0], JobState.FAILED, 15.0)
-            for job in jobs[1:]:
-                await cluster.wait_for_state(job, JobState.COMPLETED, 15.0)
+            await cluster.fail_first(jobs, 15.0)
             check(cluster)
 
     curio.run(main)
