--- a/pistachiodeal/scheduling/interference.py
+++ b/pistachiodeal/scheduling/interference.py
@@ -32,9 +32,12 @@
 # What filling work may cost a serving task on the average of its swing; the agents
 # pace it at the peaks.
 PRESS_LIMIT = 1.0
-# Figures are 5 to 8% off, which is up to 0.3 of slack; less than this half of it is
-# taken for none.
+# A press is learnt to within this much: figures are 5 to 8% off, up to 0.3 of slack.
 NOISE = 0.15
+# Pairs either leave each other alone or take more than this. A smaller press of a known
+# pair is noise; believed, it has harmless work stand at each peak of the load, when
+# there is no slack to spare.
+LEAST_PRESS = 0.3
 FIGURE_NOISE = 0.08
 # Siblings that swing together are still this far apart, in slack.
 SIBLING_NOISE = 0.15
@@ -185,7 +188,7 @@
         """Return what one filling task takes from a serving task's slack."""
         pair = self._pairs.get((filling, serving))
         press = pair.press if pair is not None else self._guess(filling)
-        return press if press > NOISE else 0.0
+        return press if press > LEAST_PRESS else 0.0
 
     def weigh(self, serving: Iterable[str], mix: Mapping[str, float]) -> float:
         """Return the slack that a mix takes from the worst of the serving images."""
--- a/tests/unit/test_scheduling_load.py
+++ b/tests/unit/test_scheduling_load.py
@@ -13,6 +13,7 @@
 from pistachiodeal.scheduling.health import FIRST_SUSPECT_S, WorkerHealth
 from pistachiodeal.scheduling.interference import (
     InterferenceModel,
+    Lesson,
     ServingSample,
     compute_effort,
 )
@@ -23,6 +24,7 @@
     Pacer,
     ServingTail,
     TailFilter,
+    share_slack,
 )
 from pistachiodeal.scheduling.placement import (
     LASTING_PATIENCE_S,
@@ -183,6 +185,16 @@
         assert place(build_filling("mild"), [view], model) == "n"
 
 
+def test_a_pair_that_is_learnt_roughly_works_on_at_the_peak():
+    """Guards against harmless filling work that stands at each peak of the load."""
+    model = InterferenceModel()
+    model.adopt((Lesson("mild", "s", 0.28, 0.04), Lesson("harsh", "s", 0.9, 0.04)))
+    tails = [ServingTail("s", 72, 100)]
+    fills = {"mild": FillingLoad(6, 0.0), "harsh": FillingLoad(1, 0.0)}
+    paces = share_slack(tails, fills, model.get_press)
+    assert paces == {"mild": 100, "harsh": 0}
+
+
 def test_an_untried_pair_is_tried_with_two_tasks():
     """The load: many tasks of a new image arrive at once beside serving tasks."""
     model = InterferenceModel()
