--- a/tests/unit/test_scheduling_load.py
+++ b/tests/unit/test_scheduling_load.py
@@ -435,7 +435,7 @@
 
 
 def test_harmless_work_goes_on_at_the_peak_of_a_neighbours_load():
-    """Guards against filling work that stands for a load that is its neighbour's own."""
+    """Guards against filling work that stands for its neighbour's own load."""
     pacer = Pacer()
     for beat in range(8):
         paces = pacer.decide(
