--- a/pistachiodeal/config/deployment.py
+++ b/pistachiodeal/config/deployment.py
@@ -1,8 +1,7 @@
 """Settings of the two programs that run jobs on the users' platform.
 
 They are checked by hand: importing the models of the other programs' settings takes
-0.10 s of processor time more at each start, and 17 MB more in each process (one import
-each, by ``getrusage``); both are paid on every VM.
+processor time at each start and memory in each process, on every VM.
 """
 
 from __future__ import annotations
@@ -65,7 +64,7 @@
     """
 
     longest_lease_ms: int = _between(10_000, 1_000, 3_600_000)
-    closing_ms: int = _between(5_000, 0, 3_600_000)
+    closing_ms: int = _between(5_000, 2_000, 3_600_000)
     grace_s: float = _between(6.0, 1.0, 3_600.0)
     stop_ms: int = _between(1_000, 0, 60_000)
     restore_ms: int = _between(250, 0, 60_000)
--- a/pistachiodeal/jobentry/acceptance.py
+++ b/pistachiodeal/jobentry/acceptance.py
@@ -31,9 +31,9 @@
 WRITERS = SUBMISSION_PARTITIONS
 # Time kept for the answer's way back to the caller, at most half of what is left.
 ANSWER_MARGIN_S = 0.3
-# A write takes 4 to 10 ms; with less time than this it is not begun. Callers that come
-# back have 0.1 to 0.3 s left: with all of the margin kept, their inserts were sent and
-# answered "unknown" in the same millisecond, 4 of 14 such answers in an outage.
+# With less time than this a write is not begun. Callers that come back have little more
+# left: with all of the margin kept, their inserts would be sent and answered "unknown"
+# in the same millisecond.
 SHORTEST_WAIT_S = 0.02
 # A store that is away is asked again this often, and first after a short while: one
 # that refuses writes for their rate and answers reads would be written to in a loop.
@@ -49,8 +49,7 @@
     All others are refused at once: they were never sent, so that is true, and their
     callers may try again elsewhere. Whether the store is back is found out by reading.
     A caller's insert as the probe would be one more that nobody knows the end of, and
-    a caller that is told so may not try again: in two outages of 5.6 s, 41 of 266
-    tries ended that way.
+    a caller that is told so may not try again.
     """
 
     def __init__(self, store: RowStore, events: EventLog) -> None:
--- a/pistachiodeal/jobentry/handover.py
+++ b/pistachiodeal/jobentry/handover.py
@@ -44,8 +44,8 @@
     async def run(self) -> None:
         """Make way for a fitter follower in a calm moment, for ever.
 
-        A leader on half of a core needs 0.25 to 0.5 s between two rounds of decisions
-        for 160 workers, while entries with four times as much only follow.
+        On a large fleet a weak leader is slow to decide, while entries with several
+        times as much only follow.
         """
         while True:
             await curio.sleep(WATCH_S)
--- a/pistachiodeal/leader/attempts.py
+++ b/pistachiodeal/leader/attempts.py
@@ -2,7 +2,7 @@
 
 The load that this answers: hundreds of steps wait for hundreds of full workers. Between
 two rounds of decisions a few workers report, and to weigh all of them for each step
-again took 90 ms of processor time at 160 workers and 800 ms at 592.
+again would take longer than the pause between two rounds.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 # why it waits.
 WHOLE_S = 2.0
 # So many steps a round are weighed again for that reason alone. Without the limit all
-# of them came due again before a burst on 592 workers was through.
+# of them would come due again before a burst on a large fleet is through.
 REPEATS_A_ROUND = 4
 
 
--- a/pistachiodeal/leader/fitness.py
+++ b/pistachiodeal/leader/fitness.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-# A leader of 74 workers uses up to 0.55 of a core and 5 Mbit/s. On 0.3 of a core, with
-# 10 Mbit/s, short jobs that take 2 s took 20. A process below these is weak.
+# A process below these is weak: as the leader of some dozens of workers it would decide
+# too late for short jobs.
 LEAST_CORES = 0.35
 LEAST_MBPS = 50.0
 # A weak leader makes way for a follower that is this much fitter. A lower factor would
--- a/pistachiodeal/leader/fleet_views.py
+++ b/pistachiodeal/leader/fleet_views.py
@@ -20,7 +20,7 @@
     """Keeps a view of each worker that takes tasks, and builds anew what has changed.
 
     Between two rounds a few of hundreds of workers report; to build all views for each
-    round took a tenth of the leader's time at 160 workers.
+    round would take much of the leader's time.
     """
 
     def __init__(self, book: JobBook, fleet: Fleet) -> None:
@@ -57,7 +57,7 @@
         """Note that a view already shows a run that was placed on its worker.
 
         Built anew it would count as changed, and each step that found nothing would be
-        weighed against it again: a burst on 592 workers took 10 s in place of 2.
+        weighed against it again, which makes a burst on a large fleet much slower.
         """
         worker = self._fleet.get(view.node)
         self._views[view.node] = (self._build_stamp(worker), view)
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -46,8 +46,7 @@
 PLAN_REST = 1.0
 TICK_S = 0.25
 RETRY_S = 0.2
-# Writes on their way at a time; a store that is sixty times slower answers after 0.3 to
-# 0.5 s. Each has jobs of its own.
+# Writes on their way at a time, each with jobs of its own, for a store that is slow.
 WRITERS = 3
 # A write that takes longer than this is of a slow store; usual are 4 to 10 ms.
 SLOW_WRITE_S = 0.06
@@ -185,8 +184,7 @@
         """End, since another process leads under a higher epoch.
 
         A leader that the store turns away can't see for itself that it was replaced.
-        While it goes on, its agents and followers stay with it: for seven seconds they
-        got no work, although another entry led.
+        While it goes on, its agents and followers stay with it and get no work.
         """
         self._events.emit("leader.superseded", epoch=self.epoch, by=epoch)
         await self._superseded.set()
@@ -282,10 +280,9 @@
     async def _keep_writing(self, number: int) -> None:
         """Write what is decided; one of several writers that share the work.
 
-        While a slow store takes 0.5 s for a write, what is decided meanwhile would wait
-        for it and then for its own: 1.0 s passed from a decision to its order. Writers
-        beyond the first only begin where a write takes long: a store that answers
-        within milliseconds gets no more calls than from one writer.
+        What is decided while a slow store takes a write would wait for that one and
+        then for its own. Writers beyond the first only begin where a write takes long:
+        a store that answers soon gets no more calls than from one writer.
         """
         while True:
             await self._unsaved.wait()
--- a/pistachiodeal/leader/lessons.py
+++ b/pistachiodeal/leader/lessons.py
@@ -3,8 +3,6 @@
 The failure that this answers: five changes of the leader within 40 s, and everything
 down at once near the end. Each successor took every pair of images for untried, and
 found out at the cost of serving tasks over their aim what its predecessor had known.
-Fifteen runs of 50 s on eleven workers under failures earned 0.75 of what was owed with
-this, and 0.71 without.
 """
 
 from __future__ import annotations
--- a/pistachiodeal/leader/moves.py
+++ b/pistachiodeal/leader/moves.py
@@ -32,8 +32,7 @@
 # long the runs that cost least go. The machine would else end one of its own choice.
 SHRUNK_S = 1.0
 # The pace comes back with the swing of the serving tasks' own load within a few
-# seconds; a task that saves its progress is better off elsewhere before that. With 1 s
-# filling jobs earned 0.58 of their worth on 74 full workers, with 2 s 0.53.
+# seconds; a task that saves its progress is better off elsewhere before that.
 HELD_BACK_S = 1.0
 # What saves nothing and is this far on is paced to its end where it is.
 RESTART_PERCENT = 40
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -43,12 +43,10 @@
 # serving tasks even though it disturbs them: paced work is more than none.
 STARVED_S = 2.0
 # A round looks at what agents have reported after this long, whatever is still to be
-# decided: with 800 tasks waiting for 160 workers one round took 0.4 s, in which the
-# leader heard nobody.
+# decided: while it places a burst the leader would else hear nobody.
 SLICE_S = 0.03
-
 # What has to leave its worker is looked for this often. Agents list their runs each
-# 0.4 s, and the look goes over every run: a tenth of a round at 300 workers.
+# 0.4 s, and the look goes over every run.
 MOVE_S = 0.1
 
 
--- a/pistachiodeal/leader/sessions.py
+++ b/pistachiodeal/leader/sessions.py
@@ -18,7 +18,7 @@
 
 # How long leases run without the leader. Longer: running work outlives a longer outage
 # of the store or of the leader; shorter: the tasks of a worker that is gone without a
-# trace wait less. Outages of 5 to 9 s are common, and workers that vanish are not.
+# trace wait less. Outages of some seconds are common, and workers that vanish are not.
 GRANT_S = 11.0
 # The runner's clock may be 2% slow and ends runs a little after their lease.
 LOST_MARGIN_S = 0.5
--- a/pistachiodeal/leader/settling.py
+++ b/pistachiodeal/leader/settling.py
@@ -7,8 +7,7 @@
 # Decisions made before most agents are there would crowd the first workers. So a new
 # leader waits until all workers that have runs are listed, or no further one has come
 # for a moment, and no longer than this: it is what agents take to attach after
-# everything was down. Waiting for it each time, the first task started 0.35 s later
-# than ten of eleven workers were listed.
+# everything was down.
 SETTLE_S = 0.6
 QUIET_S = 0.15
 
--- a/pistachiodeal/scheduling/durations.py
+++ b/pistachiodeal/scheduling/durations.py
@@ -1,9 +1,9 @@
 """How long tasks take, learnt from those that were done and what was declared for them.
 
 The load that this answers: callers declare a task's time, and are off by as much as the
-time itself: 0.4 s is declared for tasks of 4 s, and 47 s for others of 5 s. Ordered by
-what is declared, a job that was declared too short counts as hopeless after a second
-and waits behind all others, and one declared too long is never urgent.
+time itself, or by ten times. Ordered by what is declared, a job that was declared too
+short counts as hopeless after a second and waits behind all others, and one declared
+too long is never urgent.
 
 So for each queue the time is worked out from the declared one by a line between the
 logarithms of both, fitted to what was done. Where declarations are right, the line
--- a/pistachiodeal/scheduling/health.py
+++ b/pistachiodeal/scheduling/health.py
@@ -10,13 +10,13 @@
 
 from dataclasses import dataclass
 
-# Two tasks in a hundred fail by their own fault; two in a row on one worker without
-# a success between them happen once in 2,500 tasks.
+# A few tasks in a hundred fail by their own fault; two in a row on one worker without a
+# success between them are rare.
 FAILURES_TO_SUSPECT = 2
 # A suspect is left alone for this long, and twice as long after each failed probe. A
 # wrong suspicion costs one worker's new tasks for a second.
 FIRST_SUSPECT_S = 1.0
-# Such a state lasted for 5 to 8 s in the deployments we know.
+# A worker is often sound again within seconds.
 LONGEST_SUSPECT_S = 4.0
 # Where more than this share of the workers is suspect, it is the jobs that fail.
 MOST_SUSPECTS = 1 / 3
--- a/pistachiodeal/scheduling/interference.py
+++ b/pistachiodeal/scheduling/interference.py
@@ -279,10 +279,8 @@
     """Return how much a filling task disturbs, against one that uses all it asked for.
 
     Filling tasks have phases of seconds in which they use two thirds of the processor
-    time that they ask for, and then press a third to a half as much. On recorded
-    figures of eleven workers (160 s), presses by this effort foresee a serving task's
-    slack to 0.56; by the pace alone to 0.62, and half again as many tails over the aim
-    came unforeseen (447 and 328 of 1,300 figures).
+    time that they ask for, and then press a third to a half as much. Presses by the
+    pace alone would foresee a serving task's slack less well.
 
     :param worked: the pace, 1.0 is full speed.
     :param used_milli: processor time in use, thousandths of a core.
--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -2,8 +2,8 @@
 
 The load that this answers: a filling task makes its neighbour's answers slow, by an
 amount that depends on both images and changes within seconds. One pace for all filling
-tasks of a worker holds back those that harm nobody: on 74 workers whose serving tasks
-swing by 60%, filling work then got a fifth of the processor time that was left over.
+tasks of a worker holds back those that harm nobody: where serving tasks swing, filling
+work then gets a small part of the processor time that is left over.
 
 So each image has a pace of its own. From a figure and the work that was beside it, the
 slack of the serving task without neighbours follows; what that has above its aim is
@@ -22,9 +22,7 @@
 
 FULL = 100
 # Serving tasks are kept at this share of their aim: a tail worked out from two figures
-# is 15% off, and a swing adds 0.1 until the next one. Played for 60 s beside three
-# images, 0.8 left a serving task over its aim for 4 to 7% of the time and 0.7 for 1%,
-# for 0.82 and 0.77 of the filling work.
+# is 15% off, and a swing adds 0.1 until the next one.
 KEPT_STRAIN = 0.72
 KEPT_SLACK = 1.0 / KEPT_STRAIN
 # Above this share of its aim, whatever fills beside a serving task is suspected of
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -27,8 +27,7 @@
 # A task that lasts waits this long before it takes the room for urgent work. It has to
 # be at work within three seconds where there is room for it.
 LASTING_PATIENCE_S = 2.0
-# Share of a worker that only short work of urgent queues may use. Urgent work takes
-# 2 to 6% of the processors of the deployments we know.
+# Share of a worker that only short work of urgent queues may use.
 URGENT_SHARE = 0.05
 # A filling task gets what the others leave. It waits rather than share a worker on
 # which that is less than this part of what it and its like ask for.
@@ -158,9 +157,8 @@
     """The workers that can take tasks of one step, the best first.
 
     Equal tasks are placed one after another. Each changes one worker only, so only
-    that one is weighed again. A round with 800 waiting tasks on 74 workers takes 24 to
-    32 ms of processor time so; it took 520 to 730 ms when each task weighed all
-    workers, and the leader heard nobody in that time.
+    that one is weighed again. If each task weighed all workers, the leader would hear
+    nobody while it places a burst.
 
     :ivar obstacles: how many workers can't take one more task, by the reason.
     """
@@ -253,8 +251,7 @@
     Half of what they may take is what the serving tasks have to spare now: filling
     tasks last for about half of a swing, so they go where a swing is at its low. And it
     is never much more than what they have to spare now: their agent would pace the
-    newcomer down at once. In 80 s on eleven workers, 253 of 425 moved tasks had been
-    placed less than 2 s before, and each lost 2 s; with this limit 102 of 284.
+    newcomer down at once, and it would be moved again.
     """
     image = request.step.image
     if view.pressed is None:
