--- a/tests/unit/test_closed_data_centres.py
+++ b/tests/unit/test_closed_data_centres.py
@@ -4,14 +4,16 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import curio
 import pytest
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.jobs.model import JobState
+from pistachiodeal.jobs.model import Job, JobState, Step
 from pistachiodeal.leader.closures import ClosureWatch
 from pistachiodeal.leader.workers import Attachment, Fleet
+from pistachiodeal.model.resources import Resources
 from pistachiodeal.store.row_store import RowPage
 from pistachiodeal.wire.job_messages import RunOrder, RunRef
 from tests.standins.job_cluster import (
@@ -23,6 +25,7 @@
 )
 from tests.standins.rows import MemoryRows, RowsState
 from tests.unit.test_jobagent_executor import build_stage
+from tests.unit.test_leader_planner import QUEUE, Cluster
 from tests.unit.test_leader_sessions import NODE, Stage
 
 # A closing is in force within this.
@@ -278,3 +281,49 @@
     fleet.close(frozenset(("a",)))
     attach_worker(fleet, "a")
     assert not fleet.get("node-a").open
+
+
+SIZE = Resources(15_000, 1_000, 0)
+KINDS = {
+    "plain": Step(1, SIZE, 2.0),
+    "gang": Step(1, SIZE, 2.0, gang=True),
+    "bound to a rack": Step(1, SIZE, 2.0, data_rack="r0"),
+    "filling": Step(1, SIZE, 2.0, fills=True, image="f"),
+    "lasting": Step(1, SIZE, 2.0, lasts=True),
+}
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_no_kind_of_task_is_placed_in_a_closed_data_centre(kind: str):
+    """Guards against a way of placing tasks that passes the closing by."""
+    cluster = Cluster(workers=2)
+    for node, data_centre in (("n0", "a"), ("n1", "b")):
+        cluster.fleet.locate(cluster.fleet.get(node), data_centre)
+    cluster.fleet.close(frozenset("ab"))
+    job = Job(f"{1:016x}", QUEUE, "text", (KINDS[kind],), time.time())
+    cluster.book.add(job, time.time())
+    task = next(cluster.book.records[job.job_id].iterate_tasks())
+    for suspect in (False, True):
+        task.crashes, task.blames = int(suspect), int(suspect)
+        cluster.plan_all()
+        assert not task.place
+    cluster.fleet.close(frozenset("a"))
+    cluster.plan_all()
+    assert task.place.startswith("n1/")
+
+
+def test_urgent_work_stops_nothing_in_a_closed_data_centre():
+    """Guards against runs that give way to a task that may not start there."""
+    cluster = Cluster(workers=1)
+    cluster.fleet.locate(cluster.fleet.get("n0"), "a")
+    large = replace(QUEUE, name="large", priority=2)
+    first = Job(f"{1:016x}", large, "text", (KINDS["plain"],), time.time())
+    cluster.book.add(first, time.time())
+    cluster.plan_all()
+    run = next(cluster.book.records[first.job_id].iterate_tasks())
+    run.running = True
+    cluster.fleet.close(frozenset("a"))
+    cluster.add(2, 1, 15_000)
+    cluster.plan_all()
+    assert run.place
+    assert not run.stopping
