--- a/tests/harness/ports.py
+++ b/tests/harness/ports.py
@@ -34,6 +34,12 @@
     raise RuntimeError("no free port")
 
 
+def release_ports() -> None:
+    """Give back all ports of this process, once nothing that uses them is left."""
+    while _reserved:
+        _reserved.popitem()[1].close()
+
+
 def _reserve(port: int) -> bool:
     """Keep a port bound, without listening; False when anyone has it.
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from tests.harness.ports import release_ports
 from tests.soak.driver import play
 
 
@@ -24,6 +25,8 @@
         folder = Path(options.folder) / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
         result = curio.run(lambda: play(seed, folder, faults_s=options.seconds))  # noqa: B023
+        # Kept, the ports of many seeds leave none to other runs of the tests.
+        release_ports()
         print(
             f"seed {seed}: {result.accepted} accepted, {result.refused} refused, "
             f"{result.completed} completed, {result.starts} starts, "
