--- a/tests/unit/test_closed_data_centres.py
+++ b/tests/unit/test_closed_data_centres.py
@@ -30,6 +30,7 @@
 
 # A closing is in force within this.
 IN_FORCE_S = 1.0
+WAIT_S = 5.0
 CLOSING_S = 5.0
 
 
@@ -106,7 +107,7 @@
         async with run_cluster(agents=1, work_s=1.5) as cluster:
             job = build_job(1, steps=1)
             await cluster.entries[0].submit(job)
-            await wait_for(lambda: len(list_starts(cluster, "w0")) == 3)
+            await wait_for(lambda: len(list_starts(cluster, "w0")) == 3, WAIT_S)
             cluster.close("dc-0")
             await cluster.wait_for_state(job, JobState.COMPLETED)
             assert len(list_starts(cluster, "w0")) == 3
@@ -119,7 +120,7 @@
 
     async def main():
         async with run_cluster() as cluster:
-            await wait_for(cluster.find_leader)
+            await wait_for(cluster.find_leader, WAIT_S)
             cluster.state.faults.slow_s = 0.2
             cluster.close("dc-0")
             cluster.state.drop_history()
