Agents log serving tasks over their aim, and what was done about it

Agents logged paces that changed, and nothing of the serving tasks they were changed for, so the hypotheses of the incident could not be told apart. `tail.over` has the time over the aim, the guard's count, the verdict that a task is slow by itself, and for each filling image the pace told, the use seen and the press believed; `tail.within` ends it.

--- a/pistachiodeal/events.py
+++ b/pistachiodeal/events.py
@@ -30,7 +30,7 @@
 LINES_PER_S = 1_500
 # Lines of all events a second: half a megabyte, and a tenth of a core.
 ALL_LINES_PER_S = 6_000
-TIMES = ("took_ms", "waited_ms", "away_ms")
+TIMES = ("took_ms", "waited_ms", "away_ms", "over_ms")
 
 
 class EventLog:
--- a/pistachiodeal/jobagent/figures.py
+++ b/pistachiodeal/jobagent/figures.py
@@ -20,10 +20,12 @@
     """Turns what a runner lists into tails of now and work of the same time.
 
     :ivar histories: paces of the filling tasks at work.
+    :ivar listed_tails: tails of the serving tasks as they were listed last, ms.
     """
 
     def __init__(self) -> None:
         self.histories: dict[RunKey, PaceHistory] = {}
+        self.listed_tails: dict[RunKey, int] = {}
         self._tails: dict[RunKey, TailFilter] = {}
         self._last: dict[RunKey, RunningTask] = {}
         self._sampled_at = 0.0
@@ -50,6 +52,7 @@
             for key in listed
             if key in described and described[key].serves_ms
         }
+        self.listed_tails = {key: listed[key].figure for key in self._tails}
         self._last = {key: self._work_out(key, listed[key], now, due) for key in listed}
         if due:
             self._sampled_at = now
--- a/pistachiodeal/jobagent/paces.py
+++ b/pistachiodeal/jobagent/paces.py
@@ -4,10 +4,10 @@
 
 import curio
 
-from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.figures import RunKey
 from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.tail_watch import TailWatch
 from pistachiodeal.jobs.runtime import CallResult, Runtime
 from pistachiodeal.scheduling.interference import FIRST_PRESS, compute_effort
 from pistachiodeal.scheduling.pacing import (
@@ -35,10 +35,13 @@
         self._runtime = runtime
         self._events = events
         self._pacer = Pacer(compute_guard_s(interference_s))
+        self._tail_watch = TailWatch(ledger, events)
 
-    async def apply(self) -> None:
-        """Decide by the newest figures, and tell the runner what has changed."""
-        now = read_boot_clock()
+    async def apply(self, now: float) -> None:
+        """Decide by the newest figures, and tell the runner what has changed.
+
+        :param now: when they were listed, seconds of the boot clock.
+        """
         before = self._pacer.paces
         paces = self._pacer.decide(
             self._list_tails(), self._count_fills(), self._find_press, now
@@ -50,6 +53,7 @@
         }
         if changed:
             self._events.emit("pace.changed", paces=changed)
+        self._tail_watch.note(self._pacer, now)
         for key, history in list(self._ledger.figures.histories.items()):
             percent = paces[self._ledger.described[key].image]
             if history.newest != percent:
--- a/pistachiodeal/jobagent/renewal.py
+++ b/pistachiodeal/jobagent/renewal.py
@@ -118,7 +118,7 @@
         self._absent = 0
         if self._ledger.take_listing(listing, sent_at, now):
             await self._report.set()
-        await self._paces.apply()
+        await self._paces.apply(now)
 
     async def _take_failure(self, result: CallResult) -> None:
         ledger = self._ledger
--- a/tests/unit/test_jobagent_paces.py
+++ b/tests/unit/test_jobagent_paces.py
@@ -36,7 +36,7 @@
     ledger.take_listing(Listing(CallResult.DONE, 1_000, running), 1.0, 1.0)
 
     async def main() -> None:
-        await PaceKeeper(ledger, runtime, create_quiet_log(), 4.0).apply()
+        await PaceKeeper(ledger, runtime, create_quiet_log(), 4.0).apply(1.0)
         await curio.sleep(0.01)
 
     curio.run(main)
