--- a/pistachiodeal/jobagent/figures.py
+++ b/pistachiodeal/jobagent/figures.py
@@ -5,7 +5,7 @@
 from collections.abc import Container, Mapping
 from dataclasses import replace
 
-from pistachiodeal.scheduling.pacing import PaceHistory, TailFilter
+from pistachiodeal.scheduling.tails import PaceHistory, TailFilter
 from pistachiodeal.wire.job_messages import RunningTask, RunOrder
 
 RunKey = tuple[str, int]
--- a/pistachiodeal/jobagent/paces.py
+++ b/pistachiodeal/jobagent/paces.py
@@ -13,9 +13,9 @@
 from pistachiodeal.scheduling.pacing import (
     FillingLoad,
     Pacer,
-    ServingTail,
     compute_guard_s,
 )
+from pistachiodeal.scheduling.tails import ServingTail
 
 
 class PaceKeeper:
--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -13,14 +13,12 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from math import exp
 
 from pistachiodeal.scheduling.interference import Pair, compute_slack
+from pistachiodeal.scheduling.tails import FULL, ServingTail
 
-FULL = 100
 # Serving tasks are kept at this share of their aim: a tail worked out from two figures
 # is 15% off, and a swing adds 0.1 until the next one.
 KEPT_STRAIN = 0.72
@@ -54,34 +52,11 @@
 # its neighbours stand gains nothing. Looked at again after this long.
 OWN_FAULT_S = 2.0
 NOBODY = 0.1
-# A figure follows the tail with this time constant: the share by which it falls gives
-# 0.52 s. A new pace is in force 0.1 s after the call.
-FOLLOW_S = 0.5
-DELAY_S = 0.1
-# A tail that falls fast ends up no lower than this part of its figure, whatever noise
-# says.
-LEAST_PART = 0.3
-# Paces are kept for longer than two figures are apart.
-KEPT_S = 1.0
 
 FindPress = Callable[[str, str], float]
 """Slack that one task of a filling image takes from a serving image."""
 
 
-@dataclass(frozen=True, slots=True)
-class ServingTail:
-    """A serving task's tail latency and its aim, both in ms."""
-
-    image: str
-    tail_ms: int
-    aim_ms: int
-
-    @property
-    def strain(self) -> float:
-        """Return the tail as a share of the aim."""
-        return self.tail_ms / max(self.aim_ms, 1)
-
-
 @dataclass(slots=True)
 class FillingLoad:
     """The filling tasks of one image on a worker.
@@ -94,64 +69,6 @@
     worked: float = 0.0
 
 
-class TailFilter:
-    """Works out a tail latency of now from figures that follow it slowly.
-
-    After all filling work beside a serving task stood, its figure fell from 5.1 to 1.0
-    of its aim only within 1.3 s, by the same share every 0.3 s. Taken as it is, such a
-    figure blames whoever is at work by then, or nobody.
-    """
-
-    def __init__(self) -> None:
-        self._figure = 0.0
-        self._at = 0.0
-
-    def estimate(self, figure: float, now: float) -> float:
-        """Return the tail since the figure before, in the figure's unit."""
-        kept = exp(-(now - self._at) / FOLLOW_S) if self._at else 0.0
-        tail = (figure - kept * self._figure) / (1.0 - kept)
-        self._figure, self._at = figure, now
-        return max(tail, figure * LEAST_PART)
-
-
-class PaceHistory:
-    """The paces of one run, as far back as figures go.
-
-    :param now: when the run was first seen.
-    :param fresh: whether it has just begun, at full speed. A run that was there before
-        its agent may stand still by the word of the agent before.
-    """
-
-    def __init__(self, now: float, *, fresh: bool = True) -> None:
-        self._times = [now]
-        self._percents = [FULL]
-        self._certain = fresh
-
-    @property
-    def newest(self) -> int | None:
-        """Return the pace set last, None while it is unknown."""
-        return self._percents[-1] if self._certain else None
-
-    def note(self, percent: int, now: float) -> None:
-        """Note that a pace was set."""
-        self._certain = True
-        self._times.append(now + DELAY_S)
-        self._percents.append(percent)
-        begin = bisect_right(self._times, now - KEPT_S) - 1
-        if begin > 0:
-            del self._times[:begin], self._percents[:begin]
-
-    def average(self, begin: float, end: float) -> float:
-        """Return the mean pace over a time, 0.0 to 1.0."""
-        begin = max(begin, end - KEPT_S)
-        worked = 0.0
-        for number, since in enumerate(self._times):
-            last = number + 1 == len(self._times)
-            until = end if last else min(end, self._times[number + 1])
-            worked += max(0.0, until - max(begin, since)) * self._percents[number]
-        return worked / ((end - begin) * FULL)
-
-
 @dataclass(slots=True)
 class Pacer:
     """Decides the paces on one worker.
--- a/tests/unit/test_deployment_settings.py
+++ b/tests/unit/test_deployment_settings.py
@@ -25,11 +25,11 @@
     GUARD_S,
     FillingLoad,
     Pacer,
-    ServingTail,
     compute_guard_s,
 )
 from pistachiodeal.scheduling.placement import Request, choose_worker
 from pistachiodeal.scheduling.preemption import Victim, choose_victims
+from pistachiodeal.scheduling.tails import ServingTail
 from pistachiodeal.scheduling.views import WorkerView
 from pistachiodeal.wire.job_messages import RunningTask
 from tests.standins.job_cluster import create_quiet_log
--- a/tests/unit/test_scheduling_load.py
+++ b/tests/unit/test_scheduling_load.py
@@ -20,10 +20,7 @@
 from pistachiodeal.scheduling.ordering import Waiting, rank_step
 from pistachiodeal.scheduling.pacing import (
     FillingLoad,
-    PaceHistory,
     Pacer,
-    ServingTail,
-    TailFilter,
     share_slack,
 )
 from pistachiodeal.scheduling.placement import (
@@ -34,6 +31,7 @@
     is_urgent,
 )
 from pistachiodeal.scheduling.preemption import Victim, choose_victims
+from pistachiodeal.scheduling.tails import PaceHistory, ServingTail, TailFilter
 from pistachiodeal.scheduling.views import WorkerView
 
 ROOM = Resources(16_000, 64_000, 0)
