A serving task is slow by itself only where nobody can have been beside it

What callers saw: serving tasks over their aim for 4.5 s and more on end with filling work at full pace beside them.

Cause: the agent took measured effort for presence. Work that had come since the last listing had no measured pace, so it counted as nothing; an image's tail over its aim was then left out for 2 s, and after that the guard began to count its 1.8 s anew: 4.8 s. The same verdict came while a figure was still falling after all had stood for 0.4 s.

Now the verdict needs proof: all filling work was told to stand, or there is none, for 1.3 s, in which a figure of ten times the aim comes down. Work that has just come is at work. It is a verdict on one task, not on its image, and the time for which its neighbours may then go on is the guard's own, whose count goes on in it.

--- a/pistachiodeal/jobagent/paces.py
+++ b/pistachiodeal/jobagent/paces.py
@@ -13,8 +13,8 @@
 from pistachiodeal.scheduling.pacing import (
     FillingLoad,
     Pacer,
-    compute_guard_s,
 )
+from pistachiodeal.scheduling.tail_guard import TailGuard, compute_guard_s
 from pistachiodeal.scheduling.tails import ServingTail
 
 
@@ -34,7 +34,7 @@
         self._ledger = ledger
         self._runtime = runtime
         self._events = events
-        self._pacer = Pacer(compute_guard_s(interference_s))
+        self._pacer = Pacer(TailGuard(compute_guard_s(interference_s)))
         self._tail_watch = TailWatch(ledger, events)
 
     async def apply(self, now: float) -> None:
@@ -66,17 +66,23 @@
             described = self._ledger.described.get(key)
             if described is not None and described.serves_ms:
                 tails.append(
-                    ServingTail(described.image, running.figure, described.serves_ms)
+                    ServingTail(
+                        described.task,
+                        described.image,
+                        running.figure,
+                        described.serves_ms,
+                    )
                 )
         return tails
 
     def _count_fills(self) -> dict[str, FillingLoad]:
         loads: dict[str, FillingLoad] = {}
-        for key in self._ledger.figures.histories:
+        for key, history in self._ledger.figures.histories.items():
             described = self._ledger.described[key]
             running = self._ledger.running[key]
             load = loads.setdefault(described.image, FillingLoad())
             load.count += 1
+            load.standing += history.newest == 0
             load.worked += compute_effort(
                 running.worked_milli / 1000, running.figure, described.cpu_milli
             )
--- a/pistachiodeal/jobagent/tail_watch.py
+++ b/pistachiodeal/jobagent/tail_watch.py
@@ -70,7 +70,7 @@
     def _report(self, key: RunKey, stretch: OverAim, pacer: Pacer, now: float) -> None:
         ledger = self.ledger
         order = ledger.described[key]
-        guarded_s = now - pacer.over_since if pacer.over_since else 0.0
+        counted_s = now - pacer.guard.over_since.get(order.task, now)
         self.events.emit(
             "tail.over",
             task=order.task,
@@ -80,8 +80,8 @@
             listed_ms=ledger.figures.listed_tails[key],
             tail_ms=ledger.running[key].figure,
             over_ms=int((now - stretch.since) * 1000),
-            counted_ms=int(guarded_s * 1000),
-            own_fault=pacer.own_faults.get(order.image, 0.0) > now,
+            counted_ms=int(counted_s * 1000),
+            own_fault=order.task in pacer.guard.own_faults,
             fills=self._describe_fills(order.image, pacer.paces),
         )
 
--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field
 
 from pistachiodeal.scheduling.interference import Pair, compute_slack
+from pistachiodeal.scheduling.tail_guard import TailGuard
 from pistachiodeal.scheduling.tails import FULL, ServingTail
 
 # Serving tasks are kept at this share of their aim: a tail worked out from two figures
@@ -42,16 +43,6 @@
 FIRST_SLACK = 2.0
 # A tail below this part of its aim is of the task's first moments.
 FIRST_STRAIN = 0.1
-# A serving task over its aim for this long, whatever is believed of its neighbours,
-# has them stand still.
-GUARD_S = 1.8
-# From then on it takes this long until its tail shows that they do, and until it is
-# within its aim again.
-GUARD_LAG_S = 2.2
-# A serving task over its aim with nobody at work beside it is slow by itself: to have
-# its neighbours stand gains nothing. Looked at again after this long.
-OWN_FAULT_S = 2.0
-NOBODY = 0.1
 
 FindPress = Callable[[str, str], float]
 """Slack that one task of a filling image takes from a serving image."""
@@ -63,29 +54,27 @@
 
     :param count: how many there are.
     :param worked: how many were at work while the figures were taken, by their effort.
+    :param standing: how many of them have been told to stand still.
     """
 
     count: int = 0
     worked: float = 0.0
+    standing: int = 0
 
 
 @dataclass(slots=True)
 class Pacer:
     """Decides the paces on one worker.
 
-    :ivar guard_s: neighbours of a serving task that is over its aim for longer stand.
+    :ivar guard: has all filling work stand, whatever is believed of it.
     :ivar paces: the paces decided last, by image.
     :ivar decided_at: when that was.
-    :ivar over_since: since when a serving task is over its aim, 0 while none is.
-    :ivar own_faults: serving images that are slow by themselves, and until when.
     :ivar suspects: pairs of images and until when they are suspected.
     """
 
-    guard_s: float = GUARD_S
+    guard: TailGuard = field(default_factory=TailGuard)
     paces: dict[str, int] = field(default_factory=dict)
     decided_at: float = 0.0
-    over_since: float = 0.0
-    own_faults: dict[str, float] = field(default_factory=dict)
     suspects: dict[Pair, float] = field(default_factory=dict)
 
     def decide(
@@ -96,10 +85,12 @@
         now: float,
     ) -> dict[str, int]:
         """Return the pace of each filling image, in percent."""
-        tails = self._leave_out_slow(tails, fills, now)
-        if self._is_guarded(tails, now):
+        tails = list(tails)
+        at_work = any(load.standing < load.count for load in fills.values())
+        if self.guard.judge(tails, at_work, now):
             self.paces = dict.fromkeys(fills, 0)
             return self.paces
+        tails = [tail for tail in tails if tail.task not in self.guard.own_faults]
         self._suspect(tails, fills, find_press, now)
 
         def find_feared(filling: str, serving: str) -> float:
@@ -119,19 +110,6 @@
         }
         return self.paces
 
-    def _leave_out_slow(
-        self, tails: Iterable[ServingTail], fills: dict[str, FillingLoad], now: float
-    ) -> list[ServingTail]:
-        nobody = sum(load.worked for load in fills.values()) < NOBODY
-        kept = []
-        for tail in tails:
-            until = self.own_faults.get(tail.image, 0.0)
-            if nobody and tail.strain > 1.0:
-                until = self.own_faults[tail.image] = now + OWN_FAULT_S
-            if tail.strain <= 1.0 or until <= now:
-                kept.append(tail)
-        return kept
-
     def _suspect(
         self,
         tails: list[ServingTail],
@@ -155,22 +133,6 @@
         for pair in [one for one, until in self.suspects.items() if until <= now]:
             del self.suspects[pair]
 
-    def _is_guarded(self, tails: list[ServingTail], now: float) -> bool:
-        worst = max((tail.strain for tail in tails), default=0.0)
-        if worst <= 1.0:
-            self.over_since = 0.0
-        elif not self.over_since:
-            self.over_since = now
-        return bool(self.over_since) and now - self.over_since > self.guard_s
-
-
-def compute_guard_s(interference_s: float) -> float:
-    """Return how long neighbours of a serving task over its aim may go on.
-
-    :param interference_s: a serving task may be over its aim for this long.
-    """
-    return max(0.0, min(GUARD_S, interference_s - GUARD_LAG_S))
-
 
 def share_slack(
     tails: Iterable[ServingTail], fills: dict[str, FillingLoad], find_press: FindPress
--- a/pistachiodeal/scheduling/tails.py
+++ b/pistachiodeal/scheduling/tails.py
@@ -20,8 +20,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ServingTail:
-    """A serving task's tail latency and its aim, both in ms."""
+    """A serving task's tail latency and its aim, both in ms.
 
+    :param task: its name; several of an image may be on one worker.
+    """
+
+    task: str
     image: str
     tail_ms: int
     aim_ms: int
--- a/tests/unit/test_deployment_settings.py
+++ b/tests/unit/test_deployment_settings.py
@@ -21,14 +21,10 @@
 from pistachiodeal.leader.moves import Mover
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.interference import InterferenceModel
-from pistachiodeal.scheduling.pacing import (
-    GUARD_S,
-    FillingLoad,
-    Pacer,
-    compute_guard_s,
-)
+from pistachiodeal.scheduling.pacing import FillingLoad, Pacer
 from pistachiodeal.scheduling.placement import Request, choose_worker
 from pistachiodeal.scheduling.preemption import Victim, choose_victims
+from pistachiodeal.scheduling.tail_guard import GUARD_S, TailGuard, compute_guard_s
 from pistachiodeal.scheduling.tails import ServingTail
 from pistachiodeal.scheduling.views import WorkerView
 from pistachiodeal.wire.job_messages import RunningTask
@@ -135,8 +131,8 @@
 def test_neighbours_stand_in_time(interference_s: float, expected_s: float):
     """Guards against harm to a serving task for longer than its deployment allows."""
     assert compute_guard_s(interference_s) == pytest.approx(expected_s)
-    tail = ServingTail("s", 120, 100)
-    pacer = Pacer(compute_guard_s(interference_s))
+    tail = ServingTail("t", "s", 120, 100)
+    pacer = Pacer(TailGuard(compute_guard_s(interference_s)))
 
     def decide(now: float) -> int:
         # Too little at work to be suspected sooner.
--- a/tests/unit/test_harmed_neighbours.py
+++ b/tests/unit/test_harmed_neighbours.py
@@ -6,6 +6,8 @@
 
 import curio
 
+from pistachiodeal.scheduling.tail_guard import TailGuard
+from pistachiodeal.scheduling.tails import ServingTail
 from tests.standins.paced_worker import (
     LISTED_S,
     STEP_S,
@@ -82,3 +84,29 @@
         assert play.serving.longest_s < INTERFERENCE_S
 
     curio.run(main)
+
+
+def test_a_tail_that_is_still_coming_down_proves_nothing():
+    """Guards against a serving task taken for slow by itself by a late figure."""
+    guard = TailGuard(guard_s=1.8)
+
+    def judge(strain: float, at_work: bool, now: float) -> bool:
+        tail = ServingTail("t", "serving", int(strain * 1_000), 1_000)
+        return guard.judge([tail], at_work, now)
+
+    assert [judge(6.0, True, 10.0 + 0.5 * beat) for beat in range(5)][-1]
+    for strain, now in ((6.0, 12.5), (3.0, 13.0), (1.6, 13.5)):
+        assert judge(strain, False, now)
+    assert not guard.own_faults
+    assert not judge(0.8, False, 14.0)
+
+
+def test_a_task_over_its_aim_with_nobody_beside_it_is_slow_by_itself():
+    """Guards against filling work that stands for good beside a broken task."""
+    guard = TailGuard(guard_s=1.8)
+    tail = ServingTail("t", "serving", 20_000, 1_000)
+    stands = [guard.judge([tail], False, 10.0 + 0.5 * beat) for beat in range(4)]
+    assert guard.own_faults == {"t"}
+    assert not stands[-1]
+    # It may have been harmed since then: its neighbours have to prove it again.
+    assert [guard.judge([tail], True, 12.0 + 0.5 * beat) for beat in range(5)][-1]
--- a/tests/unit/test_scheduling_load.py
+++ b/tests/unit/test_scheduling_load.py
@@ -187,7 +187,7 @@
     """Guards against harmless filling work that stands at each peak of the load."""
     model = InterferenceModel()
     model.adopt((Lesson("mild", "s", 0.28, 0.04), Lesson("harsh", "s", 0.9, 0.04)))
-    tails = [ServingTail("s", 72, 100)]
+    tails = [ServingTail("t", "s", 72, 100)]
     fills = {"mild": FillingLoad(6, 0.0), "harsh": FillingLoad(1, 0.0)}
     paces = share_slack(tails, fills, model.get_press)
     assert paces == {"mild": 100, "harsh": 0}
@@ -384,9 +384,12 @@
         while worker.now < 60.0:
             worker.work(0.4)
             strain, worked = worker.sample()
-            tails = [ServingTail("s", int(strain * 1000), 1000)]
+            tails = [ServingTail("t", "s", int(strain * 1000), 1000)]
             if by_image:
-                fills = {image: FillingLoad(1, worked[image]) for image in worked}
+                fills = {
+                    image: FillingLoad(1, worked[image], int(history.newest == 0))
+                    for image, history in worker.histories.items()
+                }
                 paces = pacer.decide(tails, fills, find_played_press, worker.now)
             else:
                 whole = {"all": FillingLoad(3, sum(worked.values()))}
@@ -437,7 +440,7 @@
     pacer = Pacer()
     for beat in range(8):
         paces = pacer.decide(
-            [ServingTail("s", 970, 1_000)],
+            [ServingTail("t", "s", 970, 1_000)],
             {"calm": FillingLoad(4, 4.0)},
             lambda *_: 0.0,
             10.0 + 0.4 * beat,
@@ -452,7 +455,7 @@
     One that may press is suspected at once.
     """
     feared = Pacer().decide(
-        [ServingTail("s", 1_050, 1_000)],
+        [ServingTail("t", "s", 1_050, 1_000)],
         {"f": FillingLoad(1, 1.0)},
         lambda *_: 0.34,
         10.0,
@@ -463,7 +466,7 @@
     for beat in range(8):
         paces.append(
             pacer.decide(
-                [ServingTail("s", 1_050, 1_000)],
+                [ServingTail("t", "s", 1_050, 1_000)],
                 {"f": FillingLoad(1, 1.0)},
                 lambda *_: 0.0,
                 10.0 + 0.4 * beat,
@@ -588,15 +591,18 @@
     worked = 1.0
     paces = {}
     for beat in range(20):
-        fills = {"f": FillingLoad(1, worked)}
-        tails = [ServingTail("s", 20_000, 50)]
+        fills = {"f": FillingLoad(1, worked, int(not worked))}
+        tails = [ServingTail("t", "s", 20_000, 50)]
         paces = pacer.decide(tails, fills, lambda *_: 0.0, 10.0 + 0.4 * beat)
         worked = paces["f"] / 100
     full = [paces["f"]]
     for beat in range(12):
-        fills = {"f": FillingLoad(1, worked)}
+        fills = {"f": FillingLoad(1, worked, int(not worked))}
         paces = pacer.decide(
-            [ServingTail("s", 20_000, 50)], fills, lambda *_: 0.0, 18.0 + 0.4 * beat
+            [ServingTail("t", "s", 20_000, 50)],
+            fills,
+            lambda *_: 0.0,
+            18.0 + 0.4 * beat,
         )
         worked = paces["f"] / 100
         full.append(paces["f"])
@@ -750,7 +756,7 @@
 
     def decide(strain: float, harsh_at_work: float, now: float) -> dict[str, int]:
         fills = {"calm": FillingLoad(2, 2.0), "harsh": FillingLoad(1, harsh_at_work)}
-        tails = [ServingTail("s", int(strain * 1_000), 1_000)]
+        tails = [ServingTail("t", "s", int(strain * 1_000), 1_000)]
         return pacer.decide(tails, fills, lambda filling, _: presses[filling], now)
 
     assert decide(1.2, 1.0, 10.0)["calm"] == 100
