The guard leaves a margin beside tasks just over their aim

Cause: such a tail rises slowly in the listed figures, so the guard notices it up to a second after the task went over; with 1.8 s of its own, two listings 0.43 s apart and 0.1 s for the pace nothing was left of 4 s.

The guard waits for 1.2 s. The test of the deployment's own limit demanded that neighbours go on for 1.8 s where 4 s are allowed; it demands that they stand after 1.2 s, which is stricter.

--- a/pistachiodeal/scheduling/tail_guard.py
+++ b/pistachiodeal/scheduling/tail_guard.py
@@ -13,8 +13,9 @@
 from pistachiodeal.scheduling.tails import ServingTail
 
 # A serving task over its aim for this long, whatever is believed of its neighbours,
-# has them stand still.
-GUARD_S = 1.8
+# has them stand still. A tail that rises slowly to just over its aim is noticed up to a
+# second late, so the shortest time that deployments allow is not used up.
+GUARD_S = 1.2
 # From then on it takes this long until its tail shows that they do, and until it is
 # within its aim again.
 GUARD_LAG_S = 2.2
--- a/tests/unit/test_deployment_settings.py
+++ b/tests/unit/test_deployment_settings.py
@@ -126,7 +126,7 @@
 
 
 @pytest.mark.parametrize(
-    ("interference_s", "expected_s"), [(3.0, 0.8), (4.0, 1.8), (10.0, GUARD_S)]
+    ("interference_s", "expected_s"), [(3.0, 0.8), (4.0, 1.2), (10.0, GUARD_S)]
 )
 def test_neighbours_stand_in_time(interference_s: float, expected_s: float):
     """Guards against harm to a serving task for longer than its deployment allows."""
--- a/tests/unit/test_harmed_neighbours.py
+++ b/tests/unit/test_harmed_neighbours.py
@@ -61,7 +61,7 @@
     """Guards against a serving task just over its aim whose neighbours never stand."""
 
     async def main() -> None:
-        for number in range(10):
+        for number in range(60):
             play = Play(number, load=JUST_TOO_MUCH, press=0.0)
             filling = play.worker.begin("filling", 1_000.0, play.now, stays=True)
             filling.phase_until = float("inf")
