New work counts for its part of the time in its first listing

What it caused: work that began between two listings had no measured work in the first, so what it did to a serving task was laid to its neighbours, and the leader learnt wrong pairs. Now the time counts from the answered start.

Test: 0 in place of 1,000 and 500 thousandths before.

--- a/pistachiodeal/jobagent/figures.py
+++ b/pistachiodeal/jobagent/figures.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Mapping
+from collections.abc import Mapping
 from dataclasses import replace
 
+from pistachiodeal.jobagent.orders import Order
 from pistachiodeal.scheduling.tails import PaceHistory, TailFilter
 from pistachiodeal.wire.job_messages import RunningTask, RunOrder
 
@@ -34,16 +35,16 @@
         self,
         listed: Mapping[RunKey, RunningTask],
         described: Mapping[RunKey, RunOrder],
-        ordered: Container[RunKey],
+        ordered: Mapping[RunKey, Order],
         now: float,
     ) -> dict[RunKey, RunningTask]:
         """Return the tasks at work with their figures worked out.
 
-        :param ordered: runs that this agent has started and that are listed first now.
+        :param ordered: runs that this agent has started and that may be listed first.
         """
         due = now - self._sampled_at >= SAMPLE_S
         self.histories = {
-            key: self.histories.get(key) or PaceHistory(now, fresh=key in ordered)
+            key: self.histories.get(key) or _begin_history(ordered.get(key), now)
             for key in listed
             if key in described and described[key].fills
         }
@@ -74,3 +75,16 @@
                 figure = int(self._tails[key].estimate(one.figure, now))
             return replace(one, figure=figure)
         return one
+
+
+def _begin_history(order: Order | None, now: float) -> PaceHistory:
+    """Return the paces of a run that is listed first now.
+
+    Work that began between two listings has disturbed its neighbours since then. Left
+    out of the first listing, it would have them blamed for what it does.
+
+    :param order: what this agent knows of its start, None if it has not started it.
+    """
+    if order is None:
+        return PaceHistory(now, fresh=False)
+    return PaceHistory(order.settled_at or now)
