--- a/tests/unit/test_harmed_neighbours.py
+++ b/tests/unit/test_harmed_neighbours.py
@@ -5,14 +5,19 @@
 import random
 
 import curio
+import pytest
 
 from pistachiodeal.scheduling.tail_guard import TailGuard
 from pistachiodeal.scheduling.tails import ServingTail
 from tests.standins.paced_worker import (
     LISTED_S,
     STEP_S,
+    PacedFleet,
     PacedWorker,
+    PaceFaults,
     Serving,
+    draw_beliefs,
+    draw_loads,
 )
 
 INTERFERENCE_S = 4.0
@@ -111,3 +116,22 @@
     assert not stands[-1]
     # It may have been harmed since then: its neighbours have to prove it again.
     assert [guard.judge([tail], True, 12.0 + 0.5 * beat) for beat in range(5)][-1]
+
+
+@pytest.mark.parametrize("late", [0.0, 0.05])
+@pytest.mark.parametrize("wrong", [None, 0.4])
+def test_neighbours_keep_no_serving_task_over_its_aim_for_long(
+    wrong: float | None, late: float
+):
+    """Guards against harm by figures that are late and off, and by wrong beliefs."""
+    for seed in range(4):
+        rng = random.Random(seed)
+        loads = draw_loads(rng)
+        believed = None if wrong is None else draw_beliefs(loads, rng, wrong)
+        fleet = PacedFleet(
+            seed, loads=loads, believed=believed, interference_s=INTERFERENCE_S
+        )
+        for worker in fleet.workers:
+            worker.faults = PaceFaults(late=late)
+        curio.run(fleet.play, 40.0)
+        assert fleet.longest_s < INTERFERENCE_S
