--- /dev/null
+++ b/tests/standins/paced_fleet.py
@@ -0,0 +1,215 @@
+"""A fleet in simulated time: workers that learn from each other, and what fills them.
+
+The leader's own model learns pairs of images and chooses workers. Besides wrong
+beliefs, serving tasks may be slow by themselves for a while, agents start anew, and
+paces get lost or come into force late.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+
+from pistachiodeal.jobs.model import Step
+from pistachiodeal.model.resources import Resources
+from pistachiodeal.scheduling.interference import (
+    InterferenceModel,
+    Lesson,
+    Pair,
+    ServingSample,
+)
+from pistachiodeal.scheduling.pacing import FIRST_STRAIN
+from pistachiodeal.scheduling.placement import Request, choose_worker
+from pistachiodeal.scheduling.views import WorkerView
+from tests.standins.paced_worker import (
+    AIM_MS,
+    IDLE_STRAIN,
+    LISTED_S,
+    STEP_S,
+    SWING_S,
+    PacedWorker,
+    PaceFaults,
+    Serving,
+)
+
+FILLING_IMAGES = 18
+SERVING_IMAGES = 3
+# Tasks that save nothing and are far on are left where they are.
+STAY_SHARE = 0.15
+BROKEN_S = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """What goes wrong on each worker.
+
+    :param late: share of the paces that come into force late, without an answer.
+    :param lost: share of the paces that get no answer and never come into force.
+    :param broken: how often a second a serving task turns slow by itself.
+    :param restarts: how often a second the agent starts anew.
+    """
+
+    late: float = 0.0
+    lost: float = 0.0
+    broken: float = 0.0
+    restarts: float = 0.0
+
+
+class PacedFleet:
+    """Workers that learn from each other, and filling work that finds its way there.
+
+    :param believed: what is believed of pairs for good; learnt where it is left out.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        workers: int = 6,
+        interference_s: float = 4.0,
+        believed: dict[Pair, float] | None = None,
+        loads: dict[Pair, float] | None = None,
+        trouble: Trouble = Trouble(),  # noqa: B008
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.loads = loads or draw_loads(self.rng)
+        self.model = InterferenceModel()
+        self.now = 100.0
+        self._trouble = trouble
+        self._learns = believed is None
+        self._images = sorted({filling for filling, _ in self.loads})
+        if believed is not None:
+            self.model.adopt(
+                Lesson(*pair, press, 0.04) for pair, press in believed.items()
+            )
+        swings = [self.rng.uniform(0, SWING_S) for _ in range(SERVING_IMAGES)]
+        self.workers = []
+        for _ in range(workers):
+            usual = self.rng.randrange(SERVING_IMAGES)
+            servings = []
+            for _ in range(self.rng.randint(2, 4)):
+                other = self.rng.randrange(SERVING_IMAGES)
+                image = usual if self.rng.random() < 0.8 else other
+                servings.append(Serving(f"i{image}", swings[image]))
+            worker = PacedWorker(servings, self.loads, self.rng, interference_s)
+            worker.next_listing = self.now + self.rng.uniform(0, LISTED_S)
+            worker.faults = PaceFaults(late=trouble.late, lost=trouble.lost)
+            self.workers.append(worker)
+
+    @property
+    def longest_s(self) -> float:
+        """Return the longest time for which neighbours kept a task over its aim."""
+        return max(
+            serving.longest_s
+            for worker in self.workers
+            for serving in worker.servings.values()
+        )
+
+    @property
+    def over(self) -> float:
+        """Return the share of time that serving tasks were over by others' doing."""
+        whole = sum(worker.time_s for worker in self.workers)
+        return sum(worker.over_s for worker in self.workers) / whole
+
+    @property
+    def done(self) -> float:
+        """Return the filling work done, in tasks at full speed for each worker."""
+        whole = sum(worker.time_s for worker in self.workers)
+        return sum(worker.done_s for worker in self.workers) / whole
+
+    async def play(self, length_s: float, *, most: int = 6) -> None:
+        """Let time pass.
+
+        :param most: filling tasks on a worker at a time.
+        """
+        until = self.now + length_s
+        while self.now < until:
+            self.now += STEP_S
+            for worker in self.workers:
+                self._disturb(worker)
+                worker.advance(self.now)
+                if self.now < worker.next_listing:
+                    continue
+                await worker.list(self.now)
+                mix = worker.measure_mix()
+                if self._learns:
+                    self._learn(worker, mix)
+                self._place(worker, mix, most)
+                self._tell(worker)
+
+    def _disturb(self, worker: PacedWorker) -> None:
+        if self.rng.random() < self._trouble.broken * STEP_S:
+            serving = self.rng.choice(list(worker.servings.values()))
+            serving.broken_until = self.now + BROKEN_S
+        if self.rng.random() < self._trouble.restarts * STEP_S:
+            worker.restart_agent(self.now)
+
+    def _learn(self, worker: PacedWorker, mix: dict[str, float]) -> None:
+        for task, serving in worker.servings.items():
+            strain = worker.ledger.running[task, 1].figure / AIM_MS
+            described = (task, 1) in worker.ledger.described
+            if strain < FIRST_STRAIN or not described:
+                continue
+            # Each image is one step here, so its tasks are siblings.
+            name = f"{id(worker)}.{task}"
+            step = (serving.image, 0, 0)
+            self.model.observe(
+                ServingSample(step, name, serving.image, strain, dict(mix), self.now)
+            )
+
+    def _tell(self, worker: PacedWorker) -> None:
+        for serving in {one.image for one in worker.servings.values()}:
+            for filling in {one.image for one in worker.fillings.values()}:
+                press = self.model.get_press(filling, serving)
+                worker.ledger.presses[filling, serving] = press
+
+    def _place(self, worker: PacedWorker, mix: dict[str, float], most: int) -> None:
+        while len(worker.fillings) < most:
+            image = self.rng.choice(self._images)
+            step = Step(1, Resources(0, 1_000, 0), 4.0, image=image, fills=True)
+            view = self._build_view(worker, mix)
+            if choose_worker(Request(step, ("job", 0, 0)), [view], self.model) is None:
+                return
+            stays = self.rng.random() < STAY_SHARE
+            worker.begin(image, self.rng.uniform(1.5, 7.0), self.now, stays=stays)
+
+    def _build_view(self, worker: PacedWorker, mix: dict[str, float]) -> WorkerView:
+        room = Resources(64_000, 64_000, 0)
+        view = WorkerView("n/w", "n", "r1", frozenset(), room)
+        view.serving = dict(Counter(one.image for one in worker.servings.values()))
+        view.filling = dict(Counter(one.image for one in worker.fillings.values()))
+        for task, serving in worker.servings.items():
+            strain = worker.ledger.running[task, 1].figure / AIM_MS
+            alone = 1 / max(strain, 0.2) + self.model.weigh((serving.image,), mix)
+            known = view.alone.get(serving.image, alone)
+            view.alone[serving.image] = min(alone, known)
+        return view
+
+
+def draw_loads(rng: random.Random, harmful: float = 0.5) -> dict[Pair, float]:
+    """Return loads that one task of a filling image puts on a serving one.
+
+    :param harmful: share of the pairs that disturb each other.
+    """
+    loads = {}
+    for filling in range(FILLING_IMAGES):
+        for serving in range(SERVING_IMAGES):
+            disturbs = rng.random() < harmful
+            load = rng.uniform(0.1, 0.5) if disturbs else rng.uniform(0.0, 0.01)
+            loads[f"f{filling}", f"i{serving}"] = load
+    return loads
+
+
+def draw_beliefs(
+    loads: dict[Pair, float], rng: random.Random, wrong: float
+) -> dict[Pair, float]:
+    """Return presses as they are believed, some of them harmless by mistake.
+
+    :param wrong: share of the pairs that disturb and are believed not to.
+    """
+    beliefs = {}
+    for pair, load in loads.items():
+        press = load / IDLE_STRAIN * rng.uniform(0.7, 1.3)
+        beliefs[pair] = 0.0 if rng.random() < wrong else press
+    return beliefs
--- /dev/null
+++ b/tests/standins/paced_hunt.py
@@ -0,0 +1,71 @@
+"""Plays fleets by hand: ``python -m tests.standins.paced_hunt --first 1 --seeds 50``.
+
+A seed draws the beliefs, the time that the deployment allows and what goes wrong.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+
+import curio
+
+from tests.standins.paced_fleet import (
+    PacedFleet,
+    Trouble,
+    draw_beliefs,
+    draw_loads,
+)
+
+INTERFERENCE_S = (4.0, 4.5, 5.0)
+WRONG_BELIEFS = (None, 0.2, 0.4, 0.7)
+
+
+def build_fleet(seed: int) -> tuple[PacedFleet, float]:
+    """Return a fleet, and for how long its serving tasks may be over their aim."""
+    rng = random.Random(seed)
+    interference_s = rng.choice(INTERFERENCE_S)
+    wrong = rng.choice(WRONG_BELIEFS)
+    loads = draw_loads(rng, rng.uniform(0.2, 0.8))
+    trouble = Trouble(
+        late=rng.choice((0.0, 0.05)),
+        lost=rng.choice((0.0, 0.05)),
+        broken=rng.choice((0.0, 0.02)),
+        restarts=rng.choice((0.0, 0.02)),
+    )
+    fleet = PacedFleet(
+        seed,
+        loads=loads,
+        believed=None if wrong is None else draw_beliefs(loads, rng, wrong),
+        interference_s=interference_s,
+        trouble=trouble,
+    )
+    return fleet, interference_s
+
+
+def main() -> None:
+    """Play seeds one after another."""
+    parser = argparse.ArgumentParser(prog="tests.standins.paced_hunt")
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=600.0)
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        fleet, interference_s = build_fleet(seed)
+        curio.run(fleet.play, options.seconds)
+        broken = fleet.longest_s >= interference_s
+        failed += broken
+        print(
+            f"seed {seed}: over the aim for {fleet.longest_s:.2f} s of "
+            f"{interference_s} s allowed, {fleet.over:.4f} of the time; "
+            f"{fleet.done:.2f} tasks of filling work a worker"
+            + (", broken" if broken else ""),
+            flush=True,
+        )
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/standins/paced_worker.py
+++ b/tests/standins/paced_worker.py
@@ -1,15 +1,13 @@
 """Workers in simulated time: serving tasks that suffer from filling work beside them.
 
-The agent's own ledger and paces decide, and the leader's own model learns and chooses
-workers. Figures follow late and are off, paces are in force late, and what is believed
-of pairs of images may be wrong.
+The agent's own ledger and paces decide. Figures follow late and are off, paces are in
+force late, and what is believed of pairs of images may be wrong.
 """
 
 from __future__ import annotations
 
 import math
 import random
-from collections import Counter
 from dataclasses import dataclass, field
 
 import curio
@@ -17,19 +15,8 @@
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.orders import Order
 from pistachiodeal.jobagent.paces import PaceKeeper
-from pistachiodeal.jobs.model import Step
 from pistachiodeal.jobs.runtime import CallResult, Listing
-from pistachiodeal.model.resources import Resources
-from pistachiodeal.scheduling.interference import (
-    InterferenceModel,
-    Lesson,
-    Pair,
-    ServingSample,
-    compute_effort,
-)
-from pistachiodeal.scheduling.pacing import FIRST_STRAIN
-from pistachiodeal.scheduling.placement import Request, choose_worker
-from pistachiodeal.scheduling.views import WorkerView
+from pistachiodeal.scheduling.interference import Pair, compute_effort
 from pistachiodeal.wire.job_messages import RunningTask, RunOrder
 from tests.standins.job_cluster import create_quiet_log
 
@@ -54,10 +41,10 @@
 HELD_BACK_MILLI = 250
 HELD_BACK_S = 1.0
 STOP_S = 0.6
-# Tasks that save nothing and are far on are left where they are.
-STAY_SHARE = 0.15
-FILLING_IMAGES = 18
-SERVING_IMAGES = 3
+# A new agent hears of the runs on its worker, and for how long after its start the
+# promise is not asked of it.
+DESCRIBED_S = 1.0
+EXCUSED_S = 4.0
 
 
 @dataclass(slots=True)
@@ -94,7 +81,7 @@
 
     :ivar swing: by how much of its mean its load swings.
     :ivar figure: what the runner would list, without noise, as a share of the aim.
-    :ivar broken: whether it is slow by itself.
+    :ivar broken_until: until when it is slow by itself.
     :ivar harmed_s: how long its neighbours have kept it over its aim by now.
     :ivar longest_s: the longest such time.
     """
@@ -103,7 +90,7 @@
     swing_at: float
     swing: float = SWING
     figure: float = 0.3
-    broken: bool = False
+    broken_until: float = 0.0
     harmed_s: float = 0.0
     longest_s: float = 0.0
     longest_at: float = 0.0
@@ -139,17 +126,23 @@
         self.servings = {f"s{number}": one for number, one in enumerate(servings)}
         self.fillings: dict[str, Filling] = {}
         self.faults = PaceFaults()
-        self.ledger = AgentLedger(create_quiet_log())
         self.next_listing = 0.0
         self.done_s = self.over_s = self.time_s = 0.0
         self._loads = loads
         self._rng = rng
-        self._keeper = PaceKeeper(self.ledger, self, create_quiet_log(), interference_s)
+        self._interference_s = interference_s
         self._begun = 0
         self._now = 0.0
-        for task, serving in self.servings.items():
-            order = RunOrder(task, 1, "", "", False, AIM_MS, serving.image)
-            self.ledger.described[task, 1] = order
+        self._excused_until = 0.0
+        self._described_at = 0.0
+        self._boot()
+        self._describe()
+
+    def restart_agent(self, now: float) -> None:
+        """Begin a new life of the agent, which has to learn everything again."""
+        self._boot()
+        self._described_at = now + DESCRIBED_S
+        self._excused_until = now + EXCUSED_S
 
     async def pace(
         self, worker: str, token: int, task: str, run: int, percent: int
@@ -176,8 +169,7 @@
         cpu_milli = self._rng.randrange(1_200, 2_600)
         filling = Filling(image, cpu_milli, work_s, stays, slow_since=now)
         self.fillings[task] = filling
-        order = RunOrder(task, 1, "", "", True, 0, image, cpu_milli)
-        self.ledger.described[task, 1] = order
+        self.ledger.described[task, 1] = build_order(task, filling)
         self.ledger.orders[task, 1] = Order(
             task, 1, settled_at=now, sent=True, started=True
         )
@@ -198,15 +190,16 @@
             strain = self.compute_strain(serving, now)
             part = 1 - math.exp(-STEP_S / FOLLOW_S)
             serving.figure += (strain - serving.figure) * part
-            harmed = working and strain > 1.0 and not serving.broken
+            harmed = working and strain > 1.0 and now >= serving.broken_until
             self.over_s += STEP_S * harmed / len(self.servings)
+            harmed = harmed and now >= self._excused_until
             serving.harmed_s = serving.harmed_s + STEP_S if harmed else 0.0
             if serving.harmed_s > serving.longest_s:
                 serving.longest_s, serving.longest_at = serving.harmed_s, now
 
     def compute_strain(self, serving: Serving, now: float) -> float:
         """Return a tail as a share of its aim."""
-        if serving.broken:
+        if now < serving.broken_until:
             return 1 / LEAST_LEFT
         angle = 2 * math.pi * (now + serving.swing_at) / SWING_S
         load = LOAD * (1 + serving.swing * math.sin(angle))
@@ -217,6 +210,8 @@
     async def list(self, now: float) -> None:
         """List what runs to the agent, which sets the paces."""
         ledger = self.ledger
+        if self._described_at and now >= self._described_at:
+            self._describe()
         running = [
             RunningTask(task, 1, "", 100, self._blur(AIM_MS * one.figure))
             for task, one in self.servings.items()
@@ -248,6 +243,20 @@
             mix[order.image] = mix.get(order.image, 0.0) + effort
         return mix
 
+    def _boot(self) -> None:
+        events = create_quiet_log()
+        self.ledger = AgentLedger(events)
+        self._keeper = PaceKeeper(self.ledger, self, events, self._interference_s)
+
+    def _describe(self) -> None:
+        """Tell the agent what runs on its worker, as the leader does."""
+        self._described_at = 0.0
+        for task, serving in self.servings.items():
+            order = RunOrder(task, 1, "", "", False, AIM_MS, serving.image)
+            self.ledger.described[task, 1] = order
+        for task, filling in self.fillings.items():
+            self.ledger.described[task, 1] = build_order(task, filling)
+
     def _advance_filling(self, one: Filling, now: float) -> None:
         while one.due and one.due[0][0] <= now:
             one.percent = one.due.pop(0)[1]
@@ -272,148 +281,6 @@
         return max(1, int(figure * self._rng.uniform(1 - FIGURE_OFF, 1 + FIGURE_OFF)))
 
 
-class PacedFleet:
-    """Workers that learn from each other, and filling work that finds its way there.
-
-    :param believed: what is believed of pairs for good; learnt where it is left out.
-    """
-
-    def __init__(
-        self,
-        seed: int,
-        *,
-        workers: int = 6,
-        interference_s: float = 4.0,
-        believed: dict[Pair, float] | None = None,
-        loads: dict[Pair, float] | None = None,
-    ) -> None:
-        self.rng = random.Random(seed)
-        self.loads = loads or draw_loads(self.rng)
-        self.model = InterferenceModel()
-        self.now = 100.0
-        self._learns = believed is None
-        self._images = sorted({filling for filling, _ in self.loads})
-        if believed is not None:
-            self.model.adopt(
-                Lesson(*pair, press, 0.04) for pair, press in believed.items()
-            )
-        swings = [self.rng.uniform(0, SWING_S) for _ in range(SERVING_IMAGES)]
-        self.workers = []
-        for _ in range(workers):
-            usual = self.rng.randrange(SERVING_IMAGES)
-            servings = []
-            for _ in range(self.rng.randint(2, 4)):
-                other = self.rng.randrange(SERVING_IMAGES)
-                image = usual if self.rng.random() < 0.8 else other
-                servings.append(Serving(f"i{image}", swings[image]))
-            worker = PacedWorker(servings, self.loads, self.rng, interference_s)
-            worker.next_listing = self.now + self.rng.uniform(0, LISTED_S)
-            self.workers.append(worker)
-
-    @property
-    def longest_s(self) -> float:
-        """Return the longest time for which neighbours kept a task over its aim."""
-        return max(
-            serving.longest_s
-            for worker in self.workers
-            for serving in worker.servings.values()
-        )
-
-    @property
-    def over(self) -> float:
-        """Return the share of time that serving tasks were over by others' doing."""
-        whole = sum(worker.time_s for worker in self.workers)
-        return sum(worker.over_s for worker in self.workers) / whole
-
-    @property
-    def done(self) -> float:
-        """Return the filling work done, in tasks at full speed for each worker."""
-        whole = sum(worker.time_s for worker in self.workers)
-        return sum(worker.done_s for worker in self.workers) / whole
-
-    async def play(self, length_s: float, *, most: int = 6) -> None:
-        """Let time pass.
-
-        :param most: filling tasks on a worker at a time.
-        """
-        until = self.now + length_s
-        while self.now < until:
-            self.now += STEP_S
-            for worker in self.workers:
-                worker.advance(self.now)
-                if self.now < worker.next_listing:
-                    continue
-                await worker.list(self.now)
-                mix = worker.measure_mix()
-                if self._learns:
-                    self._learn(worker, mix)
-                self._place(worker, mix, most)
-                self._tell(worker)
-
-    def _learn(self, worker: PacedWorker, mix: dict[str, float]) -> None:
-        for task, serving in worker.servings.items():
-            strain = worker.ledger.running[task, 1].figure / AIM_MS
-            if strain < FIRST_STRAIN:
-                continue
-            # Each image is one step here, so its tasks are siblings.
-            name = f"{id(worker)}.{task}"
-            step = (serving.image, 0, 0)
-            self.model.observe(
-                ServingSample(step, name, serving.image, strain, dict(mix), self.now)
-            )
-
-    def _tell(self, worker: PacedWorker) -> None:
-        for serving in {one.image for one in worker.servings.values()}:
-            for filling in {one.image for one in worker.fillings.values()}:
-                press = self.model.get_press(filling, serving)
-                worker.ledger.presses[filling, serving] = press
-
-    def _place(self, worker: PacedWorker, mix: dict[str, float], most: int) -> None:
-        while len(worker.fillings) < most:
-            image = self.rng.choice(self._images)
-            step = Step(1, Resources(0, 1_000, 0), 4.0, image=image, fills=True)
-            view = self._build_view(worker, mix)
-            if choose_worker(Request(step, ("job", 0, 0)), [view], self.model) is None:
-                return
-            stays = self.rng.random() < STAY_SHARE
-            worker.begin(image, self.rng.uniform(1.5, 7.0), self.now, stays=stays)
-
-    def _build_view(self, worker: PacedWorker, mix: dict[str, float]) -> WorkerView:
-        room = Resources(64_000, 64_000, 0)
-        view = WorkerView("n/w", "n", "r1", frozenset(), room)
-        view.serving = dict(Counter(one.image for one in worker.servings.values()))
-        view.filling = dict(Counter(one.image for one in worker.fillings.values()))
-        for task, serving in worker.servings.items():
-            strain = worker.ledger.running[task, 1].figure / AIM_MS
-            alone = 1 / max(strain, 0.2) + self.model.weigh((serving.image,), mix)
-            known = view.alone.get(serving.image, alone)
-            view.alone[serving.image] = min(alone, known)
-        return view
-
-
-def draw_loads(rng: random.Random, harmful: float = 0.5) -> dict[Pair, float]:
-    """Return loads that one task of a filling image puts on a serving one.
-
-    :param harmful: share of the pairs that disturb each other.
-    """
-    loads = {}
-    for filling in range(FILLING_IMAGES):
-        for serving in range(SERVING_IMAGES):
-            disturbs = rng.random() < harmful
-            load = rng.uniform(0.1, 0.5) if disturbs else rng.uniform(0.0, 0.01)
-            loads[f"f{filling}", f"i{serving}"] = load
-    return loads
-
-
-def draw_beliefs(
-    loads: dict[Pair, float], rng: random.Random, wrong: float
-) -> dict[Pair, float]:
-    """Return presses as they are believed, some of them harmless by mistake.
-
-    :param wrong: share of the pairs that disturb and are believed not to.
-    """
-    beliefs = {}
-    for pair, load in loads.items():
-        press = load / IDLE_STRAIN * rng.uniform(0.7, 1.3)
-        beliefs[pair] = 0.0 if rng.random() < wrong else press
-    return beliefs
+def build_order(task: str, filling: Filling) -> RunOrder:
+    """Return what an agent is told of a filling task."""
+    return RunOrder(task, 1, "", "", True, 0, filling.image, filling.cpu_milli)
--- a/tests/unit/test_harmed_neighbours.py
+++ b/tests/unit/test_harmed_neighbours.py
@@ -9,16 +9,13 @@
 
 from pistachiodeal.scheduling.tail_guard import TailGuard
 from pistachiodeal.scheduling.tails import ServingTail
-from tests.standins.paced_worker import (
-    LISTED_S,
-    STEP_S,
+from tests.standins.paced_fleet import (
     PacedFleet,
-    PacedWorker,
-    PaceFaults,
-    Serving,
+    Trouble,
     draw_beliefs,
     draw_loads,
 )
+from tests.standins.paced_worker import LISTED_S, STEP_S, PacedWorker, Serving
 
 INTERFERENCE_S = 4.0
 PAIR = ("filling", "serving")
@@ -129,9 +126,11 @@
         loads = draw_loads(rng)
         believed = None if wrong is None else draw_beliefs(loads, rng, wrong)
         fleet = PacedFleet(
-            seed, loads=loads, believed=believed, interference_s=INTERFERENCE_S
+            seed,
+            loads=loads,
+            believed=believed,
+            interference_s=INTERFERENCE_S,
+            trouble=Trouble(late=late),
         )
-        for worker in fleet.workers:
-            worker.faults = PaceFaults(late=late)
         curio.run(fleet.play, 40.0)
         assert fleet.longest_s < INTERFERENCE_S
