A pace that the runner can't have is told again

Cause: an agent believes what it told. A call that gets no answer may be carried out seconds later, after a newer one; the work goes on while it should stand, and after 1.3 s of standing by belief its neighbour is taken for slow by itself. Class: a belief about the runner that is not set against what the runner shows.

The runner lists the processor time in use.

--- a/pistachiodeal/jobagent/paces.py
+++ b/pistachiodeal/jobagent/paces.py
@@ -15,7 +15,7 @@
     Pacer,
 )
 from pistachiodeal.scheduling.tail_guard import TailGuard, compute_guard_s
-from pistachiodeal.scheduling.tails import ServingTail
+from pistachiodeal.scheduling.tails import PaceHistory, ServingTail
 
 
 class PaceKeeper:
@@ -42,6 +42,7 @@
 
         :param now: when they were listed, seconds of the boot clock.
         """
+        self._forget_contradicted(now)
         before = self._pacer.paces
         paces = self._pacer.decide(
             self._list_tails(), self._count_fills(), self._find_press, now
@@ -60,6 +61,27 @@
                 history.note(percent, now)
                 await curio.spawn(self._pace, key, percent, daemon=True)
 
+    def _forget_contradicted(self, now: float) -> None:
+        """Forget paces that the runner can't have, so that they are told again.
+
+        A call that got no answer may be carried out late, after a newer one.
+        """
+        ledger = self._ledger
+        for key, history in ledger.figures.histories.items():
+            used_milli = ledger.running[key].figure
+            asked_milli = ledger.described[key].cpu_milli
+            if not asked_milli or history.allows(used_milli / asked_milli, now):
+                continue
+            self._events.emit(
+                "pace.contradicted",
+                task=key[0],
+                run=key[1],
+                percent=history.newest,
+                used_milli=used_milli,
+                asked_milli=asked_milli,
+            )
+            ledger.figures.histories[key] = PaceHistory(now, fresh=False)
+
     def _list_tails(self) -> list[ServingTail]:
         tails = []
         for key, running in self._ledger.running.items():
--- a/pistachiodeal/scheduling/tails.py
+++ b/pistachiodeal/scheduling/tails.py
@@ -16,6 +16,9 @@
 LEAST_PART = 0.3
 # Paces are kept for longer than two figures are apart.
 KEPT_S = 1.0
+# Processor time in use beyond what a pace allows, as a share of what the task asks for,
+# that can't be noise.
+SURPLUS = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +93,19 @@
         if begin > 0:
             del self._times[:begin], self._percents[:begin]
 
+    def allows(self, used: float, now: float) -> bool:
+        """Tell whether a figure of use can be that of the pace set last.
+
+        A figure follows late: what is left of full speed in it fades from when the pace
+        is in force.
+
+        :param used: processor time in use as a share of what the task asks for.
+        """
+        if not self._certain:
+            return True
+        left = exp(-max(0.0, now - self._times[-1]) / FOLLOW_S)
+        return used <= self._percents[-1] / FULL + left + SURPLUS
+
     def average(self, begin: float, end: float) -> float:
         """Return the mean pace over a time, 0.0 to 1.0."""
         begin = max(begin, end - KEPT_S)
--- a/tests/unit/test_harmed_neighbours.py
+++ b/tests/unit/test_harmed_neighbours.py
@@ -134,3 +134,20 @@
         )
         curio.run(fleet.play, 40.0)
         assert fleet.longest_s < INTERFERENCE_S
+
+
+def test_work_that_goes_on_while_it_should_stand_is_noticed():
+    """Guards against a proof of an own fault while a late pace is in force."""
+
+    async def main() -> None:
+        play = Play(1, load=0.5, press=0.0)
+        filling = play.worker.begin("filling", 60.0, play.now, stays=True)
+        while not any(percent == 0 for _, percent in filling.due):
+            await play.advance(STEP_S)
+        filling.phase_until = float("inf")
+        # Carried out late, and just after the order to stand.
+        filling.due.append((filling.due[-1][0], 100))
+        await play.advance(12.0)
+        assert play.serving.longest_s < INTERFERENCE_S
+
+    curio.run(main)
--- a/tests/unit/test_jobagent_paces.py
+++ b/tests/unit/test_jobagent_paces.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from math import exp
+
 import curio
 
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.orders import Order
 from pistachiodeal.jobagent.paces import PaceKeeper
 from pistachiodeal.jobs.runtime import CallResult, Listing
+from pistachiodeal.scheduling.tails import FOLLOW_S, PaceHistory
 from pistachiodeal.wire.job_messages import RunningTask, RunOrder
 from tests.standins.job_cluster import create_quiet_log
 
@@ -57,3 +60,20 @@
 def test_a_run_that_has_just_begun_needs_no_word():
     """A start is at full speed; a call for each would double the calls."""
     assert play_first_listing(ordered=True) == []
+
+
+def test_use_beyond_a_pace_shows_that_the_runner_does_not_have_it():
+    """Guards against work that goes on while its agent believes that it stands."""
+    history = PaceHistory(10.0)
+    history.note(0, 10.0)
+    assert not history.allows(0.9, 12.0)
+    assert history.allows(0.1, 12.0)
+
+
+def test_a_figure_that_fades_after_a_task_stands_contradicts_nothing():
+    """Guards against paces that are told again at every listing."""
+    history = PaceHistory(10.0)
+    history.note(0, 10.0)
+    for beat in range(10):
+        now = 10.1 + 0.3 * beat
+        assert history.allows(1.08 * exp(-0.3 * beat / FOLLOW_S), now)
