--- a/tests/standins/paced_worker.py
+++ b/tests/standins/paced_worker.py
@@ -79,7 +79,7 @@
 class Serving:
     """A serving task.
 
-    :ivar swing: by how much of its mean its load swings.
+    :ivar load: its own load in the mean, and by how much of that it swings.
     :ivar figure: what the runner would list, without noise, as a share of the aim.
     :ivar broken_until: until when it is slow by itself.
     :ivar harmed_s: how long its neighbours have kept it over its aim by now.
@@ -88,6 +88,7 @@
 
     image: str
     swing_at: float
+    load: float = LOAD
     swing: float = SWING
     figure: float = 0.3
     broken_until: float = 0.0
@@ -202,7 +203,7 @@
         if now < serving.broken_until:
             return 1 / LEAST_LEFT
         angle = 2 * math.pi * (now + serving.swing_at) / SWING_S
-        load = LOAD * (1 + serving.swing * math.sin(angle))
+        load = serving.load * (1 + serving.swing * math.sin(angle))
         for one in self.fillings.values():
             load += self._loads[one.image, serving.image] * one.effort
         return IDLE_STRAIN / max(LEAST_LEFT, 1 - load)
--- a/tests/unit/test_harmed_neighbours.py
+++ b/tests/unit/test_harmed_neighbours.py
@@ -7,6 +7,7 @@
 import curio
 import pytest
 
+from pistachiodeal.scheduling.pacing import FillingLoad, Pacer
 from pistachiodeal.scheduling.tail_guard import TailGuard
 from pistachiodeal.scheduling.tails import ServingTail
 from tests.standins.paced_fleet import (
@@ -24,13 +25,17 @@
 
 
 class Play:
-    """One worker with one serving task whose load doesn't swing."""
+    """One worker with a serving task whose load doesn't swing, and others of its image.
 
-    def __init__(self, seed: int, load: float, press: float) -> None:
+    :param load: that a filling task puts on each of them.
+    :param press: what it is believed to take from their slack.
+    """
+
+    def __init__(self, seed: int, load: float, press: float, *others: Serving) -> None:
         self.now = 100.0
         self.serving = Serving("serving", 0.0, swing=0.0)
         self.worker = PacedWorker(
-            [self.serving], {PAIR: load}, random.Random(seed), INTERFERENCE_S
+            [self.serving, *others], {PAIR: load}, random.Random(seed), INTERFERENCE_S
         )
         self.worker.ledger.presses[PAIR] = press
 
@@ -113,6 +118,59 @@
     assert not stands[-1]
     # It may have been harmed since then: its neighbours have to prove it again.
     assert [guard.judge([tail], True, 12.0 + 0.5 * beat) for beat in range(5)][-1]
+    assert not guard.own_faults
+
+
+def test_a_task_that_has_left_keeps_nobody_standing():
+    """Guards against filling work that stands for a serving task that has left."""
+    guard = TailGuard(guard_s=1.8)
+    tail = ServingTail("t", "serving", 2_000, 2_000, 1_000)
+    assert [guard.judge([tail], True, 10.0 + 0.5 * beat) for beat in range(5)][-1]
+    assert not guard.judge([], False, 12.5)
+
+
+def test_filling_work_goes_on_beside_a_broken_task():
+    """Guards against a broken serving task that costs its worker all filling work."""
+
+    async def main() -> None:
+        play = Play(1, 0.0, 0.0)
+        play.serving.broken_until = float("inf")
+        play.worker.begin("filling", 60.0, play.now, stays=True)
+        await play.advance(30.0)
+        assert play.worker.done_s > 10.0
+
+    curio.run(main)
+
+
+def test_a_calm_task_does_not_hide_another_of_its_image():
+    """Guards against a clock that the sibling of a harmed task sets back."""
+
+    async def main() -> None:
+        calm = Serving("serving", 0.0, load=0.1, swing=0.0)
+        play = Play(1, 0.4, 0.0, calm)
+        play.worker.begin("filling", 60.0, play.now, stays=True)
+        await play.advance(30.0)
+        assert play.serving.longest_s < INTERFERENCE_S
+
+    curio.run(main)
+
+
+def test_a_broken_task_does_not_hide_another_of_its_image():
+    """Guards against a harmed task that counts as slow by itself with its sibling."""
+
+    def decide(now: float, harmed_ms: int, standing: int) -> int:
+        tails = [
+            ServingTail("broken", "serving", 20_000, 20_000, 1_000),
+            ServingTail("harmed", "serving", harmed_ms, harmed_ms, 1_000),
+        ]
+        fills = {"filling": FillingLoad(1, 1.0 - standing, standing)}
+        return pacer.decide(tails, fills, lambda *_: 1.0, now)["filling"]
+
+    pacer = Pacer()
+    for beat in range(8):
+        decide(10.0 + 0.5 * beat, 500, 1)
+    assert pacer.guard.own_faults == {"broken"}
+    assert decide(14.0, 1_500, 0) < 50
 
 
 @pytest.mark.parametrize("late", [0.0, 0.05])
