--- a/pistachiodeal/scheduling/tail_guard.py
+++ b/pistachiodeal/scheduling/tail_guard.py
@@ -13,8 +13,8 @@
 from pistachiodeal.scheduling.tails import ServingTail
 
 # A serving task over its aim for this long, whatever is believed of its neighbours,
-# has them stand still. A tail that rises slowly is noticed late, so this leaves a margin
-# within the time that deployments allow.
+# has them stand still. A tail that rises slowly is noticed late, so this leaves a
+# margin within the time that deployments allow.
 GUARD_S = 1.2
 # From then on it takes this long until its tail shows that they do, and until it is
 # within its aim again.
@@ -22,8 +22,8 @@
 # Figures follow late: with all neighbours standing for this long, a tail is what the
 # serving task makes of it alone.
 PROOF_S = 1.3
-# The guard counts while the listed tail is above this share of the aim: noise puts single
-# figures of a task that is over its aim just below the aim.
+# The guard counts while the listed tail is above this share of the aim: noise puts
+# single figures of a task that is over its aim just below the aim.
 CLEAR_STRAIN = 0.9
 # A figure above this share of the aim may well be that of a task over its aim.
 LIKELY_STRAIN = 0.97
