Test: a successor decides only once it knows which data centres are closed

The mutation that has it decide before its first look was noticed by no test: the look comes within milliseconds, and agents refuse such orders anyway.

--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -34,6 +34,7 @@
     :param late: share that are not answered and done ``late_s`` later, if their
         conditions still hold then.
     :param slow_s: time of each call.
+    :param slow_reads: more time of each read, by table.
     :param transaction_s: time of each transaction beside it; those of one partition
         wait for each other.
     """
@@ -45,6 +46,7 @@
     late: float = 0.0
     late_s: float = 1.0
     slow_s: float = 0.001
+    slow_reads: dict[str, float] = field(default_factory=dict)
     transaction_s: float = 0.0
 
 
@@ -142,6 +144,7 @@
         """See ``RowStore``."""
         await self._reach("read")
         state = self._state
+        await curio.sleep(state.faults.slow_reads.get(table, 0.0))
         wanted = partition or find_partition(table, start)
         source = state.undivided if wanted == UNDIVIDED_PARTITION else state.rows
         keys = sorted(
--- a/tests/unit/test_closed_data_centres.py
+++ b/tests/unit/test_closed_data_centres.py
@@ -13,6 +13,7 @@
 from pistachiodeal.leader.closures import ClosureWatch
 from pistachiodeal.leader.workers import Attachment, Fleet
 from pistachiodeal.model.resources import Resources
+from pistachiodeal.platform.closures import CLOSURES_TABLE
 from pistachiodeal.store.row_store import RowPage
 from pistachiodeal.wire.job_messages import RunOrder, RunRef
 from tests.standins.job_cluster import (
@@ -100,6 +101,29 @@
     curio.run(main)
 
 
+def test_a_successor_decides_only_once_it_knows_what_is_closed():
+    """Guards against tasks placed where their orders are refused, by a slow look."""
+
+    async def main():
+        async with run_cluster(entries=3) as cluster:
+            await wait_for(cluster.find_leader, WAIT_S)
+            cluster.close("dc-0")
+            cluster.state.faults.slow_reads = {CLOSURES_TABLE: IN_FORCE_S}
+            first = cluster.find_leader()
+            await first.kill()
+
+            def find_successor():
+                leader = cluster.find_leader()
+                return leader if leader is not first else None
+
+            await wait_for(find_successor, WAIT_S)
+            leadership = find_successor().seat.leadership
+            await wait_for(lambda: leadership.loaded, WAIT_S)
+            assert leadership.fleet.closed == {"dc-0"}
+
+    curio.run(main)
+
+
 def test_what_runs_in_a_closed_data_centre_goes_on():
     """Guards against work that is thrown away since its data centre was closed."""
 
