A figure from before a pace contradicts nothing

Cause: the check took the figure of use for one that begins to fade as soon as a pace is in force; the runner's is some tenths of a second old. It did no harm but calls, and a proof that came later. Now a figure may be 0.4 s old; the new test failed before, and the stand-in lists figures of use that are 0.3 s old.

--- a/pistachiodeal/scheduling/tails.py
+++ b/pistachiodeal/scheduling/tails.py
@@ -16,6 +16,8 @@
 LEAST_PART = 0.3
 # Paces are kept for longer than two figures are apart.
 KEPT_S = 1.0
+# A figure of processor time in use may still be that of before a pace for this long.
+USE_LAG_S = 0.4
 # Processor time in use beyond what a pace allows, as a share of what the task asks for,
 # that can't be noise.
 SURPLUS = 0.15
@@ -96,14 +98,15 @@
     def allows(self, used: float, now: float) -> bool:
         """Tell whether a figure of use can be that of the pace set last.
 
-        A figure follows late: what is left of full speed in it fades from when the pace
-        is in force.
+        A figure follows late: some time after the pace is in force, what is left of
+        full speed in it begins to fade.
 
         :param used: processor time in use as a share of what the task asks for.
         """
         if not self._certain:
             return True
-        left = exp(-max(0.0, now - self._times[-1]) / FOLLOW_S)
+        fading_s = max(0.0, now - self._times[-1] - USE_LAG_S)
+        left = exp(-fading_s / FOLLOW_S)
         return used <= self._percents[-1] / FULL + left + SURPLUS
 
     def average(self, begin: float, end: float) -> float:
--- a/tests/standins/paced_worker.py
+++ b/tests/standins/paced_worker.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from collections import deque
 from dataclasses import dataclass, field
 
 import curio
@@ -27,6 +28,8 @@
 LOOK_S = 0.02
 PACE_DELAY_S = 0.1
 FOLLOW_S = 0.5
+# A figure of processor time in use is this old.
+USE_LAG_S = 0.3
 AIM_MS = 50
 # A tail grows as this part of the aim over what the load leaves; it stays within most.
 IDLE_STRAIN = 0.2
@@ -54,6 +57,8 @@
     :ivar stays: whether the leader leaves it there although it hardly works.
     :ivar percent: its pace, as the runner has it.
     :ivar due: paces that will be in force, with the time from which on.
+    :ivar used_milli: its processor time in use, as the runner would list it.
+    :ivar using: what it has used lately, with the times.
     :ivar slow_since: since when it hardly works, as far as its agent knows.
     """
 
@@ -66,6 +71,7 @@
     phase: tuple[float, float] = PHASES[1]
     phase_until: float = 0.0
     used_milli: float = 0.0
+    using: deque[tuple[float, float]] = field(default_factory=deque)
     slow_since: float = 0.0
     ends_at: float = math.inf
 
@@ -265,8 +271,11 @@
             one.phase = self._rng.choice(PHASES)
             one.phase_until = now + self._rng.uniform(1.5, 6.0)
         share = one.percent / 100
-        using = one.cpu_milli * share * one.phase[0]
-        one.used_milli += (using - one.used_milli) * (1 - math.exp(-STEP_S / FOLLOW_S))
+        one.using.append((now, one.cpu_milli * share * one.phase[0]))
+        while one.using[0][0] < now - USE_LAG_S:
+            one.using.popleft()
+        gap_milli = one.using[0][1] - one.used_milli
+        one.used_milli += gap_milli * (1 - math.exp(-STEP_S / FOLLOW_S))
         one.left_s -= STEP_S * share
         self.done_s += STEP_S * share
 
--- a/tests/unit/test_jobagent_paces.py
+++ b/tests/unit/test_jobagent_paces.py
@@ -70,6 +70,14 @@
     assert history.allows(0.1, 12.0)
 
 
+def test_a_figure_from_before_a_pace_contradicts_nothing():
+    """Guards against paces that are told again since a figure is older than they."""
+    history = PaceHistory(10.0)
+    history.note(0, 10.0)
+    for late_s in (0.0, 0.1, 0.3, 0.45):
+        assert history.allows(1.05, 10.0 + late_s)
+
+
 def test_a_figure_that_fades_after_a_task_stands_contradicts_nothing():
     """Guards against paces that are told again at every listing."""
     history = PaceHistory(10.0)
