pistachiodeal job path: where jobs spent their time, from logs alone

What operators had was one job at a time, by grep. The command reads the logs of entries and agents and tells for each queue the parts of the way of the tasks that decided a job's end: heard, waiting by cause, written, begun, at work, held back by its pace, stopped or lost by why, shown; median, 95th and 99th percentile, and the share of late jobs' time. Paces are summed up from the agents' lines. Not built: a plot, and the processor time of decisions.

--- a/bench/budget.py
+++ b/bench/budget.py
@@ -3,7 +3,7 @@
 REPORT is the figures of a played day as the users' tool writes them, LOG what all
 processes wrote (structured lines, each behind a time and a node's name). The first
 table adds up from 1 to the day's worth; the second says of the jobs that were not in
-time what their last tasks spent their time on.
+time what the tasks that decided their end spent their time on.
 """
 
 from __future__ import annotations
@@ -11,13 +11,15 @@
 import argparse
 import json
 import sys
-from collections import Counter, defaultdict
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-FINAL = ("completed", "failed")
+from pistachiodeal.jobpath.lines import LineReader
+from pistachiodeal.jobpath.summary import QueueSummary, summarise
+from pistachiodeal.jobpath.traces import Tracer
+
 # Prices below this are left to the rest.
 SMALL = 0.0005
 
@@ -33,21 +35,6 @@
     lost: float
 
 
-@dataclass
-class JobTrace:
-    """What the logs say of one job.
-
-    :param causes: seconds that its last tasks spent, by cause.
-    """
-
-    queue: str
-    accepted_at: float
-    ratio: float = 0.0
-    state: str = ""
-    last_ends: dict[str, float] = field(default_factory=dict)
-    causes: Counter[str] = field(default_factory=Counter)
-
-
 def list_losses(report: dict[str, Any]) -> list[Loss]:
     """Return what is lost by part and by price; the sum is one less the worth."""
     losses = [
@@ -60,89 +47,23 @@
     return [*losses, Loss("rest", rest)]
 
 
-def read_events(lines: Iterable[str]) -> Iterator[tuple[float, dict[str, Any]]]:
-    """Return the structured lines of a log with their times."""
-    for line in lines:
-        begin = line.find("{")
-        if begin < 0:
-            continue
-        try:
-            yield float(line.split(maxsplit=1)[0]), json.loads(line[begin:])
-        except ValueError:
-            continue
-
-
-def trace_jobs(events: Iterable[tuple[float, dict[str, Any]]]) -> dict[str, JobTrace]:
-    """Return what became of each job, and what held its last tasks up."""
-    jobs: dict[str, JobTrace] = {}
-    placed: dict[tuple[str, int], float] = {}
-    spent: dict[str, Counter[str]] = defaultdict(Counter)
-    for at, event in events:
-        kind = event.get("event")
-        if kind == "job.accepted":
-            jobs.setdefault(event["job"], JobTrace(event["queue"], at))
-        elif kind == "run.place":
-            placed[event["task"], event["run"]] = at
-            spent[event["task"]]["waiting for a worker"] += event["waited_ms"] / 1000
-        elif kind == "run.order":
-            spent[event["task"]]["writing the decision"] += event["waited_ms"] / 1000
-        elif kind == "run.end":
-            _take_end(event, at, placed, spent)
-        elif kind == "job.shown" and event["state"] in FINAL and event["job"] in jobs:
-            job = jobs[event["job"]]
-            job.state = event["state"]
-            job.ratio = event["age_ms"] / max(1, event["objective_ms"])
-    _attach(jobs, spent)
-    return jobs
-
-
-def _take_end(
-    event: dict[str, Any],
-    at: float,
-    placed: dict[tuple[str, int], float],
-    spent: dict[str, Counter[str]],
-) -> None:
-    begun = placed.get((event["task"], event["run"]))
-    if begun is None:
-        return
-    causes = spent[event["task"]]
-    if event["how"] == "done":
-        causes["working"] += at - begun
-    else:
-        causes[f"{event['how']}: {event['why'] or 'by itself'}"] += at - begun
-
-
-def _attach(jobs: dict[str, JobTrace], spent: dict[str, Counter[str]]) -> None:
-    """Give each job the causes of the task of each step that took longest."""
-    longest: dict[tuple[str, str], str] = {}
-    for task, causes in spent.items():
-        job_id, occurrence, step, _ = task.split(".")
-        key = job_id, f"{occurrence}.{step}"
-        known = longest.get(key)
-        if known is None or causes.total() > spent[known].total():
-            longest[key] = task
-    for (job_id, _), task in longest.items():
-        if job_id in jobs:
-            jobs[job_id].causes += spent[task]
-
-
-def print_budget(report: dict[str, Any], jobs: dict[str, JobTrace]) -> None:
+def summarise_log(lines: Iterable[str]) -> list[QueueSummary]:
+    """Return where the jobs of each queue spent their time."""
+    tracer = Tracer()
+    tracer.take(LineReader().read(lines))
+    return summarise(tracer.jobs.values(), tracer.paces)
+
+
+def print_budget(report: dict[str, Any], queues: list[QueueSummary]) -> None:
     """Print both tables."""
     print(f"worth {report['G']:.3f}")
     for loss in sorted(list_losses(report), key=lambda one: -one.lost):
         print(f"  {loss.lost:7.4f}  {loss.name}")
-    by_queue: dict[str, list[JobTrace]] = defaultdict(list)
-    for job in jobs.values():
-        if job.state in FINAL:
-            by_queue[job.queue].append(job)
-    for queue, those in by_queue.items():
-        late = [job for job in those if job.ratio > 1 or job.state == "failed"]
-        print(f"{queue}: {len(those)} ended, {len(late)} late or failed; seconds a job")
-        causes: Counter[str] = Counter()
-        for job in late:
-            causes += job.causes
-        for cause, seconds in causes.most_common():
-            print(f"  {seconds / len(late):7.2f}  {cause}")
+    for one in queues:
+        print(f"{one.queue}: {one.ended} ended, {one.late} late or failed")
+        for part in one.parts:
+            if part.late_share > 0:
+                print(f"  {part.late_share:7.2f}  {part.part}")
 
 
 def main() -> int:
@@ -153,7 +74,7 @@
     arguments = parser.parse_args()
     report = json.loads(arguments.report.read_text())
     with arguments.log.open() as lines:
-        print_budget(report, trace_jobs(read_events(lines)))
+        print_budget(report, summarise_log(lines))
     return 0
 
 
--- a/pistachiodeal/commands/job.py
+++ b/pistachiodeal/commands/job.py
@@ -16,6 +16,7 @@
 from pistachiodeal import exit_codes
 from pistachiodeal.addresses import is_address
 from pistachiodeal.commands.errors import CommandError, UsageError
+from pistachiodeal.commands.job_path import add_path
 from pistachiodeal.commands.options import Context
 from pistachiodeal.commands.output import print_fields, print_json, print_table
 from pistachiodeal.commands.parsers import Subparsers, add_group, add_leaf
@@ -67,6 +68,7 @@
     queues = add_leaf(group, common, "queues", "count jobs by queue", run_queues)
     for leaf in (show, why):
         leaf.add_argument("job_id")
+    add_path(group, common)
     closed = add_leaf(group, common, "closed", "list closed data centres", run_closed)
     for leaf in (show, why, listing, queues, closed):
         leaf.add_argument(
--- a/tests/unit/test_bench_budget.py
+++ b/tests/unit/test_bench_budget.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from bench.budget import list_losses, read_events, trace_jobs
+from bench.budget import list_losses, print_budget, summarise_log
 
 REPORT = {
     "G": 0.70,
@@ -16,7 +16,8 @@
 
 
 def write_line(at: float, event: str, **fields) -> str:
-    return f"{at} node-1 " + json.dumps({"event": event, **fields})
+    line = {"t": at, "p": "node-1", "event": event, **fields}
+    return f"{at} node-1 " + json.dumps(line)
 
 
 def test_the_losses_add_up_to_what_the_day_lacks():
@@ -30,27 +31,37 @@
     ]
 
 
-def test_a_late_job_is_told_by_the_task_that_took_longest():
+def write_place(at: float, task: str, run: int, waited_ms: int) -> str:
+    place = {"task": task, "run": run, "place": "n/w", "waited_ms": waited_ms}
+    return write_line(at, "run.place", **place)
+
+
+def test_a_late_job_is_told_by_the_task_that_took_longest(capsys):
     lines = [
         "a line of another kind",
-        write_line(1.0, "job.accepted", job="j", queue="q"),
-        write_line(1.0, "run.place", task="j.0.0.0", run=1, waited_ms=0),
-        write_line(1.0, "run.place", task="j.0.0.1", run=1, waited_ms=0),
+        write_line(1.0, "job.accepted", job="j", queue="q", steps=[(2, 1_000, "a")]),
+        write_place(1.0, "j.0.0.0", 1, 0),
+        write_place(1.0, "j.0.0.1", 1, 0),
         write_line(2.0, "run.end", task="j.0.0.0", run=1, how="done", why=""),
         write_line(3.0, "run.end", task="j.0.0.1", run=1, how="stopped", why="moved"),
-        write_line(3.5, "run.place", task="j.0.0.1", run=2, waited_ms=500),
+        write_place(3.5, "j.0.0.1", 2, 500),
         write_line(4.5, "run.end", task="j.0.0.1", run=2, how="done", why=""),
         write_line(
             4.5,
             "job.shown",
             job="j",
+            queue="q",
             state="completed",
             age_ms=3500,
             objective_ms=2000,
         ),
     ]
-    job = trace_jobs(read_events(lines))["j"]
-    assert job.ratio == 1.75
-    assert job.causes["stopped: moved"] == 2.0
-    assert job.causes["waiting for a worker"] == 0.5
-    assert job.causes["working"] == 1.0
+    (queue,) = summarise_log(lines)
+    assert (queue.ended, queue.late) == (1, 1)
+    spent_s = {part.part: part.median_ms / 1000 for part in queue.parts}
+    assert spent_s["stopped: moved"] == 2.0
+    assert spent_s["waits"] == 0.5
+    assert spent_s["at work"] == 1.0
+    assert sum(spent_s.values()) == 3.5
+    print_budget(REPORT, [queue])
+    assert "q: 1 ended, 1 late or failed" in capsys.readouterr().out
