--- a/pistachiodeal/scheduling/pacing.py
+++ b/pistachiodeal/scheduling/pacing.py
@@ -21,7 +21,7 @@
 from pistachiodeal.scheduling.tails import FULL, ServingTail
 
 # Serving tasks are kept at this share of their aim: a tail worked out from two figures
-# is 15% off, and a swing adds 0.1 until the next one.
+# is noisy, and the swing of the load adds to it until the next one.
 KEPT_STRAIN = 0.72
 KEPT_SLACK = 1.0 / KEPT_STRAIN
 # Above this share of its aim, whatever fills beside a serving task is suspected of
@@ -39,7 +39,7 @@
 # A pace falls at once and rises by this much a second, in case the figure was off: from
 # nothing to full speed within two listings.
 RISE_A_SECOND = 250
-# What a serving task without a figure yet is taken to have; alone it has 1.4 to 4.
+# What a serving task without a figure yet is taken to have.
 FIRST_SLACK = 2.0
 # A tail below this part of its aim is of the task's first moments.
 FIRST_STRAIN = 0.1
--- a/pistachiodeal/scheduling/tails.py
+++ b/pistachiodeal/scheduling/tails.py
@@ -71,7 +71,7 @@
 class PaceHistory:
     """The paces of one run, as far back as figures go.
 
-    :param now: when the run was first seen.
+    :param now: from when on it is known to have been at work.
     :param fresh: whether it has just begun, at full speed. A run that was there before
         its agent may stand still by the word of the agent before.
     """
