job path uses the project's own names of states, ends, places and tasks

The new modules had written them again: states and ends as texts, the split of a place and of a task's name, full pace; and a field had a name of the platform's. They call JobState, EndKind, CallResult, split_place, parse_task_name and FULL now; summarise takes the tracer that both callers have. The stand-in fleet needs no lint exception. The two programs on the platform are untouched.

--- a/bench/budget.py
+++ b/bench/budget.py
@@ -51,7 +51,7 @@
     """Return where the jobs of each queue spent their time."""
     tracer = Tracer()
     tracer.take(LineReader().read(lines))
-    return summarise(tracer.jobs.values(), tracer.paces)
+    return summarise(tracer)
 
 
 def print_budget(report: dict[str, Any], queues: list[QueueSummary]) -> None:
--- a/pistachiodeal/commands/job_path.py
+++ b/pistachiodeal/commands/job_path.py
@@ -34,9 +34,7 @@
     for name in args.logs:
         tracer.take(reader.read(_open(name)))
     summaries = [
-        one
-        for one in summarise(tracer.jobs.values(), tracer.paces)
-        if not args.queue or one.queue == args.queue
+        one for one in summarise(tracer) if not args.queue or one.queue == args.queue
     ]
     if tracer.unreadable:
         print(
--- a/pistachiodeal/jobpath/paces.py
+++ b/pistachiodeal/jobpath/paces.py
@@ -5,7 +5,7 @@
 from bisect import bisect_right
 from collections.abc import Mapping
 
-FULL = 100
+from pistachiodeal.scheduling.tails import FULL
 
 
 class PaceTimeline:
--- a/pistachiodeal/jobpath/parts.py
+++ b/pistachiodeal/jobpath/parts.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterable, Mapping
 
 from pistachiodeal.jobpath.paces import PaceTimeline
-from pistachiodeal.jobpath.traces import DONE, JobTrace, RunTrace, TaskTrace
+from pistachiodeal.jobpath.traces import JobTrace, RunTrace, TaskTrace
+from pistachiodeal.jobs.model import EndKind
 
 HEARD = "heard by the leader"
 WAITS = "waits"
@@ -26,21 +27,21 @@
     Before each comes the one whose end made it ready. Logs don't name what a step
     starts after; the last end before it was ready is as good.
     """
-    ended = [task for task in job.tasks.values() if task.ended_at]
+    ended = [task for task in job.tasks.values() if task.finished_at]
     if not ended:
         return []
-    chain = [max(ended, key=lambda task: task.ended_at)]
+    chain = [max(ended, key=lambda task: task.finished_at)]
     while True:
         ready_at = chain[0].ready_at
         before = [
             task
             for task in ended
-            if task.step != chain[0].step and task.ended_at <= ready_at + CLOCK_S
+            if task.step != chain[0].step and task.finished_at <= ready_at + CLOCK_S
         ]
-        before = [task for task in before if task.ended_at < chain[0].ended_at]
+        before = [task for task in before if task.finished_at < chain[0].finished_at]
         if not before:
             return chain
-        chain.insert(0, max(before, key=lambda task: task.ended_at))
+        chain.insert(0, max(before, key=lambda task: task.finished_at))
 
 
 def split_path(job: JobTrace, paces: PaceTimeline) -> Mapping[str, float]:
@@ -53,7 +54,7 @@
         for run in _order_runs(task):
             _split_run(job, task, run, paces, parts)
     if chain:
-        parts[SHOWN] = max(0.0, job.shown_at - chain[-1].ended_at)
+        parts[SHOWN] = max(0.0, job.shown_at - chain[-1].finished_at)
     told_s = sum(parts.values())
     if job.age_s > told_s:
         parts[OTHER] = job.age_s - told_s
@@ -76,17 +77,17 @@
     parts[f"{WAITS}: {cause}" if cause else WAITS] += max(0.0, run.waited_s)
     parts[WRITTEN] += run.written_s
     left_at = run.ordered_at or run.placed_at + run.written_s
-    if not run.ended_at:
+    if not run.finished_at:
         return
-    if run.how != DONE:
+    if run.how != EndKind.DONE:
         why = f": {run.why}" if run.why else ""
-        parts[f"{run.how}{why}"] += max(0.0, run.ended_at - left_at)
+        parts[f"{run.how}{why}"] += max(0.0, run.finished_at - left_at)
         return
-    begun_at = min(max(run.started_at, left_at), run.ended_at)
+    begun_at = min(max(run.started_at, left_at), run.finished_at)
     parts[BEGUN] += begun_at - left_at
-    span_s = run.ended_at - begun_at
+    span_s = run.finished_at - begun_at
     image = _find_image(job, task)
-    worked_s = paces.measure(run.node, image, begun_at, run.ended_at)
+    worked_s = paces.measure(run.node, image, begun_at, run.finished_at)
     worked_s = span_s if worked_s is None else worked_s
     parts[WORKS] += worked_s
     if span_s > worked_s:
--- a/pistachiodeal/jobpath/summary.py
+++ b/pistachiodeal/jobpath/summary.py
@@ -4,12 +4,12 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from pistachiodeal.jobpath.paces import PaceTimeline
 from pistachiodeal.jobpath.parts import split_path
-from pistachiodeal.jobpath.traces import JobTrace
+from pistachiodeal.jobpath.traces import JobTrace, Tracer
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,14 +40,14 @@
     parts: tuple[PartSummary, ...]
 
 
-def summarise(jobs: Iterable[JobTrace], paces: PaceTimeline) -> list[QueueSummary]:
+def summarise(tracer: Tracer) -> list[QueueSummary]:
     """Return a summary of each queue that has jobs which ended."""
     by_queue: dict[str, list[JobTrace]] = defaultdict(list)
-    for job in jobs:
+    for job in tracer.jobs.values():
         if job.state:
             by_queue[job.queue].append(job)
     return [
-        _summarise_queue(queue, those, paces)
+        _summarise_queue(queue, those, tracer.paces)
         for queue, those in sorted(by_queue.items())
     ]
 
--- a/pistachiodeal/jobpath/traces.py
+++ b/pistachiodeal/jobpath/traces.py
@@ -8,9 +8,12 @@
 
 from pistachiodeal.jobpath.lines import LogLine
 from pistachiodeal.jobpath.paces import PaceTimeline
+from pistachiodeal.jobs.model import JobState
+from pistachiodeal.jobs.names import parse_task_name
+from pistachiodeal.jobs.runtime import CallResult
+from pistachiodeal.leader.workers import split_place
 
-FINAL = ("completed", "failed")
-DONE = "done"
+FINAL = (JobState.COMPLETED, JobState.FAILED)
 LOST = "lost with its worker"
 # Fields of ``step.waits`` that name the step and not an obstacle.
 WAIT_NAMES = frozenset(("t", "p", "event", "job", "step"))
@@ -31,14 +34,14 @@
     written_s: float = 0.0
     ordered_at: float = 0.0
     started_at: float = 0.0
-    ended_at: float = 0.0
+    finished_at: float = 0.0
     how: str = ""
     why: str = ""
 
     @property
     def node(self) -> str:
         """Return the node that it was on."""
-        return self.place.partition("/")[0]
+        return split_place(self.place)[0]
 
     @property
     def ready_at(self) -> float:
@@ -57,9 +60,9 @@
     runs: dict[int, RunTrace] = field(default_factory=dict)
 
     @property
-    def ended_at(self) -> float:
+    def finished_at(self) -> float:
         """Return when its last run ended."""
-        return max((run.ended_at for run in self.runs.values()), default=0.0)
+        return max((run.finished_at for run in self.runs.values()), default=0.0)
 
     @property
     def ready_at(self) -> float:
@@ -91,7 +94,7 @@
     @property
     def late(self) -> bool:
         """Tell whether it failed, or took longer than its objective."""
-        return self.state == "failed" or self.age_s > self.objective_s
+        return self.state == JobState.FAILED or self.age_s > self.objective_s
 
     def find_wait(self, step: str, before: float) -> str:
         """Return what a step had waited for last, empty if no line says."""
@@ -178,20 +181,24 @@
         run.written_s = line.fields["waited_ms"] / 1000
 
     def _take_started(self, line: LogLine) -> None:
-        if line.fields["result"] == DONE:
+        if line.fields["result"] == CallResult.DONE:
             self._find_run(line.fields).started_at = line.at
 
     def _take_end(self, line: LogLine) -> None:
         run = self._find_run(line.fields)
-        run.ended_at, run.how, run.why = line.at, line.fields["how"], line.fields["why"]
+        run.finished_at, run.how, run.why = (
+            line.at,
+            line.fields["how"],
+            line.fields["why"],
+        )
 
     def _take_lost(self, line: LogLine) -> None:
         run = self._find_run(line.fields)
-        run.ended_at, run.how = line.at, LOST
+        run.finished_at, run.how = line.at, LOST
 
     def _take_refused(self, line: LogLine) -> None:
         run = self._find_run(line.fields)
-        run.ended_at, run.how = line.at, "refused"
+        run.finished_at, run.how = line.at, "refused"
         run.why = str(line.fields.get("detail", "its order was never sent"))
 
     def _take_paces(self, line: LogLine) -> None:
@@ -201,7 +208,10 @@
         return self.jobs.setdefault(job_id, JobTrace())
 
     def _find_run(self, fields: Any) -> RunTrace:
-        job_id, occurrence, step, _ = fields["task"].split(".")
-        tasks = self._find_job(job_id).tasks
-        task = tasks.setdefault(fields["task"], TaskTrace(f"{occurrence}.{step}"))
+        name = parse_task_name(fields["task"])
+        if name is None:
+            raise ValueError("the task's name is foreign")
+        tasks = self._find_job(name.job_id).tasks
+        step = f"{name.occurrence}.{name.step}"
+        task = tasks.setdefault(fields["task"], TaskTrace(step))
         return task.runs.setdefault(fields["run"], RunTrace())
--- a/tests/standins/paced_fleet.py
+++ b/tests/standins/paced_fleet.py
@@ -56,6 +56,9 @@
     restarts: float = 0.0
 
 
+NO_TROUBLE = Trouble()
+
+
 class PacedFleet:
     """Workers that learn from each other, and filling work that finds its way there.
 
@@ -70,7 +73,7 @@
         interference_s: float = 4.0,
         believed: dict[Pair, float] | None = None,
         loads: dict[Pair, float] | None = None,
-        trouble: Trouble = Trouble(),  # noqa: B008
+        trouble: Trouble = NO_TROUBLE,
     ) -> None:
         self.rng = random.Random(seed)
         self.loads = loads or draw_loads(self.rng)
