A progress row with a negative count is refused

Cause: types of a row's fields were checked, their signs were not. The two rows are a test of their own, which failed before.

--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -289,7 +289,7 @@
         for key, counts in document.get("crashes", {}).items():
             task = _find_task(record, key)
             task.crashes, task.blames = counts
-            check_fields(task)
+            _check_counts(task)
     except (ValueError, KeyError, TypeError, IndexError, AttributeError) as error:
         raise ProtocolError(repr(error), step="jobs.decode_progress") from error
 
@@ -322,7 +322,7 @@
 def _apply_task(record: JobRecord, key: str, fields: list[Any]) -> None:
     task = _find_task(record, key)
     task.run, task.place, done, task.failures, task.checkpoint = fields
-    check_fields(task)
+    _check_counts(task)
     task.watched = False
     if done:
         record.find_step(task.name).mark_done(task)
@@ -340,3 +340,9 @@
             StepRecord(number, occurrence, step, tasks, len(tasks), step.estimate_s)
         )
     return records
+
+
+def _check_counts(task: Task) -> None:
+    check_fields(task)
+    if min(task.run, task.failures, task.crashes, task.blames) < 0:
+        raise ValueError("a count is negative")
--- a/tests/unit/test_foreign_writers.py
+++ b/tests/unit/test_foreign_writers.py
@@ -286,3 +286,11 @@
     assert listing.result is CallResult.UNREADABLE
     assert "missing" in listing.detail
     assert decode_listing("i-1", LISTING).result is CallResult.OTHER_INCARNATION
+
+
+@pytest.mark.parametrize("fields", [[-1, "", 0, 0, ""], [1, "node/w1", 0, -2, ""]])
+def test_a_progress_row_with_a_negative_count_is_refused(fields):
+    """Guards against a task that a foreign row gives more attempts than it has."""
+    document = {**build_progress(), "tasks": {"0.0.0": fields}}
+    with pytest.raises(ProtocolError):
+        read_progress_row(orjson.dumps(document))
