--- /dev/null
+++ b/tests/simulation/callers.py
@@ -0,0 +1,105 @@
+"""Callers that check by which version of the configuration they are answered."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import curio
+
+from pistachiodeal.web.client import CallError, create_client
+from tests.simulation.clock import SimulatedClock
+from tests.simulation.entries import SimulatedDeployment, SimulatedEntry
+
+# The platform's bounds: a version is in force this long after its acknowledgement, and
+# this much later while the store serves only a part of the hosts.
+APPLY_S = 2.0
+STRETCH_S = 5.0
+# Nothing is promised of a host, or beside a store, that failed within this time.
+CONTACT_S = 3.0
+CALL_INTERVAL_S = 0.1
+CALL_TIMEOUT_S = 3.0
+NOT_FOUND = 404
+SERVED = 200
+
+
+@dataclass
+class Disturbances:
+    """What was disturbed, and until when, in simulated seconds.
+
+    :ivar hosts: end of the last disturbance of each host.
+    :ivar store: end of the last disturbance of the store as a whole.
+    :ivar store_in_part: end of the last time at which the store served only some hosts.
+    """
+
+    hosts: dict[str, float] = field(default_factory=dict)
+    store: float = -1_000.0
+    store_in_part: float = -1_000.0
+
+    def disturb(self, host: str, until: float) -> None:
+        """Note a disturbance of a host."""
+        self.hosts[host] = max(until, self.hosts.get(host, until))
+
+    def find_bound_s(self, host: str, now: float) -> float | None:
+        """Return how soon a version has to be in force, None without a promise."""
+        calm_since = max(self.hosts.get(host, -1_000.0), self.store)
+        if now - calm_since < CONTACT_S:
+            return None
+        if now - self.store_in_part < CONTACT_S:
+            return APPLY_S + STRETCH_S
+        return APPLY_S
+
+
+@dataclass
+class Check:
+    """Asks one entry by two queues that a version added and dropped.
+
+    :ivar violations: what was answered by an older version than is allowed.
+    :ivar counts: number of answers by status.
+    """
+
+    deployment: SimulatedDeployment
+    disturbances: Disturbances
+    clock: SimulatedClock
+    violations: list[str] = field(default_factory=list)
+    counts: dict[str, int] = field(default_factory=dict)
+
+    async def run(self, entry: SimulatedEntry) -> None:
+        """Ask without end."""
+        client = create_client(entry.callers, connections=4)
+        while True:
+            await curio.sleep(CALL_INTERVAL_S)
+            now = self.clock.now
+            bound_s = self.disturbances.find_bound_s(entry.host, now)
+            if not entry.running or bound_s is None:
+                await client.close()
+                continue
+            required = self._find_required(now - bound_s)
+            if not required:
+                continue
+            for queue, wrong in (
+                (f"added-{required}", NOT_FOUND),
+                (f"only-{required - 1}", SERVED),
+            ):
+                await self._ask(client, entry, queue, wrong, required)
+
+    async def _ask(self, client, entry, queue, wrong, required) -> None:
+        asked_at = self.clock.now
+        try:
+            response = await client.call("GET", f"/{queue}/", timeout=CALL_TIMEOUT_S)
+        except CallError:
+            self._count("none")
+            return
+        self._count(str(response.status))
+        if response.status == wrong:
+            late_s = asked_at - self.deployment.acknowledged[required]
+            self.violations.append(
+                f"{asked_at:.2f} {entry.host} answered {response.status} to {queue}, "
+                f"though version {required} was acknowledged {late_s:.2f} s before"
+            )
+
+    def _count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def _find_required(self, until: float) -> int:
+        acknowledged = self.deployment.acknowledged
+        return max((one for one, at in acknowledged.items() if at <= until), default=0)
