The age of an entry's configuration shows in its log and metrics

A read of the configuration that failed left no line, so an entry that was behind looked like one for which nothing had changed, and none of the incident's hypotheses could be told from another.

No logic changes.

--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -59,6 +59,7 @@
                 code=error.code,
                 outcome=str(error.outcome),
                 detail=error.detail,
+                **self._describe_configuration(),
                 took_ms=int((time.monotonic() - began) * 1000),
             )
             self._stats.count(f"request_{error.status}")
@@ -121,6 +122,7 @@
             job=job_id,
             queue=queue.name,
             steps=[(step.count, step.size.cpu_milli, step.image) for step in job.steps],
+            **self._describe_configuration(),
             took_ms=int((time.monotonic() - began) * 1000),
         )
         return build_json(200, {})
@@ -141,9 +143,18 @@
         key = build_cancel_key(job_id)
         await self._acceptance.insert(key, CANCEL_VALUE, read_budget_s(request))
         await self._states.announce(key)
-        self._events.emit("job.cancel_accepted", job=job_id)
+        self._events.emit(
+            "job.cancel_accepted", job=job_id, **self._describe_configuration()
+        )
         return build_json(200, {})
 
+    def _describe_configuration(self) -> dict[str, int]:
+        """Return the log fields that tell by which configuration was decided."""
+        return {
+            "configuration": self._configuration.version,
+            "configuration_age_ms": int(self._configuration.age_s * 1000),
+        }
+
     def _build_unknown(self, job_id: str, asked: str) -> WebResponse:
         self._events.emit("job.unknown", job=job_id, asked=asked)
         return build_json(410, {})
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -94,6 +94,7 @@
         supervisor = Supervisor("entry")
         supervisor.add("configuration", self._configuration.run)
         supervisor.add("configuration poll", self._configuration.poll)
+        supervisor.add("configuration age", self._configuration.report_age)
         supervisor.add("acceptance", self._acceptance.run)
         supervisor.add("peers", self._peer_server.listen)
         supervisor.add("readiness", self._readiness.run)
--- a/pistachiodeal/jobentry/configuration.py
+++ b/pistachiodeal/jobentry/configuration.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import curio
-from logbook import Logger
 
+from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import ProtocolError, StoreError
 from pistachiodeal.jobs.model import Queue, find_queue
@@ -21,13 +21,14 @@
     read_row,
 )
 
-log = Logger("configuration")
-
 FEED_WAIT_S = 20.0
 RETRY_S = 0.15
 # A feed can lose changes without an error when its history is dropped. Polling the row
 # as well ensures that a change is in force within the required second or two.
 POLL_INTERVAL_S = 0.7
+# A copy that no read has confirmed for this long is reported as stale.
+STALE_AFTER_S = 1.5
+STALE_CHECK_INTERVAL_S = 0.25
 
 
 class ConfigurationWatcher:
@@ -39,12 +40,27 @@
         self._current: Configuration | None = None
         self._by_name: dict[str, Queue] = {}
         self._version = 0
+        self._confirmed_at = read_boot_clock()
+        self._stale = False
 
     @property
     def current(self) -> Configuration | None:
         """Return the configuration in force, or None before the first is read."""
         return self._current
 
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first is read."""
+        return self._current.version if self._current is not None else 0
+
+    @property
+    def age_s(self) -> float:
+        """Return how long ago the last read that was answered began, seconds.
+
+        A version that was written since then may be missing here.
+        """
+        return read_boot_clock() - self._confirmed_at
+
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue that a request's host and path select."""
         if self._current is None:
@@ -63,7 +79,7 @@
             except HistoryLostError:
                 self._version = 0
             except StoreError as error:
-                log.debug("configuration: cannot follow the change feed: {}", error)
+                self._report_failure("feed", error)
                 await curio.sleep(RETRY_S)
 
     async def poll(self) -> None:
@@ -73,7 +89,19 @@
             try:
                 await self._read()
             except StoreError as error:
-                log.debug("configuration: cannot read the row: {}", error)
+                self._report_failure("read", error)
+
+    async def report_age(self) -> None:
+        """Report for ever when the copy becomes stale."""
+        while True:
+            await curio.sleep(STALE_CHECK_INTERVAL_S)
+            if self.age_s > STALE_AFTER_S and not self._stale:
+                self._stale = True
+                self._events.emit(
+                    "configuration.stale",
+                    version=self.version,
+                    age_ms=int(self.age_s * 1000),
+                )
 
     async def _follow(self) -> None:
         if not self._version:
@@ -83,10 +111,34 @@
         self._version = max(self._version, page.version)
 
     async def _read(self) -> int:
+        asked_at = read_boot_clock()
         page = await read_row(self._store, CONFIG_TABLE, CONFIG_KEY)
         self._apply_rows(page.rows)
+        self._confirm(asked_at)
         return page.version
 
+    def _confirm(self, asked_at: float) -> None:
+        """Record that the copy was up to date at a time."""
+        age_s = self.age_s
+        self._confirmed_at = max(self._confirmed_at, asked_at)
+        self._events.stats.time("configuration_age", age_s)
+        if self._stale:
+            self._stale = False
+            self._events.emit(
+                "configuration.confirmed",
+                version=self.version,
+                away_ms=int(age_s * 1000),
+            )
+
+    def _report_failure(self, call: str, error: StoreError) -> None:
+        self._events.emit(
+            "configuration.unread",
+            call=call,
+            cause=str(error),
+            version=self.version,
+            age_ms=int(self.age_s * 1000),
+        )
+
     def _apply_rows(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
             if row.key != CONFIG_KEY or row.removed:
