A call relayed through the leader ends with the link it was sent on

Callers of an entry that the store turned away got "no answer" after 2.8 s, and its configuration was not read meanwhile: the call waited for an answer on a link that had already closed, since nothing told it so. The election tells the relay now when the link to the leader is gone, and calls that wait end as uncertain, which is what they were.

test_a_relayed_call_ends_with_its_link failed before (the read ended 2.8 s after the link had closed).

--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -65,7 +65,7 @@
         self._acceptance = Acceptance(relayed, events)
         states = JobStates(relayed, self._peer_server, self._election)
         self._election.set_answer_handler(
-            build_dispatcher(relayed, states.handle_answer)
+            build_dispatcher(relayed, states.handle_answer), relayed.abandon_calls
         )
         api = CallerApi(
             self._configuration,
--- a/pistachiodeal/jobentry/relay.py
+++ b/pistachiodeal/jobentry/relay.py
@@ -138,6 +138,14 @@
         if waiting is not None:
             await waiting.put(answer)
 
+    async def abandon_calls(self) -> None:
+        """End the calls that wait for an answer on a link that is closed now.
+
+        Such a call may have taken effect.
+        """
+        for waiting in list(self._waiting.values()):
+            await waiting.put(None)
+
     async def commit(self, transaction: Transaction) -> TransactionResult:
         """Apply a transaction; see ``RowStore``."""
         link = self._find_relay_link()
--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -59,6 +59,7 @@
 
 LeadCallback = Callable[[LeaderTerm], Awaitable[None]]
 AnswerHandler = Callable[[JobAnswer | RelayAnswer], Awaitable[None]]
+LinkLostHandler = Callable[[], Awaitable[None]]
 
 
 class Election:
@@ -90,15 +91,23 @@
         self._led_epoch = 0
         self._link: Link | None = None
         self._answer_handler: AnswerHandler | None = None
+        self._link_lost_handler: LinkLostHandler | None = None
 
     @property
     def link(self) -> Link | None:
         """Return the link to the leader, None while there is none."""
         return self._link
 
-    def set_answer_handler(self, handler: AnswerHandler) -> None:
-        """Set the handler for the leader's answers to queries and relayed calls."""
+    def set_answer_handler(
+        self, handler: AnswerHandler, link_lost: LinkLostHandler | None = None
+    ) -> None:
+        """Set the handler for the leader's answers to queries and relayed calls.
+
+        :param link_lost: called when no further answer can come, because the link to
+            the leader is closed.
+        """
         self._answer_handler = handler
+        self._link_lost_handler = link_lost
 
     async def run(self) -> None:
         """Follow or lead in turn, without end."""
@@ -200,6 +209,8 @@
             self._events.emit("leader.unheard", epoch=row.epoch, cause=str(error))
         finally:
             self._link = None
+            if self._link_lost_handler is not None:
+                await self._link_lost_handler()
         return refused
 
     async def _send_state(self, link: Link) -> None:
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -108,7 +108,8 @@
         self.acceptance = Acceptance(relayed, events)
         self.states = JobStates(relayed, self.seat, self.election)
         self.election.set_answer_handler(
-            build_dispatcher(relayed, self.states.handle_answer)
+            build_dispatcher(relayed, self.states.handle_answer),
+            relayed.abandon_calls,
         )
         await self.start(
             self.seat.listen,
--- a/tests/unit/test_jobentry_relay.py
+++ b/tests/unit/test_jobentry_relay.py
@@ -11,6 +11,7 @@
 
 from pistachiodeal.exceptions import Outcome, RequestError, StoreError
 from pistachiodeal.jobentry.relay import (
+    ANSWER_TIMEOUT_S,
     MAX_RELAYED_CALLS,
     PROBE_INTERVAL_S,
     RelayedRows,
@@ -107,6 +108,25 @@
     assert curio.run(main) is Outcome.UNKNOWN
 
 
+def test_a_relayed_call_ends_with_its_link():
+    """Guards against a call that waits for an answer on a link that has closed."""
+
+    async def main() -> float:
+        async with run_with_refused_entry() as (cluster, refused):
+            await refused.submit(build_job(1))
+            cluster.state.faults.slow_s = 10.0
+            read = await curio.spawn(refused.states.exists, build_job(1).job_id)
+            await curio.sleep(0.1)
+            began = time.monotonic()
+            await refused.election.link.close()
+            with pytest.raises(curio.TaskError) as failure:
+                await read.join()
+            assert isinstance(failure.value.__cause__, StoreError)
+            return time.monotonic() - began
+
+    assert curio.run(main) < ANSWER_TIMEOUT_S / 2
+
+
 def test_a_leader_makes_a_bounded_number_of_calls_for_others():
     """Guards against a leader that stops leading while it relays for other entries.
 
