A read of the configuration without an answer doesn't hold up the next

Callers were answered by an old version for seconds: an entry read the row each 0.7 s, but one read after the other, and a read on a dead connection, or through a leader that can't reach the store either, takes 1 to 5 s. Reads start at their interval now, three at a time at most; a late answer does no harm, as only a higher version is applied.

test_a_read_without_an_answer_does_not_hold_up_the_next failed before (version 1 after 2 s).

The stand-in kills an entry that has not run yet as well; before, such a one started after the end of its test.

--- a/pistachiodeal/jobentry/configuration.py
+++ b/pistachiodeal/jobentry/configuration.py
@@ -26,6 +26,9 @@
 # A feed can lose changes without an error when its history is dropped. Polling the row
 # as well ensures that a change is in force within the required second or two.
 POLL_INTERVAL_S = 0.7
+# Reads in flight at a time. A read on a dead connection ends after a second or two, and
+# one that starts later may get a connection that works.
+MAX_READS = 3
 # A copy that no read has confirmed for this long is reported as stale.
 STALE_AFTER_S = 1.5
 STALE_CHECK_INTERVAL_S = 0.25
@@ -42,6 +45,7 @@
         self._version = 0
         self._confirmed_at = read_boot_clock()
         self._stale = False
+        self._reads = 0
 
     @property
     def current(self) -> Configuration | None:
@@ -83,13 +87,12 @@
                 await curio.sleep(RETRY_S)
 
     async def poll(self) -> None:
-        """Read the row at a fixed interval for ever."""
+        """Read the row at a fixed interval for ever, without waiting for answers."""
         while True:
             await curio.sleep(POLL_INTERVAL_S)
-            try:
-                await self._read()
-            except StoreError as error:
-                self._report_failure("read", error)
+            if self._reads < MAX_READS:
+                self._reads += 1
+                await curio.spawn(self._poll_once, daemon=True)
 
     async def report_age(self) -> None:
         """Report for ever when the copy becomes stale."""
@@ -103,6 +106,14 @@
                     age_ms=int(self.age_s * 1000),
                 )
 
+    async def _poll_once(self) -> None:
+        try:
+            await self._read()
+        except StoreError as error:
+            self._report_failure("read", error)
+        finally:
+            self._reads -= 1
+
     async def _follow(self) -> None:
         if not self._version:
             self._version = await self._read()
--- a/tests/simulation/entries.py
+++ b/tests/simulation/entries.py
@@ -83,7 +83,10 @@
         self._process = SimulatedEntry._processes
         self._stop = StopSignal()
         self.started_at = now
+        # Set first, so that a kill also finds a task that has not run yet.
+        token = CURRENT_PROCESS.set(self._process)
         await curio.spawn(self._run, daemon=True)
+        CURRENT_PROCESS.reset(token)
 
     async def stop(self) -> None:
         """Ask the process to stop, which takes it a few seconds."""
@@ -93,15 +96,16 @@
         """End the process at once."""
         self.running = False
         self._network.reset(self.host)
-        self._network.forget_host(self.host)
         kernel = await _get_kernel()
         for task in list(kernel._tasks.values()):
             if task._context.get(CURRENT_PROCESS) == self._process:
                 await task.cancel(blocking=False)
+        # A task is cancelled where it waits, so one that hasn't run yet runs first.
+        await curio.sleep(0)
+        self._network.forget_host(self.host)
 
     async def _run(self) -> None:
         CURRENT_HOST.set(self.host)
-        CURRENT_PROCESS.set(self._process)
         app = EntryApp(self._build_settings(), EventLog(self._log, self.host))
         self.running = True
         await app.run(self._stop)
