An entry learns of a version from any other entry

Callers of an entry that the store turned away were answered by an old version for over 7 s, although every other entry knew the new one: its only way around the store was the leader, and leaders change, are cut off, or are turned away themselves.

An entry whose copy no read has confirmed for a second asks two others for theirs now, over a link of its own. The answer says how long ago that copy was confirmed, which counts as a read of that time. So nothing is read from the store for it, and a copy helps also where its holder has lost the store meanwhile; an older one changes nothing. An entry of an earlier version doesn't know the query and closes that link, which costs nothing else.

test_an_entry_learns_a_version_from_any_other_entry failed before.

--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import curio
 
 from pistachiodeal.addresses import split_address
@@ -17,7 +19,11 @@
 from pistachiodeal.jobs.rows import find_partition
 from pistachiodeal.leader.election import Election
 from pistachiodeal.leader.fitness import compute_fitness
-from pistachiodeal.peers import build_metrics, create_peer_context
+from pistachiodeal.peers import (
+    build_metrics,
+    create_peer_context,
+    query_configuration,
+)
 from pistachiodeal.platform.advice import create_adviser
 from pistachiodeal.platform.rows import create_rows
 from pistachiodeal.reload import wait_for_stop
@@ -51,13 +57,19 @@
         peers = create_peer_context(settings, ENTRY_ROLE, events)
         peers.directory.update_entry(settings.peer_address)
         relayed = RelayedRows(store, self._find_leader_link, events)
-        self._configuration = ConfigurationWatcher(relayed, events)
+        self._configuration = ConfigurationWatcher(
+            relayed,
+            events,
+            partial(query_configuration, peers),
+            partial(peers.directory.list_others, settings.peer_address),
+        )
         self._peer_server = PeerServer(
             store,
             peers,
             self._configuration.refresh,
             settings.limits,
             create_adviser(settings.advice) if settings.advice else None,
+            describe_configuration=self._configuration.describe,
         )
         fitness = compute_fitness(settings.processor.cores, settings.link_mbps)
         self._election = Election(store, peers, self._peer_server.lead, fitness=fitness)
@@ -94,6 +106,7 @@
         supervisor = Supervisor("entry")
         supervisor.add("configuration", self._configuration.run)
         supervisor.add("configuration poll", self._configuration.poll)
+        supervisor.add("configuration entries", self._configuration.ask_entries)
         supervisor.add("configuration age", self._configuration.report_age)
         supervisor.add("acceptance", self._acceptance.run)
         supervisor.add("peers", self._peer_server.listen)
--- a/pistachiodeal/jobentry/configuration.py
+++ b/pistachiodeal/jobentry/configuration.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Awaitable, Callable, Sequence
+
 import curio
 
 from pistachiodeal.clock import read_boot_clock
@@ -20,6 +23,7 @@
     StoredRow,
     read_row,
 )
+from pistachiodeal.wire.configuration_messages import ConfigurationAnswer
 
 FEED_WAIT_S = 20.0
 RETRY_S = 0.15
@@ -29,17 +33,45 @@
 # Reads in flight at a time. A read on a dead connection ends after a second or two, and
 # one that starts later may get a connection that works.
 MAX_READS = 3
+# Other entries are asked once no read has confirmed the copy for this long.
+# Reads that are answered keep it below the poll interval and their own duration.
+ASK_AFTER_S = 1.0
+ASK_INTERVAL_S = 0.4
+ASK_TIMEOUT_S = 1.2
+# Entries asked at a time, as the first may be gone or without the store as well.
+ENTRIES_ASKED = 2
 # A copy that no read has confirmed for this long is reported as stale.
 STALE_AFTER_S = 1.5
 STALE_CHECK_INTERVAL_S = 0.25
 
 
-class ConfigurationWatcher:
-    """Watches the configuration; never reverts to an older version."""
+AskEntry = Callable[[str], Awaitable[ConfigurationAnswer | None]]
+ListEntries = Callable[[], Sequence[str]]
+
 
-    def __init__(self, store: RowStore, events: EventLog) -> None:
+class ConfigurationWatcher:
+    """Watches the configuration; never reverts to an older version.
+
+    The copy of another entry serves as well as a read of the store: it says how long
+    ago it was confirmed, and only a higher version is applied.
+
+    :param ask_entry: returns the copy of the entry at an address, None if it doesn't
+        answer.
+    :param list_entries: returns the addresses of the other entries.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        events: EventLog,
+        ask_entry: AskEntry,
+        list_entries: ListEntries,
+    ) -> None:
         self._store = store
         self._events = events
+        self._ask_entry = ask_entry
+        self._list_entries = list_entries
+        self._value = b""
         self._current: Configuration | None = None
         self._by_name: dict[str, Queue] = {}
         self._version = 0
@@ -94,6 +126,20 @@
                 self._reads += 1
                 await curio.spawn(self._poll_once, daemon=True)
 
+    async def ask_entries(self) -> None:
+        """Ask other entries for ever, while reads of the store confirm nothing."""
+        while True:
+            await curio.sleep(ASK_INTERVAL_S)
+            if self.age_s < ASK_AFTER_S:
+                continue
+            entries = list(self._list_entries())
+            for address in random.sample(entries, min(ENTRIES_ASKED, len(entries))):
+                await curio.spawn(self._ask, address, daemon=True)
+
+    def describe(self) -> ConfigurationAnswer:
+        """Return the copy as an answer to another entry."""
+        return ConfigurationAnswer(self._value, int(self.age_s * 1000))
+
     async def report_age(self) -> None:
         """Report for ever when the copy becomes stale."""
         while True:
@@ -106,6 +152,14 @@
                     age_ms=int(self.age_s * 1000),
                 )
 
+    async def _ask(self, address: str) -> None:
+        asked_at = read_boot_clock()
+        answer = await curio.ignore_after(ASK_TIMEOUT_S, self._ask_entry, address)
+        if answer is None or not answer.value:
+            return
+        self._apply_value(answer.value, address)
+        self._confirm(asked_at - answer.age_ms / 1000)
+
     async def _poll_once(self) -> None:
         try:
             await self._read()
@@ -152,22 +206,31 @@
 
     def _apply_rows(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
-            if row.key != CONFIG_KEY or row.removed:
-                continue
-            try:
-                self._apply(decode_configuration(row.value))
-            except ProtocolError as error:
-                self._events.emit("configuration.unreadable", cause=str(error))
+            if row.key == CONFIG_KEY and not row.removed:
+                self._apply_value(row.value, "store")
 
-    def _apply(self, found: Configuration) -> None:
+    def _apply_value(self, value: bytes, source: str) -> None:
+        """Apply the value of the row, unless it is unreadable or not newer.
+
+        :param source: ``store``, or the address of the entry that it comes from.
+        """
+        try:
+            found = decode_configuration(value)
+        except ProtocolError as error:
+            self._events.emit(
+                "configuration.unreadable", cause=str(error), source=source
+            )
+            return
         current = self._current
         if current is not None and found.version <= current.version:
             return
         self._current = found
+        self._value = value
         self._by_name = {queue.name: queue for queue in found.queues}
         self._events.emit(
             "configuration.applied",
             version=found.version,
             was=current.version if current else 0,
+            source=source,
             queues=len(found.queues),
         )
--- a/pistachiodeal/jobentry/peer_server.py
+++ b/pistachiodeal/jobentry/peer_server.py
@@ -25,6 +25,10 @@
 from pistachiodeal.peers import PeerContext
 from pistachiodeal.store.row_store import RowStore
 from pistachiodeal.web.listener import accept_connection, bind_listener
+from pistachiodeal.wire.configuration_messages import (
+    ConfigurationAnswer,
+    ConfigurationQuery,
+)
 from pistachiodeal.wire.identity import AGENT_ROLE
 from pistachiodeal.wire.job_messages import (
     Appointment,
@@ -56,7 +60,10 @@
 
 
 class PeerServer:
-    """Serves links of agents and entries; leads while this process is elected."""
+    """Serves links of agents and entries; leads while this process is elected.
+
+    :param describe_configuration: returns this process's copy of the configuration.
+    """
 
     def __init__(
         self,
@@ -65,8 +72,11 @@
         refresh_queue: Callable[[Queue], Queue],
         limits: LimitSettings,
         adviser: Adviser | None = None,
+        *,
+        describe_configuration: Callable[[], ConfigurationAnswer],
     ) -> None:
         self._store = store
+        self._describe_configuration = describe_configuration
         self._peers = peers
         self._directory = peers.directory
         self._address = peers.address
@@ -193,6 +203,8 @@
                     self._leadership.announce(message.key)
                 elif isinstance(message, RelayCommit | RelayRead):
                     await self._relay.take(link, message)
+                elif isinstance(message, ConfigurationQuery):
+                    await link.send(self._describe_configuration())
         finally:
             self._links.discard(link)
             self._followers.pop(link, None)
@@ -204,6 +216,8 @@
             message = await link.receive()
             if isinstance(message, LeaderNotice):
                 await self._handle_notice(message)
+            elif isinstance(message, ConfigurationQuery):
+                await link.send(self._describe_configuration())
 
     async def _handle_notice(self, notice: LeaderNotice) -> None:
         self._directory.apply_notice(notice)
--- a/pistachiodeal/peers.py
+++ b/pistachiodeal/peers.py
@@ -14,6 +14,10 @@
 from pistachiodeal.leader.directory import Directory
 from pistachiodeal.stats import Stats
 from pistachiodeal.web.messages import WebResponse
+from pistachiodeal.wire.configuration_messages import (
+    ConfigurationAnswer,
+    ConfigurationQuery,
+)
 from pistachiodeal.wire.identity import Identity
 from pistachiodeal.wire.job_messages import LeaderNotice
 from pistachiodeal.wire.link import Link, LinkTimings
@@ -80,6 +84,24 @@
     return notice if isinstance(notice, LeaderNotice) else None
 
 
+async def query_configuration(
+    peers: PeerContext, address: str
+) -> ConfigurationAnswer | None:
+    """Ask an entry for its copy of the configuration; None if it doesn't answer."""
+    try:
+        async with dial_peer(peers, address) as link:
+            await link.send(ConfigurationQuery())
+            while True:
+                message = await link.receive()
+                if isinstance(message, ConfigurationAnswer):
+                    return message
+                if isinstance(message, LeaderNotice):
+                    peers.directory.apply_notice(message)
+    except (PistachiodealError, OSError) as error:
+        log.debug("peers: configuration query to {} failed: {}", address, error)
+        return None
+
+
 def build_metrics(stats: Stats) -> WebResponse:
     """Return the measurements of a process as a text response."""
     headers = (("content-type", "text/plain; charset=utf-8"),)
--- a/pistachiodeal/wire/messages.py
+++ b/pistachiodeal/wire/messages.py
@@ -11,6 +11,10 @@
 from dataclasses import dataclass
 
 from pistachiodeal.model.resources import Resources
+from pistachiodeal.wire.configuration_messages import (
+    ConfigurationAnswer,
+    ConfigurationQuery,
+)
 from pistachiodeal.wire.handshake_messages import Challenge, Hello, Welcome
 from pistachiodeal.wire.job_messages import (
     Appointment,
@@ -243,4 +247,6 @@
     | RelayCommit
     | RelayRead
     | RelayAnswer
+    | ConfigurationQuery
+    | ConfigurationAnswer
 )
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -381,6 +381,13 @@
   rows @5 :List(RelayRow);
 }
 
+struct ConfigurationQuery {}
+
+struct ConfigurationAnswer {
+  value @0 :Data;
+  ageMs @1 :UInt64;
+}
+
 struct Frame {
   union {
     challenge @0 :Challenge;
@@ -414,5 +421,7 @@
     relayAnswer @28 :RelayAnswer;
     entryState @29 :EntryState;
     appointment @30 :Appointment;
+    configurationQuery @31 :ConfigurationQuery;
+    configurationAnswer @32 :ConfigurationAnswer;
   }
 }
--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -18,6 +18,7 @@
 CONTACT_S = 3.0
 CALL_INTERVAL_S = 0.1
 CALL_TIMEOUT_S = 3.0
+NEVER = -1_000.0
 NOT_FOUND = 404
 SERVED = 200
 
@@ -32,21 +33,33 @@
     """
 
     hosts: dict[str, float] = field(default_factory=dict)
-    store: float = -1_000.0
-    store_in_part: float = -1_000.0
+    store: float = NEVER
+    store_in_part: float = NEVER
 
     def disturb(self, host: str, until: float) -> None:
         """Note a disturbance of a host."""
-        self.hosts[host] = max(until, self.hosts.get(host, until))
+        self.hosts[host] = max(until, self.hosts.get(host, NEVER))
 
-    def find_bound_s(self, host: str, now: float) -> float | None:
-        """Return how soon a version has to be in force, None without a promise."""
-        calm_since = max(self.hosts.get(host, -1_000.0), self.store)
+    def disturb_store(self, until: float) -> None:
+        """Note a disturbance of the whole store."""
+        self.store = max(until, self.store)
+
+    def disturb_store_in_part(self, until: float) -> None:
+        """Note that the store serves only some hosts, or delays what feeds hear."""
+        self.store_in_part = max(until, self.store_in_part)
+
+    def is_promised(self, host: str, acknowledged_at: float, now: float) -> bool:
+        """Tell whether a version has to be in force at a host by now."""
+        calm_since = max(self.hosts.get(host, NEVER), self.store)
         if now - calm_since < CONTACT_S:
-            return None
-        if now - self.store_in_part < CONTACT_S:
-            return APPLY_S + STRETCH_S
-        return APPLY_S
+            return False
+        if now - self.store_in_part >= CONTACT_S:
+            return now - acknowledged_at >= APPLY_S
+        # Nothing is promised if the whole store was disturbed as well since then.
+        return (
+            now - acknowledged_at >= APPLY_S + STRETCH_S
+            and acknowledged_at > self.store
+        )
 
 
 @dataclass
@@ -68,13 +81,9 @@
         client = create_client(entry.callers, connections=4)
         while True:
             await curio.sleep(CALL_INTERVAL_S)
-            now = self.clock.now
-            bound_s = self.disturbances.find_bound_s(entry.host, now)
-            if not entry.running or bound_s is None:
-                await client.close()
-                continue
-            required = self._find_required(now - bound_s)
+            required = self._find_required(entry.host) if entry.running else 0
             if not required:
+                await client.close()
                 continue
             for queue, wrong in (
                 (f"added-{required}", NOT_FOUND),
@@ -100,6 +109,14 @@
     def _count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
-    def _find_required(self, until: float) -> int:
-        acknowledged = self.deployment.acknowledged
-        return max((one for one, at in acknowledged.items() if at <= until), default=0)
+    def _find_required(self, host: str) -> int:
+        """Return the newest version that has to be in force at a host, or 0."""
+        now = self.clock.now
+        return max(
+            (
+                version
+                for version, at in self.deployment.acknowledged.items()
+                if self.disturbances.is_promised(host, at, now)
+            ),
+            default=0,
+        )
--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -129,7 +129,7 @@
     async def forget_history(self) -> None:
         """The store drops its history after its feeds were deaf for a second."""
         self._tell("history forgotten")
-        self.disturbances.store_in_part = self.clock.now + 1.0
+        self.disturbances.disturb_store_in_part(self.clock.now + 1.0)
         await self.deployment.store.forget_history(1.0)
 
     async def refuse_all(self) -> None:
@@ -150,8 +150,7 @@
         faults = self.deployment.store.state.faults
         normal = type(faults)().__getattribute__(name)
         self._tell(f"store {name} for {lasts_s:.1f} s")
-        until = self.clock.now + lasts_s
-        self.disturbances.store = max(self.disturbances.store, until)
+        self.disturbances.disturb_store(self.clock.now + lasts_s)
         setattr(faults, name, value)
         await curio.sleep(lasts_s)
         setattr(faults, name, normal)
@@ -161,8 +160,7 @@
         treatment = self.rng.choice(TREATMENTS)
         hosts = [entry.host for entry in entries]
         self._tell(f"turn {hosts} away for {lasts_s:.1f} s: {treatment}")
-        until = self.clock.now + lasts_s
-        self.disturbances.store_in_part = max(self.disturbances.store_in_part, until)
+        self.disturbances.disturb_store_in_part(self.clock.now + lasts_s)
         treatments = self.deployment.store.treatments
         for host in hosts:
             treatments[host] = treatment
--- a/tests/simulation/test_stale_configuration.py
+++ b/tests/simulation/test_stale_configuration.py
@@ -80,7 +80,7 @@
     async def story(deployment: SimulatedDeployment, check: Check) -> None:
         leader = deployment.find_leader()
         first = next(one for one in deployment.entries if one is not leader)
-        check.disturbances.store_in_part = check.clock.now + 14.0
+        check.disturbances.disturb_store_in_part(check.clock.now + 14.0)
         deployment.store.treatments[first.host] = Treatment.UNANSWERED
         for _ in range(14):
             await curio.sleep(1.0)
@@ -94,6 +94,22 @@
     assert find_violations(story, entries=4) == []
 
 
+def test_an_entry_learns_a_version_from_any_other_entry():
+    """Guards against an entry that asks nobody but a leader it can't reach."""
+
+    async def story(deployment: SimulatedDeployment, check: Check) -> None:
+        leader = deployment.find_leader()
+        first = next(one for one in deployment.entries if one is not leader)
+        check.disturbances.disturb_store_in_part(check.clock.now + 14.0)
+        deployment.store.treatments[first.host] = Treatment.BUSY
+        deployment.network.cut(first.host, leader.host)
+        for _ in range(14):
+            await curio.sleep(1.0)
+            deployment.configure(check.clock.now)
+
+    assert find_violations(story, entries=4) == []
+
+
 @pytest.mark.parametrize("seed", FAILED_SEEDS)
 def test_random_faults_leave_no_entry_behind(seed):
     """Guards against an old configuration in force, by seeds that failed once."""
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -36,6 +36,7 @@
 from pistachiodeal.peers import PeerContext
 from pistachiodeal.platform.closures import CLOSURE_PREFIX, CLOSURES_TABLE
 from pistachiodeal.store.row_store import RowWrite, Transaction
+from pistachiodeal.wire.configuration_messages import ConfigurationAnswer
 from pistachiodeal.wire.identity import AGENT_ROLE, ENTRY_ROLE, Identity
 from tests.harness.ports import reserve_port
 from tests.standins.job_runner import InvariantChecker, MemoryRunner
@@ -97,7 +98,11 @@
             events,
         )
         self.seat = PeerServer(
-            self.store, peers, lambda queue: queue, LimitSettings(kept_s=100.0)
+            self.store,
+            peers,
+            lambda queue: queue,
+            LimitSettings(kept_s=100.0),
+            describe_configuration=lambda: ConfigurationAnswer(b"", 0),
         )
         self.election = Election(
             self.store, peers, self.seat.lead, fitness=self.fitness
--- a/tests/unit/test_jobentry_api.py
+++ b/tests/unit/test_jobentry_api.py
@@ -21,7 +21,7 @@
 from pistachiodeal.platform.callers import parse_job
 from pistachiodeal.platform.configuration import decode_configuration
 from pistachiodeal.platform.runner import decode_heartbeat
-from pistachiodeal.store.row_store import RowWrite, Transaction
+from pistachiodeal.store.row_store import RowStore, RowWrite, Transaction
 from pistachiodeal.web.messages import WebRequest
 from tests.standins.job_cluster import QUEUE, create_quiet_log, run_cluster
 from tests.standins.rows import MemoryRows, RowsState
@@ -47,6 +47,15 @@
     return orjson.dumps({"version": version, "routes": routes, "services": []})
 
 
+def create_lone_watcher(store: RowStore, events: EventLog) -> ConfigurationWatcher:
+    """Return a watcher that knows no other entry."""
+
+    async def ask_nobody(address: str) -> None:
+        return None
+
+    return ConfigurationWatcher(store, events, ask_nobody, list)
+
+
 async def ask(api: CallerApi, method: str, path: str, body: bytes = b"") -> int:
     """Return the status of the response, whether raised or returned."""
     try:
@@ -60,7 +69,7 @@
         async with run_cluster() as cluster:
             entry = cluster.entries[0]
             events = create_quiet_log()
-            watcher = ConfigurationWatcher(entry.store, events)
+            watcher = create_lone_watcher(entry.store, events)
             api = CallerApi(
                 watcher,
                 entry.acceptance,
@@ -99,7 +108,7 @@
 
     async def main():
         state = RowsState()
-        watcher = ConfigurationWatcher(MemoryRows(state), create_quiet_log())
+        watcher = create_lone_watcher(MemoryRows(state), create_quiet_log())
         write_configuration(state, build_configuration(5, [ROUTE]))
         task = await curio.spawn(watcher.run, daemon=True)
         await curio.sleep(0.05)
--- a/tests/unit/test_jobentry_configuration.py
+++ b/tests/unit/test_jobentry_configuration.py
@@ -4,13 +4,17 @@
 
 import curio
 
-from pistachiodeal.jobentry.configuration import ConfigurationWatcher
 from pistachiodeal.platform.configuration import CONFIG_KEY
 from pistachiodeal.store.row_store import RowPage
 from tests.simulation.clock import SimulatedClock, run_simulated
 from tests.standins.job_cluster import create_quiet_log
 from tests.standins.rows import MemoryRows, RowsState
-from tests.unit.test_jobentry_api import ROUTE, build_configuration, write_configuration
+from tests.unit.test_jobentry_api import (
+    ROUTE,
+    build_configuration,
+    create_lone_watcher,
+    write_configuration,
+)
 
 
 class HangingRows(MemoryRows):
@@ -43,7 +47,7 @@
         state = RowsState()
         store = HangingRows(state)
         write_configuration(state, build_configuration(1, [ROUTE]))
-        watcher = ConfigurationWatcher(store, create_quiet_log())
+        watcher = create_lone_watcher(store, create_quiet_log())
         await curio.spawn(watcher.run, daemon=True)
         await curio.spawn(watcher.poll, daemon=True)
         await curio.sleep(0.1)
