An entry that can't tell whether its configuration is in force says so

Callers were answered "no such queue", or served by a queue that had been dropped, for as long as an entry got no news, since it took no news for no change. A copy knows its age: once it is older than the time in which a change has to be in force, a queue that it lacks is answered 503, configuration_stale, and no longer 404, which is final for a caller; once it is older than what an unstable store adds to that, it decides nothing.

--- a/pistachiodeal/config/deployment.py
+++ b/pistachiodeal/config/deployment.py
@@ -54,6 +54,10 @@
     """Time limits that the deployment guarantees or requires.
 
     :param longest_lease_ms: the runner shortens longer leases to this, ms.
+    :param configuration_ms: a change of the configuration is in force this long after
+        its acknowledgement, ms.
+    :param configuration_delay_ms: how much later a change may be in force while the
+        store doesn't serve all VMs, ms.
     :param closing_ms: no task starts in a data centre later than this after the
         operator closed it, ms.
     :param grace_s: time between the stop signal and the kill, s.
@@ -66,6 +70,8 @@
     """
 
     longest_lease_ms: int = _ranged_field(10_000, 1_000, 3_600_000)
+    configuration_ms: int = _ranged_field(2_000, 1_000, 3_600_000)
+    configuration_delay_ms: int = _ranged_field(5_000, 0, 3_600_000)
     closing_ms: int = _ranged_field(5_000, 2_000, 3_600_000)
     grace_s: float = _ranged_field(6.0, 1.0, 3_600.0)
     stop_ms: int = _ranged_field(1_000, 0, 60_000)
@@ -74,6 +80,16 @@
     kept_s: float = _ranged_field(120.0, 0.0, 604_800.0)
     interference_ms: int = _ranged_field(4_000, 500, 600_000)
 
+    @property
+    def configuration_s(self) -> float:
+        """Return how old a confirmed configuration may be at most, in seconds."""
+        return self.configuration_ms / 1000
+
+    @property
+    def configuration_outage_s(self) -> float:
+        """Return the same for a time in which the store doesn't serve all VMs."""
+        return (self.configuration_ms + self.configuration_delay_ms) / 1000
+
     @property
     def move_s(self) -> float:
         """Return how long a task pauses when it is stopped and moved, in seconds."""
--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -4,6 +4,7 @@
 
 import time
 
+from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import Outcome, RequestError, StoreError
 from pistachiodeal.jobentry.acceptance import Acceptance
@@ -26,6 +27,12 @@
 class CallerApi:
     """Handles callers' requests.
 
+    The configuration has no such queue, or has it still, only as far as this process
+    knows: see :attr:`ConfigurationWatcher.age_s`. A "not found" is final for a caller,
+    so it is given only by a configuration that was confirmed recently. One that was
+    not confirmed for so long that even a disturbed store allows no older one decides
+    nothing.
+
     :param row_bytes: maximum size of a row in the store, bytes.
     """
 
@@ -37,11 +44,13 @@
         events: EventLog,
         *,
         row_bytes: int,
+        limits: LimitSettings,
     ) -> None:
         self._configuration = configuration
         self._acceptance = acceptance
         self._states = states
         self._row_bytes = row_bytes
+        self._limits = limits
         self._events = events
         self._stats = events.stats
 
@@ -78,7 +87,12 @@
                 retry_after=RETRY_AFTER_S,
                 step="jobs.route",
             )
+        age_s = self._configuration.age_s
+        if age_s > self._limits.configuration_outage_s:
+            raise _build_stale(configuration.version, age_s)
         queue = self._configuration.find(read_host(request), request.path)
+        if queue is None and age_s > self._limits.configuration_s:
+            raise _build_stale(configuration.version, age_s)
         if queue is None:
             raise RequestError(
                 f"configuration version {configuration.version} has no such queue",
@@ -158,3 +172,14 @@
     def _build_unknown(self, job_id: str, asked: str) -> WebResponse:
         self._events.emit("job.unknown", job=job_id, asked=asked)
         return build_json(410, {})
+
+
+def _build_stale(version: int, age_s: float) -> RequestError:
+    return RequestError(
+        f"configuration version {version} was confirmed {age_s:.1f} s ago; "
+        "there may be a newer one",
+        code="configuration_stale",
+        status=503,
+        retry_after=RETRY_AFTER_S,
+        step="jobs.route",
+    )
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -85,6 +85,7 @@
             states,
             events,
             row_bytes=settings.store.row_bytes,
+            limits=settings.limits,
         )
         limits = WebLimits(body_bytes=BODY_BYTES, idle_s=IDLE_S)
         self._callers = _create_server(settings.listen.callers, api.handle, limits)
--- a/tests/simulation/test_stale_configuration.py
+++ b/tests/simulation/test_stale_configuration.py
@@ -110,6 +110,22 @@
     assert find_violations(story, entries=4) == []
 
 
+def test_an_entry_that_nobody_answers_admits_that_it_can_not_tell():
+    """Guards against an entry without any news that goes on by its last version."""
+
+    async def story(deployment: SimulatedDeployment, check: Check) -> None:
+        alone, *others = deployment.entries
+        check.disturbances.disturb_store_in_part(check.clock.now + 14.0)
+        deployment.store.treatments[alone.host] = Treatment.RATE_LIMITED
+        for other in others:
+            deployment.network.cut(alone.host, other.host)
+        for _ in range(14):
+            await curio.sleep(1.0)
+            deployment.configure(check.clock.now)
+
+    assert find_violations(story, entries=3) == []
+
+
 @pytest.mark.parametrize("seed", FAILED_SEEDS)
 def test_random_faults_leave_no_entry_behind(seed):
     """Guards against an old configuration in force, by seeds that failed once."""
--- a/tests/unit/test_jobentry_api.py
+++ b/tests/unit/test_jobentry_api.py
@@ -12,7 +12,7 @@
 import pytest
 
 from pistachiodeal import events
-from pistachiodeal.config.deployment import load_deployment
+from pistachiodeal.config.deployment import LimitSettings, load_deployment
 from pistachiodeal.events import BUFFER_BYTES, LINES_PER_S, EventLog
 from pistachiodeal.exceptions import ProtocolError, RequestError, SettingsError
 from pistachiodeal.jobentry.api import CallerApi
@@ -76,6 +76,7 @@
                 entry.states,
                 events,
                 row_bytes=2_000,
+                limits=LimitSettings(),
             )
             assert await ask(api, "POST", f"/q/{JOB_ID}", BODY) == 503
             write_configuration(cluster.state, build_configuration(3, [ROUTE]))
--- a/tests/unit/test_jobentry_configuration.py
+++ b/tests/unit/test_jobentry_configuration.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import curio
+import pytest
 
+from pistachiodeal.config.deployment import LimitSettings
+from pistachiodeal.exceptions import Outcome, RequestError
+from pistachiodeal.jobentry.api import CallerApi
+from pistachiodeal.jobs.model import JobState
 from pistachiodeal.platform.configuration import CONFIG_KEY
 from pistachiodeal.store.row_store import RowPage
+from pistachiodeal.web.messages import WebRequest
 from tests.simulation.clock import SimulatedClock, run_simulated
 from tests.standins.job_cluster import create_quiet_log
 from tests.standins.rows import MemoryRows, RowsState
 from tests.unit.test_jobentry_api import (
+    HEADERS,
+    JOB_ID,
     ROUTE,
     build_configuration,
     create_lone_watcher,
@@ -57,3 +65,53 @@
         return watcher.version
 
     assert run_simulated(main) == 2
+
+
+class KnownStates:
+    """Job states that are all known, whatever the store does."""
+
+    async def find_state(self, job_id: str) -> JobState:
+        """Return the state of a job at work."""
+        return JobState.ACTIVE
+
+
+@pytest.mark.parametrize(
+    ("age_s", "status_of_known", "status_of_unknown"),
+    [(1.0, 200, 404), (3.0, 200, 503), (8.0, 503, 503)],
+)
+def test_a_configuration_that_may_be_outdated_decides_nothing_final(
+    age_s, status_of_known, status_of_unknown
+):
+    """Guards against "not found" for a queue that the entry hasn't heard of yet."""
+
+    async def main(clock: SimulatedClock) -> tuple[int, int]:
+        state = RowsState()
+        store, events = MemoryRows(state), create_quiet_log()
+        write_configuration(state, build_configuration(1, [ROUTE]))
+        watcher = create_lone_watcher(store, events)
+        await curio.spawn(watcher.run, daemon=True)
+        await curio.spawn(watcher.poll, daemon=True)
+        api = CallerApi(
+            watcher, None, KnownStates(), events, row_bytes=1, limits=LimitSettings()
+        )
+        await curio.sleep(0.1)
+        store.cut = True
+        while watcher.age_s < age_s:
+            await curio.sleep(0.1)
+        known, unknown = await ask(api, "/q/"), await ask(api, "/added/")
+        store.cut = False
+        await curio.sleep(1.5)
+        assert (await ask(api, "/q/"), await ask(api, "/added/")) == (200, 404)
+        return known, unknown
+
+    assert run_simulated(main) == (status_of_known, status_of_unknown)
+
+
+async def ask(api: CallerApi, prefix: str) -> int:
+    """Return the status of a query; a refusal has to say that nothing was done."""
+    try:
+        return (await api.handle(WebRequest("GET", prefix + JOB_ID, HEADERS))).status
+    except RequestError as error:
+        assert error.outcome is Outcome.NOT_RUN
+        assert error.status == 404 or error.retry_after
+        return error.status
