One queue that can't be read no longer holds up a version of the configuration

A version with one malformed queue was refused as a whole, so queues that it added were answered 404 and those that it dropped went on, until the next version.

Each queue is decoded by itself now. The others are in force; of one that can't be read the entry goes on with what it had under that name, and logs configuration.queue_unreadable. A version of which no queue can be read is still none. max_body_bytes was decoded, could make a version unreadable, and was used by nothing: it is gone.

test_a_queue_that_can_not_be_read_holds_up_no_other failed before (version 1 after 2).

--- a/pistachiodeal/jobentry/configuration.py
+++ b/pistachiodeal/jobentry/configuration.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from dataclasses import replace
 
 import curio
 
@@ -222,17 +223,32 @@
         current = self._current
         if current is not None and found.version <= current.version:
             return
-        self._current = found
+        queues = (*found.queues, *self._keep_unreadable(found))
+        self._current = replace(found, queues=queues)
         self._value = value
-        self._by_name = {queue.name: queue for queue in found.queues}
+        self._by_name = {queue.name: queue for queue in queues}
         self._events.emit(
             "configuration.applied",
             version=found.version,
             was=current.version if current else 0,
             source=source,
-            queues=len(found.queues),
+            queues=len(queues),
         )
 
+    def _keep_unreadable(self, found: Configuration) -> Iterator[Queue]:
+        """Yield what the version in force has for queues that can't be read."""
+        for queue in found.unreadable:
+            kept = self._by_name.get(queue.name)
+            self._events.emit(
+                "configuration.queue_unreadable",
+                version=found.version,
+                queue=queue.name,
+                cause=queue.cause,
+                kept=kept is not None,
+            )
+            if kept is not None:
+                yield kept
+
 
 def _choose_entries(entries: Sequence[str]) -> set[str]:
     """Return the most recently seen entry and another one.
--- a/pistachiodeal/platform/configuration.py
+++ b/pistachiodeal/platform/configuration.py
@@ -17,40 +17,62 @@
 DEFAULT_STRETCH = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableQueue:
+    """A queue that can't be decoded.
+
+    :param name: its name, empty if it has none.
+    :param cause: what is wrong with it.
+    """
+
+    name: str
+    cause: str
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """The queues in force.
 
     :param version: increases with each change, not always by one.
-    :param max_body_bytes: maximum size of a caller's request body.
+    :param unreadable: queues that are not among ``queues``, since they are malformed.
     """
 
     version: int
     queues: tuple[Queue, ...]
-    max_body_bytes: int = 262_144
+    unreadable: tuple[UnreadableQueue, ...] = ()
 
 
 def decode_configuration(value: bytes) -> Configuration:
     """Return the configuration from the value of its row.
 
-    :raises ProtocolError: the value is malformed.
+    A malformed queue is listed as unreadable, and the others are still returned.
+
+    :raises ProtocolError: the value, or each of its queues, is malformed.
     """
     try:
         document = orjson.loads(value)
-        queues = tuple(_decode_queue(route) for route in document["routes"])
-        for queue in queues:
-            check_fields(queue)
-        limits = document.get("limits", {})
-        return Configuration(
-            int(document["version"]),
-            queues,
-            int(limits.get("max_body_bytes", 262_144)),
-        )
+        version = int(document["version"])
+        decoded = [_decode_queue(route) for route in document["routes"]]
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise ProtocolError(repr(error), step="configuration.decode") from None
+    queues = tuple(queue for queue in decoded if isinstance(queue, Queue))
+    unreadable = tuple(queue for queue in decoded if isinstance(queue, UnreadableQueue))
+    if unreadable and not queues:
+        raise ProtocolError(unreadable[0].cause, step="configuration.decode")
+    return Configuration(version, queues, unreadable)
+
+
+def _decode_queue(route: Any) -> Queue | UnreadableQueue:
+    try:
+        queue = _build_queue(route)
+        check_fields(queue)
+        return queue
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
+        name = route.get("name") if isinstance(route, dict) else ""
+        return UnreadableQueue(name if isinstance(name, str) else "", repr(error))
 
 
-def _decode_queue(route: dict[str, Any]) -> Queue:
+def _build_queue(route: dict[str, Any]) -> Queue:
     return Queue(
         route["name"],
         route.get("host", ""),
--- a/tests/unit/test_jobentry_configuration.py
+++ b/tests/unit/test_jobentry_configuration.py
@@ -67,6 +67,26 @@
     assert run_simulated(main) == 2
 
 
+def test_a_queue_that_can_not_be_read_holds_up_no_other():
+    """Guards against a version that is not in force because of one malformed queue."""
+
+    async def main(clock: SimulatedClock) -> list[str]:
+        state = RowsState()
+        watcher = create_lone_watcher(MemoryRows(state), create_quiet_log())
+        await curio.spawn(watcher.run, daemon=True)
+        unnamed, unreadable = {**ROUTE, "name": None}, {**ROUTE, "priority": "high"}
+        added = {**ROUTE, "name": "added", "path_prefix": "/added/"}
+        write_configuration(state, build_configuration(1, [ROUTE]))
+        await curio.sleep(0.1)
+        routes = [unreadable, unnamed, "", added]
+        write_configuration(state, build_configuration(2, routes))
+        await curio.sleep(0.1)
+        assert watcher.version == 2
+        return [watcher.find("host", path).name for path in ("/added/x", "/q/x")]
+
+    assert run_simulated(main) == ["added", "q"]
+
+
 class KnownStates:
     """Job states that are all known, whatever the store does."""
 
