jobentry: the copy of the configuration is apart from what feeds it

ConfigurationCopy holds the version, its age and what follows from it, without input or output; ConfigurationWatcher follows, reads and asks. Same behaviour.

--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -8,7 +8,7 @@
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import Outcome, RequestError, StoreError
 from pistachiodeal.jobentry.acceptance import Acceptance
-from pistachiodeal.jobentry.configuration import ConfigurationWatcher
+from pistachiodeal.jobentry.configuration_copy import ConfigurationCopy
 from pistachiodeal.jobentry.states import JobStates
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.jobs.rows import CANCEL_VALUE, build_cancel_key, encode_job
@@ -28,7 +28,7 @@
     """Handles callers' requests.
 
     The configuration has no such queue, or has it still, only as far as this process
-    knows: see :attr:`ConfigurationWatcher.age_s`. A "not found" is final for a caller,
+    knows: see :attr:`ConfigurationCopy.age_s`. A "not found" is final for a caller,
     so it is given only by a configuration that was confirmed recently. One that was
     not confirmed for so long that even a disturbed store allows no older one decides
     nothing.
@@ -38,7 +38,7 @@
 
     def __init__(
         self,
-        configuration: ConfigurationWatcher,
+        configuration: ConfigurationCopy,
         acceptance: Acceptance,
         states: JobStates,
         events: EventLog,
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -12,6 +12,7 @@
 from pistachiodeal.jobentry.acceptance import Acceptance
 from pistachiodeal.jobentry.api import CallerApi
 from pistachiodeal.jobentry.configuration import ConfigurationWatcher
+from pistachiodeal.jobentry.configuration_copy import ConfigurationCopy
 from pistachiodeal.jobentry.handover import HandOver
 from pistachiodeal.jobentry.peer_server import PeerServer
 from pistachiodeal.jobentry.relay import RelayedRows, build_dispatcher
@@ -57,8 +58,10 @@
         peers = create_peer_context(settings, ENTRY_ROLE, events)
         peers.directory.update_entry(settings.peer_address)
         relayed = RelayedRows(store, self._find_leader_link, events)
-        self._configuration = ConfigurationWatcher(
+        self._configuration = ConfigurationCopy(events)
+        self._watcher = ConfigurationWatcher(
             relayed,
+            self._configuration,
             events,
             partial(query_configuration, peers),
             partial(peers.directory.list_others, settings.peer_address),
@@ -105,10 +108,10 @@
     async def run(self, signals: SignalWatch) -> None:
         """Serve until a signal to stop."""
         supervisor = Supervisor("entry")
-        supervisor.add("configuration", self._configuration.run)
-        supervisor.add("configuration poll", self._configuration.poll)
-        supervisor.add("configuration entries", self._configuration.ask_entries)
-        supervisor.add("configuration age", self._configuration.report_age)
+        supervisor.add("configuration", self._watcher.run)
+        supervisor.add("configuration poll", self._watcher.poll)
+        supervisor.add("configuration entries", self._watcher.ask_entries)
+        supervisor.add("configuration age", self._watcher.check_age)
         supervisor.add("acceptance", self._acceptance.run)
         supervisor.add("peers", self._peer_server.listen)
         supervisor.add("readiness", self._readiness.run)
--- a/tests/unit/test_jobentry_api.py
+++ b/tests/unit/test_jobentry_api.py
@@ -17,6 +17,7 @@
 from pistachiodeal.exceptions import ProtocolError, RequestError, SettingsError
 from pistachiodeal.jobentry.api import CallerApi
 from pistachiodeal.jobentry.configuration import ConfigurationWatcher
+from pistachiodeal.jobentry.configuration_copy import ConfigurationCopy
 from pistachiodeal.jobs.model import JobState
 from pistachiodeal.platform.callers import parse_job
 from pistachiodeal.platform.configuration import decode_configuration
@@ -47,13 +48,17 @@
     return orjson.dumps({"version": version, "routes": routes, "services": []})
 
 
-def create_lone_watcher(store: RowStore, events: EventLog) -> ConfigurationWatcher:
-    """Return a watcher that knows no other entry."""
+async def watch_alone(store: RowStore, events: EventLog) -> ConfigurationCopy:
+    """Return a copy of the configuration that no other entry feeds."""
 
     async def ask_nobody(address: str) -> None:
         return None
 
-    return ConfigurationWatcher(store, events, ask_nobody, list)
+    copy = ConfigurationCopy(events)
+    watcher = ConfigurationWatcher(store, copy, events, ask_nobody, list)
+    await curio.spawn(watcher.run, daemon=True)
+    await curio.spawn(watcher.poll, daemon=True)
+    return copy
 
 
 async def ask(api: CallerApi, method: str, path: str, body: bytes = b"") -> int:
@@ -69,9 +74,9 @@
         async with run_cluster() as cluster:
             entry = cluster.entries[0]
             events = create_quiet_log()
-            watcher = create_lone_watcher(entry.store, events)
+            configuration = await watch_alone(entry.store, events)
             api = CallerApi(
-                watcher,
+                configuration,
                 entry.acceptance,
                 entry.states,
                 events,
@@ -80,8 +85,7 @@
             )
             assert await ask(api, "POST", f"/q/{JOB_ID}", BODY) == 503
             write_configuration(cluster.state, build_configuration(3, [ROUTE]))
-            task = await curio.spawn(watcher.run, daemon=True)
-            while watcher.current is None:
+            while configuration.current is None:
                 await curio.sleep(0.01)
             large = orjson.dumps({"spec": "x" * 3_000, "steps": [{"count": 1}]})
             assert await ask(api, "POST", f"/none/{JOB_ID}", BODY) == 404
@@ -96,7 +100,6 @@
             assert await ask(api, "POST", f"/q/{JOB_ID}", BODY) == 200
             assert await ask(api, "GET", f"/q/{JOB_ID}") == 200
             assert await ask(api, "GET", "/q/") == 200
-            await task.cancel()
 
     curio.run(main)
 
@@ -109,20 +112,18 @@
 
     async def main():
         state = RowsState()
-        watcher = create_lone_watcher(MemoryRows(state), create_quiet_log())
+        configuration = await watch_alone(MemoryRows(state), create_quiet_log())
         write_configuration(state, build_configuration(5, [ROUTE]))
-        task = await curio.spawn(watcher.run, daemon=True)
         await curio.sleep(0.05)
         for value in (build_configuration(4, []), b"{", b"[]"):
             write_configuration(state, value)
             await curio.sleep(0.05)
-            assert watcher.current is not None
-            assert watcher.current.version == 5
-            assert watcher.find("host", "/q/x") is not None
+            assert configuration.current is not None
+            assert configuration.current.version == 5
+            assert configuration.find("host", "/q/x") is not None
         write_configuration(state, build_configuration(9, []))
         await curio.sleep(0.05)
-        assert watcher.find("host", "/q/x") is None
-        await task.cancel()
+        assert configuration.find("host", "/q/x") is None
 
     curio.run(main)
 
--- a/tests/unit/test_jobentry_configuration.py
+++ b/tests/unit/test_jobentry_configuration.py
@@ -20,7 +20,7 @@
     JOB_ID,
     ROUTE,
     build_configuration,
-    create_lone_watcher,
+    watch_alone,
     write_configuration,
 )
 
@@ -55,14 +55,12 @@
         state = RowsState()
         store = HangingRows(state)
         write_configuration(state, build_configuration(1, [ROUTE]))
-        watcher = create_lone_watcher(store, create_quiet_log())
-        await curio.spawn(watcher.run, daemon=True)
-        await curio.spawn(watcher.poll, daemon=True)
+        configuration = await watch_alone(store, create_quiet_log())
         await curio.sleep(0.1)
         store.hanging = 1
         write_configuration(state, build_configuration(2, [ROUTE]))
         await curio.sleep(2.0)
-        return watcher.version
+        return configuration.version
 
     assert run_simulated(main) == 2
 
@@ -72,8 +70,7 @@
 
     async def main(clock: SimulatedClock) -> list[str]:
         state = RowsState()
-        watcher = create_lone_watcher(MemoryRows(state), create_quiet_log())
-        await curio.spawn(watcher.run, daemon=True)
+        configuration = await watch_alone(MemoryRows(state), create_quiet_log())
         unnamed, unreadable = {**ROUTE, "name": None}, {**ROUTE, "priority": "high"}
         added = {**ROUTE, "name": "added", "path_prefix": "/added/"}
         write_configuration(state, build_configuration(1, [ROUTE]))
@@ -81,8 +78,8 @@
         routes = [unreadable, unnamed, "", added]
         write_configuration(state, build_configuration(2, routes))
         await curio.sleep(0.1)
-        assert watcher.version == 2
-        return [watcher.find("host", path).name for path in ("/added/x", "/q/x")]
+        assert configuration.version == 2
+        return [configuration.find("host", path).name for path in ("/added/x", "/q/x")]
 
     assert run_simulated(main) == ["added", "q"]
 
@@ -108,15 +105,18 @@
         state = RowsState()
         store, events = MemoryRows(state), create_quiet_log()
         write_configuration(state, build_configuration(1, [ROUTE]))
-        watcher = create_lone_watcher(store, events)
-        await curio.spawn(watcher.run, daemon=True)
-        await curio.spawn(watcher.poll, daemon=True)
+        configuration = await watch_alone(store, events)
         api = CallerApi(
-            watcher, None, KnownStates(), events, row_bytes=1, limits=LimitSettings()
+            configuration,
+            None,
+            KnownStates(),
+            events,
+            row_bytes=1,
+            limits=LimitSettings(),
         )
         await curio.sleep(0.1)
         store.cut = True
-        while watcher.age_s < age_s:
+        while configuration.age_s < age_s:
             await curio.sleep(0.1)
         known, unknown = await ask(api, "/q/"), await ask(api, "/added/")
         store.cut = False
