An entry without news asks the entry first that answered it last

An entry that the store turned away, and that couldn't reach the leader, answered configuration_stale for up to 0.8 s now and then: the entry seen last was the leader that it couldn't reach, and a random other one may be it too. An entry that has answered counts as seen now.

The tests name refusals by their code, and check what another entry's copy counts for.

--- a/pistachiodeal/peers.py
+++ b/pistachiodeal/peers.py
@@ -94,6 +94,7 @@
             while True:
                 message = await link.receive()
                 if isinstance(message, ConfigurationAnswer):
+                    peers.directory.update_entry(address)
                     return message
                 if isinstance(message, LeaderNotice):
                     peers.directory.apply_notice(message)
--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass, field
 
 import curio
+import orjson
 
 from pistachiodeal.web.client import CallError, create_client
+from pistachiodeal.web.messages import WebResponse
 from tests.simulation.clock import SimulatedClock
 from tests.simulation.entries import SimulatedDeployment, SimulatedEntry
 
@@ -21,6 +23,7 @@
 NEVER = -1_000.0
 NOT_FOUND = 404
 SERVED = 200
+UNAVAILABLE = 503
 
 
 @dataclass
@@ -67,7 +70,7 @@
     """Asks one entry by two queues that a version added and dropped.
 
     :ivar violations: what was answered by an older version than is allowed.
-    :ivar counts: number of answers by status.
+    :ivar counts: number of answers by status, or by the code of a refusal.
     """
 
     deployment: SimulatedDeployment
@@ -98,7 +101,7 @@
         except CallError:
             self._count("none")
             return
-        self._count(str(response.status))
+        self._count(_describe(response))
         if response.status == wrong:
             late_s = asked_at - self.deployment.acknowledged[required]
             self.violations.append(
@@ -120,3 +123,9 @@
             ),
             default=0,
         )
+
+
+def _describe(response: WebResponse) -> str:
+    if response.status != UNAVAILABLE:
+        return str(response.status)
+    return str(orjson.loads(response.body)["code"])
--- a/tests/simulation/test_stale_configuration.py
+++ b/tests/simulation/test_stale_configuration.py
@@ -26,6 +26,7 @@
     80,
 )
 PLAYED_S = 60.0
+STALE = "configuration_stale"
 
 Story = Callable[[SimulatedDeployment, Check], Awaitable[None]]
 
@@ -106,6 +107,7 @@
         for _ in range(14):
             await curio.sleep(1.0)
             deployment.configure(check.clock.now)
+        assert STALE not in check.counts
 
     assert find_violations(story, entries=4) == []
 
@@ -122,6 +124,7 @@
         for _ in range(14):
             await curio.sleep(1.0)
             deployment.configure(check.clock.now)
+        assert check.counts[STALE]
 
     assert find_violations(story, entries=3) == []
 
--- a/tests/unit/test_jobentry_configuration.py
+++ b/tests/unit/test_jobentry_configuration.py
@@ -8,10 +8,13 @@
 from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.exceptions import Outcome, RequestError
 from pistachiodeal.jobentry.api import CallerApi
+from pistachiodeal.jobentry.configuration import ConfigurationWatcher
+from pistachiodeal.jobentry.configuration_copy import ConfigurationCopy
 from pistachiodeal.jobs.model import JobState
 from pistachiodeal.platform.configuration import CONFIG_KEY
 from pistachiodeal.store.row_store import RowPage
 from pistachiodeal.web.messages import WebRequest
+from pistachiodeal.wire.configuration_messages import ConfigurationAnswer
 from tests.simulation.clock import SimulatedClock, run_simulated
 from tests.standins.job_cluster import create_quiet_log
 from tests.standins.rows import MemoryRows, RowsState
@@ -84,6 +87,33 @@
     assert run_simulated(main) == ["added", "q"]
 
 
+@pytest.mark.parametrize(("version", "expected"), [(1, 2), (2, 2), (3, 3)])
+def test_a_copy_of_another_entry_counts_for_no_more_than_it_is(version, expected):
+    """Guards against an older copy that replaces a newer one or passes for fresh."""
+    told_age_s = 3.0
+
+    async def main(clock: SimulatedClock) -> int:
+        state, events = RowsState(), create_quiet_log()
+        store = MemoryRows(state)
+        write_configuration(state, build_configuration(2, [ROUTE]))
+
+        async def ask_entry(address: str) -> ConfigurationAnswer:
+            value = build_configuration(version, [ROUTE])
+            return ConfigurationAnswer(value, int(told_age_s * 1000))
+
+        copy = ConfigurationCopy(events)
+        watcher = ConfigurationWatcher(store, copy, events, ask_entry, lambda: ["e2"])
+        await curio.spawn(watcher.run, daemon=True)
+        await curio.sleep(0.1)
+        store.cut = True
+        await curio.spawn(watcher.ask_entries, daemon=True)
+        await curio.sleep(10.0)
+        assert copy.age_s >= told_age_s
+        return copy.version
+
+    assert run_simulated(main) == expected
+
+
 class KnownStates:
     """Job states that are all known, whatever the store does."""
 
