--- a/tests/simulation/entries.py
+++ b/tests/simulation/entries.py
@@ -53,14 +53,16 @@
 
 
 class SimulatedEntry:
-    """An entry on a host of its own, started again and again as a new process."""
+    """An entry on a host of its own, started again and again as a new process.
+
+    :ivar running: whether its process runs, and has not ended by itself.
+    """
 
     _processes = 0
 
     def __init__(self, host: str, hosts: list[str], network: Network, log: int) -> None:
         self.host = host
         self.running = False
-        self.started_at = 0.0
         self._hosts = hosts
         self._network = network
         self._log = log
@@ -77,12 +79,11 @@
         """Return the address for callers."""
         return f"{self.host}:{CALLER_PORT}"
 
-    async def start(self, now: float) -> None:
+    async def start(self) -> None:
         """Start the process."""
         SimulatedEntry._processes += 1
         self._process = SimulatedEntry._processes
         self._stop = StopSignal()
-        self.started_at = now
         # Set first, so that a kill also finds a task that has not run yet.
         token = CURRENT_PROCESS.set(self._process)
         await curio.spawn(self._run, daemon=True)
--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -92,7 +92,7 @@
         await curio.sleep(GRACE_S)
         if entry.process == process:
             await entry.kill()
-            await entry.start(self.clock.now)
+            await entry.start()
 
     async def silence_connections(self) -> None:
         """Make all open connections silent for good."""
@@ -178,7 +178,7 @@
         await entry.kill()
         await curio.sleep(away_s)
         if entry.process == process:
-            await entry.start(self.clock.now)
+            await entry.start()
 
     def _tell(self, what: str) -> None:
         self.story.append(f"{self.clock.now:.2f} {what}")
--- a/tests/simulation/hunt.py
+++ b/tests/simulation/hunt.py
@@ -40,7 +40,7 @@
                 deployment.configure(clock.now)
                 check = Check(deployment, disturbances, clock)
                 for entry in deployment.entries:
-                    await entry.start(clock.now)
+                    await entry.start()
                     await curio.spawn(check.run, entry, daemon=True)
                 await curio.sleep(SETTLED_S)
                 driver = FaultDriver(deployment, disturbances, clock, rng)
--- a/tests/simulation/test_stale_configuration.py
+++ b/tests/simulation/test_stale_configuration.py
@@ -47,7 +47,7 @@
             check = Check(deployment, Disturbances(), clock)
             deployment.configure(clock.now)
             for entry in deployment.entries:
-                await entry.start(clock.now)
+                await entry.start()
                 await curio.spawn(check.run, entry, daemon=True)
             await curio.sleep(SETTLED_S)
             yield deployment, check
@@ -102,7 +102,7 @@
             leader = deployment.find_leader()
             if leader is not None and leader.running:
                 await leader.kill()
-                await leader.start(check.clock.now)
+                await leader.start()
                 check.disturbances.disturb(leader.host, check.clock.now)
 
     assert find_violations(story, entries=4) == []
