Entries check for changes of the configuration, and no longer read all of it each time

A check asks the change feed for what came since the version that is known for certain, and is answered at once, mostly with nothing. It confirms the copy. A page without rows doesn't raise that version, so a change that a feed didn't hear while the store dropped its history is found by the next call, which fails, and the row is read; so it is each 20 s, the length of the history. A query to another entry names the version that the asker has, and the answer holds no value unless it has a higher one. A value that is known is not decoded again.

While this process can't reach the store, a failed check marks it as turned away, as a failed read did.

--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -72,7 +72,7 @@
             self._configuration.refresh,
             settings.limits,
             create_adviser(settings.advice) if settings.advice else None,
-            describe_configuration=self._configuration.describe,
+            answer_configuration=self._configuration.answer,
         )
         fitness = compute_fitness(settings.processor.cores, settings.link_mbps)
         self._election = Election(store, peers, self._peer_server.lead, fitness=fitness)
@@ -109,7 +109,7 @@
         """Serve until a signal to stop."""
         supervisor = Supervisor("entry")
         supervisor.add("configuration", self._watcher.run)
-        supervisor.add("configuration poll", self._watcher.poll)
+        supervisor.add("configuration check", self._watcher.check)
         supervisor.add("configuration entries", self._watcher.ask_entries)
         supervisor.add("configuration age", self._watcher.check_age)
         supervisor.add("acceptance", self._acceptance.run)
--- a/pistachiodeal/jobentry/configuration.py
+++ b/pistachiodeal/jobentry/configuration.py
@@ -1,7 +1,9 @@
 """Keeps this process's copy of the operator's configuration up to date.
 
 The copy is fed from three sources, none of which waits for another: the change feed,
-reads of the row, and the copies of other entries.
+short checks for changes, and the copies of other entries. The row itself is read only
+where the history of changes doesn't reach back: it may have half a megabyte, and
+reading it each second would take up the link of a weak VM.
 """
 
 from __future__ import annotations
@@ -26,32 +28,34 @@
 
 FEED_WAIT_S = 20.0
 RETRY_S = 0.15
-# A feed can lose changes without an error when its history is dropped. Polling the row
-# as well ensures that a change is in force within the required second or two.
-POLL_INTERVAL_S = 0.7
-# Reads in flight at a time. A read on a dead connection ends after a second or two, and
+# A feed on a dead connection hears nothing until it times out. Checking for changes as
+# well ensures that one is in force within the required second or two.
+CHECK_INTERVAL_S = 0.7
+# The store answers a check at once; an interval of 0 could stand for its default.
+CHECK_WAIT_S = 0.001
+# Checks in flight at a time. One on a dead connection ends after a second or two, and
 # one that starts later may get a connection that works.
-MAX_READS = 3
-# Other entries are asked once no read has confirmed the copy for this long. Reads that
-# are answered keep it below the poll interval and their own duration.
+MAX_CHECKS = 3
+# Other entries are asked once nothing has confirmed the copy for this long. Checks that
+# are answered keep it below their interval and their own duration.
 ASK_AFTER_S = 1.0
 ASK_INTERVAL_S = 0.7
 ASK_TIMEOUT_S = 1.2
 AGE_CHECK_INTERVAL_S = 0.25
 
-AskEntry = Callable[[str], Awaitable[ConfigurationAnswer | None]]
+AskEntry = Callable[[str, int], Awaitable[ConfigurationAnswer | None]]
 ListEntries = Callable[[], Sequence[str]]
 
 
 class ConfigurationWatcher:
     """Feeds the copy of the configuration.
 
-    The copy of another entry serves as well as a read of the store, since it says how
-    long ago it was confirmed.
+    The copy of another entry serves as well as an answer of the store, since it says
+    how long ago it was confirmed.
 
     :param store: may read through the leader.
     :param ask_entry: returns the copy of the entry at an address, None if it doesn't
-        answer.
+        answer; the second parameter is the version that this process has.
     :param list_entries: returns the addresses of the other entries, the most recently
         seen one first.
     """
@@ -69,8 +73,9 @@
         self._events = events
         self._ask_entry = ask_entry
         self._list_entries = list_entries
-        self._feed_version = 0
-        self._reads = 0
+        self._known_version = 0
+        self._reading = curio.Lock()
+        self._checks = 0
 
     async def run(self) -> None:
         """Follow the change feed for ever."""
@@ -78,21 +83,21 @@
             try:
                 await self._follow()
             except HistoryLostError:
-                self._feed_version = 0
+                await self._reread(self._known_version)
             except StoreError as error:
                 self._report_failure("feed", error)
                 await curio.sleep(RETRY_S)
 
-    async def poll(self) -> None:
-        """Read the row at a fixed interval for ever, without waiting for answers."""
+    async def check(self) -> None:
+        """Check for changes at an interval for ever, without waiting for answers."""
         while True:
-            await curio.sleep(POLL_INTERVAL_S)
-            if self._reads < MAX_READS:
-                self._reads += 1
-                await curio.spawn(self._poll_once, daemon=True)
+            await curio.sleep(CHECK_INTERVAL_S)
+            if self._checks < MAX_CHECKS:
+                self._checks += 1
+                await curio.spawn(self._check_once, daemon=True)
 
     async def ask_entries(self) -> None:
-        """Ask other entries for ever, while reads of the store confirm nothing."""
+        """Ask other entries for ever, while the store confirms nothing."""
         while True:
             await curio.sleep(ASK_INTERVAL_S)
             if self._copy.age_s < ASK_AFTER_S:
@@ -107,37 +112,63 @@
             self._copy.report_age()
 
     async def _follow(self) -> None:
-        if not self._feed_version:
-            self._feed_version = await self._read()
-        page = await self._store.follow(CONFIG_TABLE, self._feed_version, FEED_WAIT_S)
-        self._apply(page.rows)
-        self._feed_version = max(self._feed_version, page.version)
+        if not self._known_version:
+            await self._reread(0)
+        await self._follow_once(FEED_WAIT_S)
 
-    async def _poll_once(self) -> None:
+    async def _check_once(self) -> None:
         try:
-            await self._read()
+            asked_at = read_boot_clock()
+            known = self._known_version
+            if not known:
+                return
+            try:
+                await self._follow_once(CHECK_WAIT_S)
+            except HistoryLostError:
+                if not self._reading.locked():
+                    await self._reread(known)
+                return
+            self._copy.confirm(asked_at)
         except StoreError as error:
-            self._report_failure("read", error)
+            self._report_failure("check", error)
         finally:
-            self._reads -= 1
+            self._checks -= 1
 
-    async def _read(self) -> int:
-        asked_at = read_boot_clock()
-        page = await read_row(self._store, CONFIG_TABLE, CONFIG_KEY)
+    async def _follow_once(self, wait_s: float) -> None:
+        """Apply the changes since the known version.
+
+        A page without rows doesn't raise the known version. While the store drops its
+        history, feeds may hear nothing of a change; the next call from the same version
+        then fails, and the row is read.
+        """
+        page = await self._store.follow(CONFIG_TABLE, self._known_version, wait_s)
         self._apply(page.rows)
-        self._copy.confirm(asked_at)
-        return page.version
+
+    async def _reread(self, known: int) -> None:
+        """Read the row, unless that was done since a version became known."""
+        async with self._reading:
+            if self._known_version > known:
+                return
+            asked_at = read_boot_clock()
+            page = await read_row(self._store, CONFIG_TABLE, CONFIG_KEY)
+            self._apply(page.rows)
+            self._copy.confirm(asked_at)
+            self._known_version = max(self._known_version, page.version)
 
     async def _ask(self, address: str) -> None:
         asked_at = read_boot_clock()
-        answer = await curio.ignore_after(ASK_TIMEOUT_S, self._ask_entry, address)
-        if answer is None or not answer.value:
+        answer = await curio.ignore_after(
+            ASK_TIMEOUT_S, self._ask_entry, address, self._copy.version
+        )
+        if answer is None or not answer.version:
             return
-        self._copy.apply(answer.value, address)
+        if answer.value:
+            self._copy.apply(answer.value, address)
         self._copy.confirm(asked_at - answer.age_ms / 1000)
 
     def _apply(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
+            self._known_version = max(self._known_version, row.version)
             if row.key == CONFIG_KEY and not row.removed:
                 self._copy.apply(row.value, STORE)
 
--- a/pistachiodeal/jobentry/configuration_copy.py
+++ b/pistachiodeal/jobentry/configuration_copy.py
@@ -10,7 +10,10 @@
 from pistachiodeal.exceptions import ProtocolError
 from pistachiodeal.jobs.model import Queue, find_queue
 from pistachiodeal.platform.configuration import Configuration, decode_configuration
-from pistachiodeal.wire.configuration_messages import ConfigurationAnswer
+from pistachiodeal.wire.configuration_messages import (
+    ConfigurationAnswer,
+    ConfigurationQuery,
+)
 
 # A copy that no read has confirmed for this long is reported as stale.
 STALE_AFTER_S = 1.5
@@ -60,15 +63,18 @@
         """Return the queue of the same name from the newest configuration."""
         return self._by_name.get(queue.name, queue)
 
-    def describe(self) -> ConfigurationAnswer:
+    def answer(self, query: ConfigurationQuery) -> ConfigurationAnswer:
         """Return the copy as an answer to another entry."""
-        return ConfigurationAnswer(self._value, int(self.age_s * 1000))
+        value = self._value if self.version > query.version else b""
+        return ConfigurationAnswer(self.version, value, int(self.age_s * 1000))
 
     def apply(self, value: bytes, source: str) -> None:
         """Apply the value of the row, unless it is unreadable or not newer.
 
         :param source: :data:`STORE`, or the address of the entry that it comes from.
         """
+        if value == self._value:
+            return
         try:
             found = decode_configuration(value)
         except ProtocolError as error:
--- a/pistachiodeal/jobentry/peer_server.py
+++ b/pistachiodeal/jobentry/peer_server.py
@@ -62,7 +62,7 @@
 class PeerServer:
     """Serves links of agents and entries; leads while this process is elected.
 
-    :param describe_configuration: returns this process's copy of the configuration.
+    :param answer_configuration: returns this process's copy of the configuration.
     """
 
     def __init__(
@@ -73,10 +73,10 @@
         limits: LimitSettings,
         adviser: Adviser | None = None,
         *,
-        describe_configuration: Callable[[], ConfigurationAnswer],
+        answer_configuration: Callable[[ConfigurationQuery], ConfigurationAnswer],
     ) -> None:
         self._store = store
-        self._describe_configuration = describe_configuration
+        self._answer_configuration = answer_configuration
         self._peers = peers
         self._directory = peers.directory
         self._address = peers.address
@@ -204,7 +204,7 @@
                 elif isinstance(message, RelayCommit | RelayRead):
                     await self._relay.take(link, message)
                 elif isinstance(message, ConfigurationQuery):
-                    await link.send(self._describe_configuration())
+                    await link.send(self._answer_configuration(message))
         finally:
             self._links.discard(link)
             self._followers.pop(link, None)
@@ -217,7 +217,7 @@
             if isinstance(message, LeaderNotice):
                 await self._handle_notice(message)
             elif isinstance(message, ConfigurationQuery):
-                await link.send(self._describe_configuration())
+                await link.send(self._answer_configuration(message))
 
     async def _handle_notice(self, notice: LeaderNotice) -> None:
         self._directory.apply_notice(notice)
--- a/pistachiodeal/jobentry/relay.py
+++ b/pistachiodeal/jobentry/relay.py
@@ -27,6 +27,7 @@
 from pistachiodeal.jobentry.probe import probe_store
 from pistachiodeal.store.adaptive_timeout import MAX_TIMEOUT_S
 from pistachiodeal.store.row_store import (
+    HistoryLostError,
     RowCondition,
     RowPage,
     RowStore,
@@ -193,7 +194,13 @@
 
     async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
         """Return changes; never relayed, as a long poll would occupy the leader."""
-        return await self._store.follow(table, after, wait_s)
+        try:
+            return await self._store.follow(table, after, wait_s)
+        except HistoryLostError:
+            raise
+        except StoreError as error:
+            await self._mark_unavailable(error)
+            raise
 
     def _find_relay_link(self) -> Link | None:
         return self._find_link() if self._unavailable_since else None
--- a/pistachiodeal/peers.py
+++ b/pistachiodeal/peers.py
@@ -85,12 +85,15 @@
 
 
 async def query_configuration(
-    peers: PeerContext, address: str
+    peers: PeerContext, address: str, version: int
 ) -> ConfigurationAnswer | None:
-    """Ask an entry for its copy of the configuration; None if it doesn't answer."""
+    """Ask an entry for its copy of the configuration; None if it doesn't answer.
+
+    :param version: version that this process has, 0 for none.
+    """
     try:
         async with dial_peer(peers, address) as link:
-            await link.send(ConfigurationQuery())
+            await link.send(ConfigurationQuery(version))
             while True:
                 message = await link.receive()
                 if isinstance(message, ConfigurationAnswer):
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -381,11 +381,14 @@
   rows @5 :List(RelayRow);
 }
 
-struct ConfigurationQuery {}
+struct ConfigurationQuery {
+  version @0 :UInt64;
+}
 
 struct ConfigurationAnswer {
-  value @0 :Data;
-  ageMs @1 :UInt64;
+  version @0 :UInt64;
+  value @1 :Data;
+  ageMs @2 :UInt64;
 }
 
 struct Frame {
