The configuration's row is read only where history was lost, and with pauses

The version follows three seconds behind the checks now, longer than a store is silent about changes before it drops its history, and reads of the row have 3 s between their begins.

test_a_configuration_that_stays_as_it_is… with a history of 20 s reads the row once in a minute, and test_a_row_that_is_too_large_for_the_link_is_read_with_pauses failed without the pause.

--- a/pistachiodeal/jobentry/configuration.py
+++ b/pistachiodeal/jobentry/configuration.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
+from contextlib import suppress
 
 import curio
 
@@ -20,6 +22,7 @@
 from pistachiodeal.platform.configuration import CONFIG_KEY, CONFIG_TABLE
 from pistachiodeal.store.row_store import (
     HistoryLostError,
+    RowPage,
     RowStore,
     StoredRow,
     read_row,
@@ -33,6 +36,11 @@
 CHECK_INTERVAL_S = 0.7
 # The store answers a check at once; an interval of 0 could stand for its default.
 CHECK_WAIT_S = 0.001
+# For about a second before the store drops its history, a feed may not hear of changes.
+SILENT_CHANGE_S = 3.0
+# A large row may take longer than the time-out of a read. Other entries confirm the
+# copy meanwhile.
+REREAD_PAUSE_S = 3.0
 # Checks in flight at a time. One on a dead connection ends after a second or two, and
 # one that starts later may get a connection that works.
 MAX_CHECKS = 3
@@ -74,7 +82,9 @@
         self._ask_entry = ask_entry
         self._list_entries = list_entries
         self._known_version = 0
+        self._heard: deque[tuple[float, int]] = deque()
         self._reading = curio.Lock()
+        self._reread_after = 0.0
         self._checks = 0
 
     async def run(self) -> None:
@@ -82,8 +92,6 @@
         while True:
             try:
                 await self._follow()
-            except HistoryLostError:
-                await self._reread(self._known_version)
             except StoreError as error:
                 self._report_failure("feed", error)
                 await curio.sleep(RETRY_S)
@@ -112,9 +120,12 @@
             self._copy.report_age()
 
     async def _follow(self) -> None:
-        if not self._known_version:
-            await self._reread(0)
-        await self._follow_once(FEED_WAIT_S)
+        known = self._known_version
+        if known:
+            with suppress(HistoryLostError):
+                await self._follow_once(FEED_WAIT_S)
+                return
+        await self._reread(known)
 
     async def _check_once(self) -> None:
         try:
@@ -123,33 +134,45 @@
             if not known:
                 return
             try:
-                await self._follow_once(CHECK_WAIT_S)
+                page = await self._follow_once(CHECK_WAIT_S)
             except HistoryLostError:
                 if not self._reading.locked():
                     await self._reread(known)
                 return
             self._copy.confirm(asked_at)
+            self._raise_known_version(asked_at, page.version)
         except StoreError as error:
             self._report_failure("check", error)
         finally:
             self._checks -= 1
 
-    async def _follow_once(self, wait_s: float) -> None:
-        """Apply the changes since the known version.
-
-        A page without rows doesn't raise the known version. While the store drops its
-        history, feeds may hear nothing of a change; the next call from the same version
-        then fails, and the row is read.
-        """
+    async def _follow_once(self, wait_s: float) -> RowPage:
+        """Apply and return the changes since the known version."""
         page = await self._store.follow(CONFIG_TABLE, self._known_version, wait_s)
         self._apply(page.rows)
+        return page
+
+    def _raise_known_version(self, asked_at: float, version: int) -> None:
+        """Raise the known version to that of a check some time before.
+
+        Not to that of this check: while the store drops its history, it may be silent
+        about a change. The next check from the same version then fails, and the row is
+        read.
+        """
+        self._heard.append((asked_at, version))
+        while self._heard[0][0] <= asked_at - SILENT_CHANGE_S:
+            _, heard = self._heard.popleft()
+            self._known_version = max(self._known_version, heard)
 
     async def _reread(self, known: int) -> None:
         """Read the row, unless that was done since a version became known."""
         async with self._reading:
             if self._known_version > known:
                 return
+            if known:
+                await curio.sleep(self._reread_after - read_boot_clock())
             asked_at = read_boot_clock()
+            self._reread_after = asked_at + REREAD_PAUSE_S
             page = await read_row(self._store, CONFIG_TABLE, CONFIG_KEY)
             self._apply(page.rows)
             self._copy.confirm(asked_at)
--- a/tests/unit/test_jobentry_configuration.py
+++ b/tests/unit/test_jobentry_configuration.py
@@ -6,9 +6,9 @@
 import pytest
 
 from pistachiodeal.config.deployment import LimitSettings
-from pistachiodeal.exceptions import Outcome, RequestError
+from pistachiodeal.exceptions import Outcome, RequestError, StoreUncertainError
 from pistachiodeal.jobentry.api import CallerApi
-from pistachiodeal.jobentry.configuration import ConfigurationWatcher
+from pistachiodeal.jobentry.configuration import REREAD_PAUSE_S, ConfigurationWatcher
 from pistachiodeal.jobentry.configuration_copy import ConfigurationCopy
 from pistachiodeal.jobs.model import JobState
 from pistachiodeal.store.row_store import RowPage
@@ -35,16 +35,21 @@
 
     :ivar hanging: number of the next calls that get no answer.
     :ivar reads: number of reads of the row.
+    :ivar too_large: whether reads of the row time out.
     """
 
     def __init__(self, state: RowsState) -> None:
         super().__init__(state)
         self.hanging = 0
         self.reads = 0
+        self.too_large = False
 
     async def read(self, table: str, *others) -> RowPage:
-        """Count and read."""
+        """Count and read, or time out."""
         self.reads += 1
+        if self.too_large:
+            await curio.sleep(1.0)
+            raise StoreUncertainError("no answer", step="read")
         return await super().read(table, *others)
 
     async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
@@ -83,7 +88,13 @@
         store = HangingRows(state)
         write_configuration(state, build_configuration(1, [ROUTE]))
         configuration = await watch_alone(store, create_quiet_log())
-        await curio.sleep(60.0)
+        history: list[int] = []
+        for _ in range(60):
+            await curio.sleep(1.0)
+            # Other tables change, and the store keeps 20 s of its history.
+            state.version += 1
+            history.append(state.version)
+            state.oldest = history[-20] if len(history) >= 20 else 0
         told = configuration.answer(ConfigurationQuery(configuration.version))
         return store.reads, configuration.age_s, len(told.value)
 
@@ -92,6 +103,24 @@
     assert age_s < 1.0
 
 
+def test_a_row_that_is_too_large_for_the_link_is_read_with_pauses():
+    """Guards against reads without success that leave a link no room for callers."""
+
+    async def main(clock: SimulatedClock) -> int:
+        state = RowsState()
+        store = HangingRows(state)
+        write_configuration(state, build_configuration(1, [ROUTE]))
+        await watch_alone(store, create_quiet_log())
+        await curio.sleep(1.0)
+        store.too_large = True
+        state.version += 1
+        state.drop_history()
+        await curio.sleep(30.0)
+        return store.reads - 1
+
+    assert 1 <= run_simulated(main) <= 30.0 / REREAD_PAUSE_S + 1
+
+
 def test_a_queue_that_can_not_be_read_holds_up_no_other():
     """Guards against a version that is not in force because of one malformed queue."""
 
