A comment no longer speaks of a limit that nothing applies

The size limit in the operator's configuration was decoded and never used, and is not decoded since; the comment beside our own limit still said that it is applied. The simulation reads the normal value of a fault from StoreFaults.

--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -42,8 +42,8 @@
 # takes 0.6 s where twice as many processes are busy as there are cores.
 PROCESS_EXIT_S = 0.9
 MIN_DRAIN_S = 1.0
-# Requests of callers arrive within milliseconds of each other. The limit in the
-# operator's configuration is applied when a body is parsed.
+# Requests of callers arrive within milliseconds of each other. The limits in the
+# operator's configuration are not read; this one has the same value.
 BODY_BYTES = 262_144
 IDLE_S = 60.0
 
--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -12,6 +12,7 @@
 from tests.simulation.clock import SimulatedClock
 from tests.simulation.entries import SimulatedDeployment, SimulatedEntry
 from tests.simulation.store import STORE_HOST, Treatment
+from tests.standins.rows import StoreFaults
 
 GRACE_S = 6.0
 TREATMENTS = [one for one in Treatment if one is not Treatment.SERVED]
@@ -148,7 +149,7 @@
 
     async def _fault_store(self, name: str, value: object, lasts_s: float) -> None:
         faults = self.deployment.store.state.faults
-        normal = type(faults)().__getattribute__(name)
+        normal = getattr(StoreFaults(), name)
         self._tell(f"store {name} for {lasts_s:.1f} s")
         self.disturbances.disturb_store(self.clock.now + lasts_s)
         setattr(faults, name, value)
