--- a/pistachiodeal/config/deployment.py
+++ b/pistachiodeal/config/deployment.py
@@ -96,6 +96,31 @@
         return (self.stop_ms + self.restore_ms) / 1000
 
 
+@dataclass(frozen=True, slots=True)
+class FeatureSettings:
+    """Scheduling features that a deployment enables; each is off by default.
+
+    :param admission: whether entries reject jobs that can't be completed while they are
+        worth anything.
+    :param yielding: whether runs of jobs that can't meet any deadline are stopped for
+        jobs that can.
+    :param fair_shares: whether each queue and job size keeps a share of the capacity
+        under lasting overload.
+    :param worker_speeds: whether the measured speed of workers is used for placement.
+    :param load_forecasts: whether filling tasks are placed by the forecast load of
+        serving tasks.
+    """
+
+    admission: bool = False
+    yielding: bool = False
+    fair_shares: bool = False
+    worker_speeds: bool = False
+    load_forecasts: bool = False
+
+
+NO_FEATURES = FeatureSettings()
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessorSettings:
     """CPU capacity of one process.
@@ -128,6 +153,7 @@
     :param memory_mib: memory limit of the process, MiB.
     :param processor: CPU capacity of the process.
     :param link_mbps: bandwidth of the VM's network link, Mbit/s.
+    :param features: optional scheduling features.
     """
 
     node: str
@@ -144,6 +170,7 @@
     processor: ProcessorSettings = field(default_factory=ProcessorSettings)
     link_mbps: float = 1_000.0
     limits: LimitSettings = field(default_factory=LimitSettings)
+    features: FeatureSettings = field(default_factory=FeatureSettings)
 
     @property
     def peer_address(self) -> str:
@@ -210,6 +237,7 @@
         return None
     if hint is float and isinstance(value, int):
         return float(value)
-    if not isinstance(value, hint) or isinstance(value, bool):
+    # A bool is an instance of int, but not a valid number.
+    if type(value) is not hint:
         faults.append(f"{name}: is not of type {hint.__name__}")
     return value
--- a/pistachiodeal/config/deployment_reference.py
+++ b/pistachiodeal/config/deployment_reference.py
@@ -24,6 +24,7 @@
     str: "text",
     int: "whole number",
     float: "number",
+    bool: "true or false",
     tuple[int, ...]: "list of whole numbers",
     tuple[str, ...]: "list of texts",
 }
@@ -54,4 +55,6 @@
 def _format_default(item: Field[Any]) -> str:
     if item.default is MISSING:
         return "(required)"
+    if item.default is False:
+        return "`false`"
     return "empty" if item.default in ("", ()) else f"`{item.default}`"
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -73,6 +73,7 @@
             settings.limits,
             create_adviser(settings.advice) if settings.advice else None,
             answer_configuration=self._configuration.answer,
+            features=settings.features,
         )
         fitness = compute_fitness(settings.processor.cores, settings.link_mbps)
         self._election = Election(store, peers, self._peer_server.lead, fitness=fitness)
--- a/pistachiodeal/jobentry/peer_server.py
+++ b/pistachiodeal/jobentry/peer_server.py
@@ -10,7 +10,11 @@
 from logbook import Logger
 
 from pistachiodeal.addresses import split_address
-from pistachiodeal.config.deployment import LimitSettings
+from pistachiodeal.config.deployment import (
+    NO_FEATURES,
+    FeatureSettings,
+    LimitSettings,
+)
 from pistachiodeal.exceptions import (
     FencedError,
     LinkClosedError,
@@ -74,6 +78,7 @@
         adviser: Adviser | None = None,
         *,
         answer_configuration: Callable[[ConfigurationQuery], ConfigurationAnswer],
+        features: FeatureSettings = NO_FEATURES,
     ) -> None:
         self._store = store
         self._answer_configuration = answer_configuration
@@ -82,6 +87,7 @@
         self._address = peers.address
         self._refresh_queue = refresh_queue
         self._limits = limits
+        self._features = features
         self._adviser = adviser
         self._events = peers.events
         self._leadership: Leadership | None = None
@@ -133,6 +139,7 @@
             self._limits,
             self._events,
             adviser=self._adviser,
+            features=self._features,
         )
         try:
             await self._leadership.run()
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -9,7 +9,11 @@
 from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.config.deployment import LimitSettings
+from pistachiodeal.config.deployment import (
+    NO_FEATURES,
+    FeatureSettings,
+    LimitSettings,
+)
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import FencedError, StoreError
 from pistachiodeal.jobs.advice import Adviser
@@ -62,6 +66,7 @@
         events: EventLog,
         *,
         adviser: Adviser | None = None,
+        features: FeatureSettings = NO_FEATURES,
     ) -> None:
         self._store = store
         self._term = term
@@ -106,6 +111,7 @@
             limits=limits,
             events=events,
             advice=self._advice,
+            features=features,
         )
         self._sessions = AgentSessions(
             self._writer,
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -7,7 +7,11 @@
 from dataclasses import replace
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.config.deployment import LimitSettings
+from pistachiodeal.config.deployment import (
+    NO_FEATURES,
+    FeatureSettings,
+    LimitSettings,
+)
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.jobs.record import JobRecord, StepRecord, Task
@@ -56,6 +60,7 @@
     :param find_queue: returns the queue as defined by the newest configuration.
     :param limits: time limits of the deployment.
     :param advice: answers of the external advice service, None without one.
+    :param features: optional features of the deployment.
     """
 
     def __init__(
@@ -69,7 +74,9 @@
         limits: LimitSettings,
         events: EventLog,
         advice: AdviceCache | None = None,
+        features: FeatureSettings = NO_FEATURES,
     ) -> None:
+        self._features = features
         self._interference = interference
         self._descheduler = Descheduler(registry, fleet, reconciler, limits)
         self._views = FleetViews(registry, fleet)
--- a/tests/unit/test_deployment_settings.py
+++ b/tests/unit/test_deployment_settings.py
@@ -10,7 +10,9 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.config.deployment import (
+    NO_FEATURES,
     DeploymentSettings,
+    FeatureSettings,
     LimitSettings,
     load_deployment,
 )
@@ -55,6 +57,20 @@
     return load_deployment(str(path))
 
 
+def test_features_are_off_unless_enabled(tmp_path: Path):
+    """Guards against a feature that takes effect without having been asked for."""
+    assert load(tmp_path).features == NO_FEATURES
+    enabled = load(tmp_path, features={"admission": True}).features
+    assert enabled == FeatureSettings(admission=True)
+
+
+@pytest.mark.parametrize("value", [1, "true", []])
+def test_a_feature_that_is_neither_on_nor_off_is_refused(tmp_path: Path, value: Any):
+    """Guards against a number or a text that enables a feature by accident."""
+    with pytest.raises(SettingsError, match="features.admission"):
+        load(tmp_path, features={"admission": value})
+
+
 def test_all_faults_are_reported_at_once(tmp_path: Path):
     """Guards against a file whose faults are reported only one at a time."""
     limits = {"stop_ms": -1, "longest_lease_ms": "6000", "remote_factor": 0.5}
