A loss requeues the runs of the lost incarnation only

Callers could see a task run twice. The report of a loss without a current worker requeued all runs on the node. An agent that adopts an ended incarnation by a late heartbeat, and then finds that another one answers, reports such a loss while the runs of the other one go on.

The leader now requeues the runs of the incarnation that the loss names. A run that was ordered at the first incarnation may have waited for the second to settle it, so agents report all recent losses again with each new one, and when they give up unsettled runs. An incarnation that ended before its first listing has settled nothing; its successor has to.

Both tests failed before. Ruled out: requeueing by any later loss, since the leader can't tell which of two incarnations is the later one by their names.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -182,7 +182,7 @@
             loss.unsettled = frozenset(
                 key
                 for key, order in self.orders.items()
-                if order.unanswered and key not in self.running
+                if order.is_unsettled(listed=self.listed) and key not in self.running
             )
         self.loss_history.add(loss)
         self.beat = None
--- a/pistachiodeal/jobagent/losses.py
+++ b/pistachiodeal/jobagent/losses.py
@@ -54,7 +54,12 @@
     _losses: deque[Loss] = field(default_factory=lambda: deque(maxlen=MAX_LOSSES))
 
     def add(self, loss: Loss) -> None:
-        """Add the loss of an incarnation."""
+        """Add the loss of an incarnation, and report all others again.
+
+        A run of an earlier incarnation may have waited for this one to settle it. The
+        leader requeues runs only by the loss of the incarnation that it ordered.
+        """
+        self.reset_reports()
         self._losses.append(loss)
 
     def discard(self, worker: str) -> None:
@@ -83,9 +88,10 @@
         """Give up unsettled runs that have waited too long for a new incarnation."""
         for loss in self._losses:
             if loss.unsettled and now - loss.at >= UNSETTLED_S:
-                # Reported once more, as the leader has kept these runs until now.
+                # All are reported once more, as the leader has kept these runs until
+                # now, maybe as those of an earlier incarnation.
                 loss.unsettled = frozenset()
-                loss.reported_in, loss.acknowledged = 0, False
+                self.reset_reports()
 
     def list_unsettled(self) -> set[RunKey]:
         """Return the runs that the leader must not give up yet."""
@@ -110,7 +116,7 @@
             loss.acknowledged |= 0 < loss.reported_in <= beat
 
     def reset_reports(self) -> None:
-        """Report all losses again, on a new link that may be to another leader."""
+        """Report all losses again, for example to another leader."""
         for loss in self._losses:
             loss.reported_in, loss.acknowledged = 0, False
 
--- a/pistachiodeal/jobagent/orders.py
+++ b/pistachiodeal/jobagent/orders.py
@@ -29,11 +29,13 @@
     started: bool = False
     reported_in: int = 0
 
-    @property
-    def unanswered(self) -> bool:
-        """Return whether a call may have been sent and was never answered."""
+    def is_unsettled(self, *, listed: bool) -> bool:
+        """Return whether the run may still be started by the runner's next incarnation.
+
+        :param listed: whether the present incarnation has listed its runs.
+        """
         pending = self.state is OrderState.PENDING
-        return self.sent and pending and not self.settled_at
+        return self.sent and pending and not (listed and self.settled_at)
 
 
 def list_outcomes(orders: Iterable[Order]) -> list[OrderOutcome]:
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -76,8 +76,11 @@
         for loss in report.losses:
             if loss.worker != report.worker:
                 self._apply_loss(worker, loss, now)
-                why = f"its agent saw it end: {loss.cause}"
-                self._requeue_all_lost(earlier_places, why, report_index.outcomes)
+                self.requeue_lost_runs(
+                    build_place(worker.node, loss.worker),
+                    f"its agent saw it end: {loss.cause}",
+                    report_index.outcomes,
+                )
         if not report.worker:
             worker.listed = False
             return
@@ -90,7 +93,8 @@
             return
         # The agent has reached the current worker of the node, so all earlier
         # incarnations are gone.
-        self._requeue_all_lost(earlier_places, "a new incarnation is at its address")
+        for other in earlier_places:
+            self.requeue_lost_runs(other, "a new incarnation is at its address")
         self._apply_runs(worker, attachment, report_index, now)
         self._apply_ends(worker, attachment, report)
         self._stop_orphans(worker, attachment, report_index)
@@ -186,12 +190,6 @@
             if other.startswith(prefix) and other != place
         ]
 
-    def _requeue_all_lost(
-        self, places: list[str], why: str, kept: Container[RunKey] = ()
-    ) -> None:
-        for place in places:
-            self.requeue_lost_runs(place, why, kept)
-
     def _move_runs(
         self, earlier_places: list[str], place: str, report_index: ReportIndex
     ) -> None:
--- a/tests/unit/test_jobagent_ledger.py
+++ b/tests/unit/test_jobagent_ledger.py
@@ -5,9 +5,11 @@
 import os
 from dataclasses import replace
 
+from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.authority import SLOWEST_CLOCK, Lease
 from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.losses import UNSETTLED_S
 from pistachiodeal.jobagent.orders import Order
 from pistachiodeal.jobs.model import LossCause, OrderState
 from pistachiodeal.jobs.runtime import CallResult, Listing, WorkerHeartbeat
@@ -170,3 +172,30 @@
     assert lease.extend(10.0, 11.0) == 1_000 + int(1_000 * SLOWEST_CLOCK)
     assert lease.until == 11.0
     assert lease.extend(11.0, 11.0) == 0
+
+
+def test_a_run_that_no_incarnation_settled_is_given_up_with_its_own():
+    """Guards against a task that waits for ever.
+
+    A start at the first incarnation got no answer, and the second ends before it has
+    listed its runs. The leader requeues the run only by the loss of the first, which it
+    has already acknowledged.
+    """
+    ledger = create_ledger()
+    task = "0123456789abcdef.0.0.0"
+    ledger.adopt(build_beat("w@1"))
+    ledger.apply_listing(Listing(CallResult.DONE, 100), 1.0, 1.0)
+    ledger.orders[task, 1] = Order(task, 1, sent=True)
+    ledger.drop_worker("it crashed")
+    ledger.build_report(1)
+    ledger.apply_directive(build_directive("w@1"), 0.0)
+    ledger.adopt(build_beat("w@2"))
+    ledger.drop_worker("it crashed")
+    report = ledger.build_report(2)
+    assert [loss.worker for loss in report.losses] == ["w@1", "w@2"]
+    assert [(one.task, one.outcome) for one in report.outcomes] == [(task, "pending")]
+    report_later = read_boot_clock() + UNSETTLED_S
+    ledger.loss_history.expire_unsettled(report_later)
+    report = ledger.build_report(3)
+    assert [loss.worker for loss in report.losses] == ["w@1", "w@2"]
+    assert report.outcomes == ()
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -406,3 +406,15 @@
     harness.report(worker="", outcomes=[pending], losses=[LOSS])
     harness.report(worker="", losses=[LOSS])
     assert harness.task.waits
+
+
+def test_a_loss_ends_no_runs_of_other_incarnations():
+    """Guards against two runs: an agent that hears of an ended incarnation late adopts
+    it, and reports its loss before it knows the one that is running.
+    """
+    harness = LeaderHarness()
+    harness.report(running=[RunningTask(TASK, 1, "", 5, 0)])
+    harness.report(worker="", losses=[replace(LOSS, worker="w0")])
+    assert harness.task.place == "node/w1"
+    harness.report(worker="", losses=[LOSS])
+    assert harness.task.waits
