A restarted agent counts the leases of its former process as granted

Callers could see a task run twice. A restarted agent adopted its runner with no lease on record. If the runner was silent for 1.5 s before the next renewal, the agent dropped it with the cause 'silent', and the leader requeued runs that continued for up to 8 s under the leases of the agent's former process.

For the first worker that a process adopts, leases count as granted until the longest lease has passed since the adoption. The end of the last lease is also kept when a worker is dropped, since the same incarnation may answer and be adopted again.

The test failed before.

--- a/pistachiodeal/jobagent/authority.py
+++ b/pistachiodeal/jobagent/authority.py
@@ -20,7 +20,8 @@
     """The lease of all runs on the worker, and the offset of the runner's clock.
 
     :param longest_s: the runner shortens longer leases to this, seconds.
-    :param until: latest end of all leases requested so far, seconds of the boot clock.
+    :param until: latest end of all leases granted so far, also by the agent's former
+        process, seconds of the boot clock.
     :param clock_ms: the runner's clock at ``sampled_at``, milliseconds.
     :param sampled_at: when ``clock_ms`` was read, seconds of the boot clock.
     """
@@ -30,6 +31,11 @@
     clock_ms: int = 0
     sampled_at: float = 0.0
 
+    @property
+    def span_s(self) -> float:
+        """Return how long a lease lasts at most, seconds."""
+        return min(LEASE_S, self.longest_s)
+
     def sample(self, clock_ms: int, now: float) -> None:
         """Record a reading of the runner's clock."""
         if clock_ms > self.clock_ms:
@@ -37,7 +43,7 @@
 
     def extend(self, now: float, granted_until: float) -> int:
         """Return the end of a new lease on the runner's clock, 0 if there is none."""
-        until = min(now + min(LEASE_S, self.longest_s), granted_until)
+        until = min(now + self.span_s, granted_until)
         if not self.clock_ms or until <= now:
             return 0
         self.until = max(self.until, until)
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -67,6 +67,7 @@
         self.run_ages = RunAgeTracker()
         self._listing_ms = 0
         self._other_service = ""
+        self._adopted = False
         self._texts: dict[str, str] = {}
         self._gone: deque[str] = deque(maxlen=MAX_ENDED)
 
@@ -98,6 +99,10 @@
         # The first listing under the higher token settles orders that got no answer:
         # the runner refuses to start any run that this listing doesn't hold.
         now = read_boot_clock()
+        if not self._adopted:
+            # The agent's former process may have granted leases until it ended.
+            self._adopted = True
+            self.lease.until = now + self.lease.span_s
         unsettled = self.loss_history.pop_unsettled()
         for task, run in unsettled:
             self.orders[task, run] = Order(task, run, settled_at=now, sent=True)
@@ -187,7 +192,8 @@
         self.loss_history.add(loss)
         self.beat = None
         self.listed = False
-        self.lease = Lease(self._longest_lease_s)
+        # If the incarnation answers again, its runs may still have their leases.
+        self.lease = Lease(self._longest_lease_s, self.lease.until)
         self.running, self.ends = {}, ()
         self.figures, self.run_ages = FigureSampler(), RunAgeTracker()
         self.orders, self.run_specs = {}, {}
--- a/tests/unit/test_jobagent_ledger.py
+++ b/tests/unit/test_jobagent_ledger.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import os
 from dataclasses import replace
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.authority import SLOWEST_CLOCK, Lease
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.losses import UNSETTLED_S
@@ -15,12 +13,13 @@
 from pistachiodeal.jobs.runtime import CallResult, Listing, WorkerHeartbeat
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.job_messages import Directive, EndedTask
+from tests.standins.job_cluster import create_quiet_log
 
 ROOM = Resources(16_000, 64_000, 0)
 
 
 def create_ledger() -> AgentLedger:
-    return AgentLedger(EventLog(os.open(os.devnull, os.O_WRONLY), "test"))
+    return AgentLedger(create_quiet_log())
 
 
 def build_beat(
@@ -199,3 +198,20 @@
     report = ledger.build_report(3)
     assert [loss.worker for loss in report.losses] == ["w@1", "w@2"]
     assert report.outcomes == ()
+
+
+def test_leases_of_the_former_process_count_until_the_longest_has_passed():
+    """Guards against a task that runs twice.
+
+    The agent restarts, and its runner is silent before the first renewal. Its runs
+    continue under the leases that the former process of the agent has granted.
+    """
+    ledger = AgentLedger(create_quiet_log(), longest_lease_s=5.0)
+    before = read_boot_clock()
+    ledger.adopt(build_beat("w"))
+    ledger.apply_listing(Listing(CallResult.DONE, 100), before, before)
+    assert ledger.lease.until >= before + 5.0
+    ledger.drop_worker("it was silent", LossCause.SILENT)
+    until = ledger.lease.until
+    ledger.adopt(build_beat("w"))
+    assert ledger.lease.until == until
