A listing with 500 ends settles no order as void

A task could run again after its end. A runner lists at most 500 ends in one answer, those with the lowest numbers first. The agent took a run that was ordered to stop and that was missing there for one that never started, though its end could be the next one, and the leader requeued it.

Orders are settled as void only by listings with fewer ends. Acknowledgements shorten the list, so a later listing settles them. The test failed before.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -28,6 +28,8 @@
 # may still take effect, and the next runs of its tasks wait for the end of its last
 # lease.
 SILENT_S = 1.5
+# A runner lists this many ends in one answer, those with the lowest numbers first.
+MAX_LISTED_ENDS = 500
 MAX_TEXTS = 400
 # Ended incarnations that are remembered. A sender that names an older one is adopted,
 # and dropped as soon as the runner answers for another incarnation.
@@ -229,7 +231,9 @@
         known = {end.number for end in self.ends}
         self.ends = tuple(end for end in listing.ends if end.number > self.acked_end)
         news |= any(end.number not in known for end in self.ends)
-        return self._settle(sent_at) or news
+        # With a full list of ends, a missing run may be among the ends that follow.
+        complete = len(listing.ends) < MAX_LISTED_ENDS
+        return self._settle(sent_at, complete=complete) or news
 
     def apply_directive(self, directive: Directive, sent_at: float | None) -> bool:
         """Apply a directive; return False if its leader has been replaced.
@@ -313,8 +317,11 @@
         )
         return [*self.running, *pending]
 
-    def _settle(self, sent_at: float) -> bool:
-        """Settle orders by a listing; return whether one of them became void."""
+    def _settle(self, sent_at: float, *, complete: bool) -> bool:
+        """Settle orders by a listing; return whether one of them became void.
+
+        :param complete: whether the listing holds all ends.
+        """
         ended = {(end.task, end.run) for end in self.ends}
         news = False
         for key, order in list(self.orders.items()):
@@ -323,7 +330,7 @@
                 continue
             if order.state is not OrderState.PENDING or order.started:
                 continue
-            if order.settled_at and order.settled_at < sent_at:
+            if complete and order.settled_at and order.settled_at < sent_at:
                 order.state = OrderState.VOID
                 news = True
         return news
--- a/tests/unit/test_jobagent_ledger.py
+++ b/tests/unit/test_jobagent_ledger.py
@@ -6,7 +6,7 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.jobagent.authority import SLOWEST_CLOCK, Lease
-from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.ledger import MAX_LISTED_ENDS, AgentLedger
 from pistachiodeal.jobagent.losses import UNSETTLED_S
 from pistachiodeal.jobagent.orders import Order
 from pistachiodeal.jobs.model import LossCause, OrderState
@@ -215,3 +215,25 @@
     until = ledger.lease.until
     ledger.adopt(build_beat("w"))
     assert ledger.lease.until == until
+
+
+def test_a_listing_that_may_go_on_settles_nothing():
+    """Guards against a task that runs again after its end.
+
+    A runner lists at most 500 ends in one answer, and the end of a run that was ordered
+    to stop is the next one. Taken for a run that never started, it would be requeued.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    task = "0123456789abcdef.0.0.0"
+    ledger.orders[task, 1] = Order(task, 1, settled_at=1.0, sent=True)
+    others = tuple(
+        EndedTask(number, f"{number:016x}.0.0.0", 1, "done", "")
+        for number in range(1, MAX_LISTED_ENDS + 2)
+    )
+    full = Listing(CallResult.DONE, 100, (), others[:MAX_LISTED_ENDS])
+    ledger.apply_listing(full, 2.0, 2.1)
+    assert ledger.orders[task, 1].state is OrderState.PENDING
+    rest = (*others[MAX_LISTED_ENDS:], EndedTask(502, task, 1, "done", ""))
+    ledger.apply_listing(Listing(CallResult.DONE, 200, (), rest), 3.0, 3.1)
+    assert not ledger.orders
