An end 'done' of a run that was taken for lost completes its task

A task that had ended 'done' was started again. When the leader has requeued a run, for example since its runner was silent until its leases had run out, and the runner then lists that this run has completed the task, the leader ignored the end, because it is not that of the newest run, and acknowledged it. The runner dropped it, and the task was started once more. Also, an end 'done' was acknowledged while the end of another run of that task was applied but not yet durable: when the leader and the second runner were lost before the write, the task was started a third time.

Such an end now completes a waiting task. If the task's newest run may be in progress, that run is stopped first and the task is done when it has certainly ended, whatever its end is. In both cases the end is acknowledged once the job's row is written. A second run that hasn't been ordered yet is never ordered.

The three tests failed before.

--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -36,6 +36,8 @@
     :param work_s: work done since the start of the task or since the checkpoint that
         it resumed from, in seconds at full speed.
     :param seen_at: when it was last listed, seconds of the boot clock.
+    :param proven: whether an earlier run has ended ``done``, so that the task is done
+        once its newest run has certainly ended.
     :param fully_observed: whether this leader has observed all its runs, so that
         ``work_s`` is accurate.
     """
@@ -64,6 +66,7 @@
     slow_since: float = 0.0
     work_s: float = 0.0
     seen_at: float = 0.0
+    proven: bool = False
     fully_observed: bool = True
 
     @property
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -12,7 +12,7 @@
 from pistachiodeal.leader.advice import AdviceCache
 from pistachiodeal.leader.crashes import CrashTracker
 from pistachiodeal.leader.interference_monitor import InterferenceMonitor
-from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.registry import Callback, JobRegistry
 from pistachiodeal.leader.report_index import ReportIndex, RunKey, index_report
 from pistachiodeal.leader.workers import (
     PLACE_SEPARATOR,
@@ -293,7 +293,7 @@
             worker.ends_applied.add(end.number)
             task = self._registry.find_task(end.task)
             if task is None or task.run != end.run or task.place != worker.place:
-                worker.mark_end_durable(end.number)
+                self._apply_other_end(worker, task, end)
                 continue
             self._apply_end(worker, task, end)
         worker.advance_ends_noted(report.ends)
@@ -325,15 +325,48 @@
             if not task.failures:
                 worker.health.record_failure(now)
             task.avoid |= {worker.node}
-        incarnation = worker.worker
-
-        def acknowledge() -> None:
-            if worker.worker == incarnation:
-                worker.mark_end_durable(end.number)
-
+        acknowledge = _build_acknowledgement(worker, end)
         for other in self._registry.end_run(task, kind, end.checkpoint, acknowledge):
             self.stop(other, "the job has failed")
 
+    def _apply_other_end(
+        self, worker: WorkerState, task: Task | None, end: EndedTask
+    ) -> None:
+        """Apply the end of a run that isn't its task's newest one at its place.
+
+        A runner that was taken for lost may have completed the task meanwhile.
+        """
+        if parse_end_kind(end.how) is not EndKind.DONE:
+            worker.mark_end_durable(end.number)
+            return
+        if (
+            task is not None
+            and not (task.done or task.step.lasts or self._is_over(task))
+            and not self._complete_task(worker, task, end)
+        ):
+            # Looked at again in each report, until the newest run has ended.
+            worker.ends_applied.discard(end.number)
+            return
+        # The task may be done by another end that isn't durable yet.
+        job_id = end.task.partition(".")[0]
+        self._registry.call_when_saved(job_id, _build_acknowledgement(worker, end))
+
+    def _complete_task(self, worker: WorkerState, task: Task, end: EndedTask) -> bool:
+        """Tell whether a task is done; otherwise its newest run is stopped first."""
+        if not task.proven:
+            self._events.emit(
+                "run.done_before",
+                task=end.task,
+                run=end.run,
+                place=worker.place,
+                newest=task.run,
+                newest_place=task.place,
+            )
+        if self._registry.complete_task(task):
+            return True
+        self.stop(task, "an earlier run has completed the task")
+        return False
+
     def _stop_orphans(
         self, worker: WorkerState, attachment: Attachment, report_index: ReportIndex
     ) -> None:
@@ -347,3 +380,14 @@
             # room until its end is listed.
             worker.orphans[name] = run
             attachment.order_stop(name, run)
+
+
+def _build_acknowledgement(worker: WorkerState, end: EndedTask) -> Callback:
+    """Return a callback that acknowledges an end to the incarnation that listed it."""
+    incarnation = worker.worker
+
+    def acknowledge() -> None:
+        if worker.worker == incarnation:
+            worker.mark_end_durable(end.number)
+
+    return acknowledge
--- a/pistachiodeal/leader/registry.py
+++ b/pistachiodeal/leader/registry.py
@@ -149,7 +149,11 @@
         self._record_change(record, on_durable)
 
     def end_run(
-        self, task: Task, kind: EndKind, checkpoint: str, on_durable: Callback
+        self,
+        task: Task,
+        kind: EndKind,
+        checkpoint: str,
+        on_durable: Callback | None = None,
     ) -> list[Task]:
         """Apply the end of a task's newest run.
 
@@ -158,6 +162,8 @@
         """
         record = self._records[task.name.job_id]
         self._release(task, checkpoint)
+        if task.proven:
+            kind = EndKind.DONE
         stops: list[Task] = []
         if kind is EndKind.DONE and not task.step.lasts:
             self._mark_done(record, task)
@@ -178,6 +184,23 @@
         self._record_change(record, on_durable)
         return stops
 
+    def complete_task(self, task: Task) -> bool:
+        """Apply the end ``done`` of a run that isn't the task's newest at its place.
+
+        :return: whether the task is done now; if not, its newest run has to end first.
+        """
+        if task.waits:
+            self.end_run(task, EndKind.DONE, "")
+        task.proven = True
+        return task.done
+
+    def call_when_saved(self, job_id: str, callback: Callback) -> None:
+        """Call back once a job has no unsaved changes of before, maybe at once."""
+        if self.is_unsaved(job_id):
+            self._unsaved.setdefault(job_id, []).append(callback)
+        else:
+            callback()
+
     def fail_job(self, record: JobRecord, task: Task) -> list[Task]:
         """Fail a job because one of its tasks crashes its workers.
 
@@ -199,7 +222,13 @@
         self._record_change(self._records[task.name.job_id], None)
 
     def requeue(self, task: Task) -> None:
-        """Queue a task again whose run certainly is not running and never will be."""
+        """Queue a task again whose run certainly is not running and never will be.
+
+        If an earlier run has ended ``done``, the task is done.
+        """
+        if task.proven:
+            self.end_run(task, EndKind.DONE, "")
+            return
         record = self._records[task.name.job_id]
         self._release(task, "")
         self._record_change(record, None)
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.jobagent.authority import LEASE_S, SLOWEST_CLOCK, Lease
@@ -418,3 +420,66 @@
     assert harness.task.place == "node/w1"
     harness.report(worker="", losses=[LOSS])
     assert harness.task.waits
+
+
+DONE = EndedTask(1, TASK, 1, "done", "")
+
+
+def test_an_end_done_of_a_run_that_was_taken_for_lost_counts():
+    """Guards against a task that is started again after its end.
+
+    A runner is silent until its leases have run out, and its task is queued again. Then
+    it lists that it has completed the task.
+    """
+    harness = LeaderHarness()
+    harness.registry.requeue(harness.task)
+    harness.report(ends=[DONE])
+    assert harness.task.done
+    assert harness.fleet.get("node").ends_noted == 0
+    harness.write()
+    harness.report(ends=[DONE])
+    assert harness.fleet.get("node").ends_noted == 1
+
+
+@pytest.mark.parametrize("how", ["stopped", "failed", "lost", "done"])
+def test_no_run_follows_one_that_started_before_an_earlier_one_was_done(how):
+    """Guards against a third run, and against a task that counts as done while it runs.
+
+    A runner that was taken for lost lists that it has completed a task whose next run
+    has been ordered. The end is kept until that run has ended.
+    """
+    harness = LeaderHarness()
+    harness.registry.requeue(harness.task)
+    harness.registry.place(harness.task, 2, "other/w9", lambda: None)
+    harness.write()
+    harness.report(ends=[DONE])
+    harness.write()
+    assert not harness.task.done
+    assert harness.task.stopping
+    assert harness.fleet.get("node").ends_noted == 0
+    if how == "lost":
+        harness.reconciler.requeue_lost_runs("other/w9", "its leases have run out")
+    else:
+        harness.registry.end_run(harness.task, EndKind(how), "", lambda: None)
+    assert harness.task.done
+    harness.write()
+    harness.report(ends=[DONE])
+    assert harness.fleet.get("node").ends_noted == 1
+
+
+def test_no_end_done_is_acknowledged_before_its_task_is_stored_as_done():
+    """Guards against a task that is started again after two of its runs were done.
+
+    The end of the newest run isn't durable yet when a runner that was taken for lost
+    lists that an earlier run has completed the task too.
+    """
+    harness = LeaderHarness()
+    harness.registry.requeue(harness.task)
+    harness.registry.place(harness.task, 2, "other/w9", lambda: None)
+    harness.write()
+    harness.registry.end_run(harness.task, EndKind.DONE, "", lambda: None)
+    harness.report(ends=[DONE])
+    assert harness.fleet.get("node").ends_noted == 0
+    harness.write()
+    harness.report(ends=[DONE])
+    assert harness.fleet.get("node").ends_noted == 1
