A loss of history takes back what checks confirmed before it

Entries answered by a copy of the configuration that was 2.4 s behind while its stated age was below 2 s. Before the store drops its history it may send no changes for about a second, and checks in that second confirmed the copy. A second loss within the pause between reads of the row then waited until the pause was over.

A loss of history now sets the confirmation back to the last one that is certain: a read of the row, or a check that a later one has followed from the same version for SILENT_CHANGE_S. Checks in flight at the loss confirm nothing. Where no other entry is known, or none has answered since the loss, the row is read without the pause, at most three times in ten seconds, and not after a read that failed.

The silent second itself can't be detected before the history is lost; stating a second more at all times would pass the 1 s after which other entries are asked.

--- a/pistachiodeal/jobentry/configuration.py
+++ b/pistachiodeal/jobentry/configuration.py
@@ -11,7 +11,6 @@
 import random
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
-from contextlib import suppress
 
 import curio
 
@@ -41,6 +40,9 @@
 # A large row may take longer than the time-out of a read. Other entries confirm the
 # copy meanwhile.
 REREAD_PAUSE_S = 3.0
+# Reads that don't wait for the pause, since no other entry confirms the copy meanwhile.
+MAX_URGENT_READS = 3
+URGENT_READS_S = 10.0
 # Checks in flight at a time. One on a dead connection ends after a second or two, and
 # one that starts later may get a connection that works.
 MAX_CHECKS = 3
@@ -50,6 +52,7 @@
 ASK_INTERVAL_S = 0.7
 ASK_TIMEOUT_S = 1.2
 AGE_CHECK_INTERVAL_S = 0.25
+ALONE_CHECK_INTERVAL_S = 0.1
 
 AskEntry = Callable[[str, int], Awaitable[ConfigurationAnswer | None]]
 ListEntries = Callable[[], Sequence[str]]
@@ -85,6 +88,12 @@
         self._heard: deque[tuple[float, int]] = deque()
         self._reading = curio.Lock()
         self._reread_after = 0.0
+        self._last_read_failed = False
+        self._urgent_reads: deque[float] = deque(maxlen=MAX_URGENT_READS)
+        self._sound_at = 0.0
+        self._lost_at = 0.0
+        self._lost_version = 0
+        self._answered_at = 0.0
         self._checks = 0
 
     async def run(self) -> None:
@@ -122,9 +131,11 @@
     async def _follow(self) -> None:
         known = self._known_version
         if known:
-            with suppress(HistoryLostError):
+            try:
                 await self._follow_once(FEED_WAIT_S)
                 return
+            except HistoryLostError:
+                self._record_loss(known)
         await self._reread(known)
 
     async def _check_once(self) -> None:
@@ -136,9 +147,12 @@
             try:
                 page = await self._follow_once(CHECK_WAIT_S)
             except HistoryLostError:
+                self._record_loss(known)
                 if not self._reading.locked():
                     await self._reread(known)
                 return
+            if asked_at < self._lost_at:
+                return
             self._copy.confirm(asked_at)
             self._raise_known_version(asked_at, page.version)
         except StoreError as error:
@@ -161,23 +175,51 @@
         """
         self._heard.append((asked_at, version))
         while self._heard[0][0] <= asked_at - SILENT_CHANGE_S:
-            _, heard = self._heard.popleft()
+            self._sound_at, heard = self._heard.popleft()
             self._known_version = max(self._known_version, heard)
 
+    def _record_loss(self, known: int) -> None:
+        """Take back the confirmations by checks that the store may have been silent to.
+
+        :param known: version from which changes were requested.
+        """
+        if self._known_version == known != self._lost_version:
+            self._lost_at, self._lost_version = read_boot_clock(), known
+            self._heard.clear()
+            self._copy.retract(self._sound_at)
+
     async def _reread(self, known: int) -> None:
         """Read the row, unless that was done since a version became known."""
         async with self._reading:
             if self._known_version > known:
                 return
             if known:
-                await curio.sleep(self._reread_after - read_boot_clock())
+                await self._wait_for_reread()
             asked_at = read_boot_clock()
             self._reread_after = asked_at + REREAD_PAUSE_S
+            self._last_read_failed = True
             page = await read_row(self._store, CONFIG_TABLE, CONFIG_KEY)
+            self._last_read_failed = False
             self._apply(page.rows)
+            self._sound_at = asked_at
             self._copy.confirm(asked_at)
             self._known_version = max(self._known_version, page.version)
 
+    async def _wait_for_reread(self) -> None:
+        """Wait until the row may be read again after a loss of history."""
+        while (now := read_boot_clock()) < self._reread_after:
+            reads = self._urgent_reads
+            spent = len(reads) == MAX_URGENT_READS and now - reads[0] < URGENT_READS_S
+            if self._is_alone(now) and not self._last_read_failed and not spent:
+                reads.append(now)
+                return
+            await curio.sleep(ALONE_CHECK_INTERVAL_S)
+
+    def _is_alone(self, now: float) -> bool:
+        """Tell whether no other entry can be asked, or none has answered since."""
+        unanswered = self._answered_at < self._lost_at <= now - ASK_TIMEOUT_S
+        return unanswered or not self._list_entries()
+
     async def _ask(self, address: str) -> None:
         asked_at = read_boot_clock()
         answer = await curio.ignore_after(
@@ -185,6 +227,7 @@
         )
         if answer is None or not answer.version:
             return
+        self._answered_at = read_boot_clock()
         if answer.value:
             self._copy.apply(answer.value, address)
         self._copy.confirm(asked_at - answer.age_ms / 1000)
--- a/pistachiodeal/jobentry/configuration_copy.py
+++ b/pistachiodeal/jobentry/configuration_copy.py
@@ -113,6 +113,13 @@
                 away_ms=int(age_s * 1000),
             )
 
+    def retract(self, read_at: float) -> None:
+        """Take back later confirmations, since the store may have been silent.
+
+        :param read_at: when the last read that certainly confirms it began, boot clock.
+        """
+        self._confirmed_at = min(self._confirmed_at, read_at)
+
     def report_age(self) -> None:
         """Report the copy once if it has become stale."""
         if self._stale or self.age_s <= STALE_AFTER_S:
--- a/tests/unit/test_jobentry_configuration.py
+++ b/tests/unit/test_jobentry_configuration.py
@@ -8,7 +8,11 @@
 from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.exceptions import Outcome, RequestError, StoreUncertainError
 from pistachiodeal.jobentry.api import CallerApi
-from pistachiodeal.jobentry.configuration import REREAD_PAUSE_S, ConfigurationWatcher
+from pistachiodeal.jobentry.configuration import (
+    MAX_URGENT_READS,
+    REREAD_PAUSE_S,
+    ConfigurationWatcher,
+)
 from pistachiodeal.jobentry.configuration_copy import ConfigurationCopy
 from pistachiodeal.jobs.model import JobState
 from pistachiodeal.store.row_store import RowPage
@@ -36,6 +40,7 @@
     :ivar hanging: number of the next calls that get no answer.
     :ivar reads: number of reads of the row.
     :ivar too_large: whether reads of the row time out.
+    :ivar silent: whether calls for changes hear of none.
     """
 
     def __init__(self, state: RowsState) -> None:
@@ -43,6 +48,7 @@
         self.hanging = 0
         self.reads = 0
         self.too_large = False
+        self.silent = False
 
     async def read(self, table: str, *others) -> RowPage:
         """Count and read, or time out."""
@@ -60,6 +66,8 @@
         if self.hanging:
             self.hanging -= 1
             await curio.sleep(100.0)
+        if self.silent:
+            return RowPage((), self._state.version)
         return await super().follow(table, after, wait_s)
 
 
@@ -218,3 +226,60 @@
         assert error.outcome is Outcome.NOT_RUN
         assert error.status == 404 or error.retry_after
         return error.status
+
+
+def test_a_check_before_a_loss_of_history_confirms_nothing():
+    """Guards against a copy that is older than its stated age.
+
+    For a second before the store drops its history, checks don't hear of a change. The
+    row can't be read after that.
+    """
+
+    async def main(clock: SimulatedClock) -> tuple[int, float]:
+        state = RowsState()
+        store = HangingRows(state)
+        write_configuration(state, build_configuration(1, [ROUTE]))
+        configuration = await watch_alone(store, create_quiet_log())
+        await curio.sleep(5.0)
+        store.silent = store.too_large = True
+        write_configuration(state, build_configuration(2, [ROUTE]))
+        written_at = clock.now
+        await curio.sleep(1.0)
+        store.silent = False
+        state.drop_history()
+        await curio.sleep(0.8)
+        return configuration.version, configuration.age_s - (clock.now - written_at)
+
+    version, ahead_s = run_simulated(main)
+    assert version == 1
+    assert ahead_s >= 0.0
+
+
+def test_an_entry_that_is_alone_reads_after_each_loss_of_history():
+    """Guards against a version that waits for the pause between reads.
+
+    The history is lost a second time within the pause. The reads that don't wait are
+    limited, as the row may be large.
+    """
+
+    async def main(clock: SimulatedClock) -> tuple[list[int], int]:
+        state = RowsState()
+        store = HangingRows(state)
+        write_configuration(state, build_configuration(1, [ROUTE]))
+        configuration = await watch_alone(store, create_quiet_log())
+        versions = []
+        for version in range(2, 6):
+            write_configuration(state, build_configuration(version, [ROUTE]))
+            state.drop_history()
+            await curio.sleep(0.8)
+            versions.append(configuration.version)
+        reads = store.reads
+        for _ in range(20):
+            state.version += 1
+            state.drop_history()
+            await curio.sleep(1.0)
+        return versions[:3], store.reads - reads
+
+    versions, reads = run_simulated(main)
+    assert versions == [2, 3, 4]
+    assert reads <= 20.0 / REREAD_PAUSE_S + 2 * MAX_URGENT_READS + 1
