A loss reports the ends that no leader has acknowledged

A task was started again after its listed end. A runner listed the end 'done' to its agent and crashed before the end was stored; here the leader had applied the end, its store was silent for 7 s, and another leader took over. The agent dropped the end with the worker, and the next leader requeued the task by the loss and started it elsewhere.

Losses now carry these ends, as a new last field of WorkerLoss.

--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -191,6 +191,7 @@
                 for key, order in self.orders.items()
                 if order.is_unsettled(listed=self.listed) and key not in self.running
             )
+        loss.ends = self.ends
         self.loss_history.add(loss)
         self.beat = None
         self.listed = False
--- a/pistachiodeal/jobagent/losses.py
+++ b/pistachiodeal/jobagent/losses.py
@@ -12,7 +12,7 @@
 
 from pistachiodeal.jobagent.figures import RunKey
 from pistachiodeal.jobs.model import LossCause
-from pistachiodeal.wire.job_messages import LostRun, WorkerLoss
+from pistachiodeal.wire.job_messages import EndedTask, LostRun, WorkerLoss
 
 # Age of a run that this agent has not started.
 UNKNOWN_AGE_MS = -1
@@ -36,6 +36,7 @@
         before.
     :param acknowledged: whether the leader has answered that report.
     :param unsettled: runs that may still be started at the next incarnation.
+    :param ends: ends that it had listed and that no leader has acknowledged.
     """
 
     worker: str
@@ -45,6 +46,7 @@
     reported_in: int = 0
     acknowledged: bool = False
     unsettled: frozenset[RunKey] = frozenset()
+    ends: tuple[EndedTask, ...] = ()
 
 
 @dataclass(slots=True)
@@ -106,7 +108,7 @@
             loss.reported_in = loss.reported_in or beat
             ago_ms = round((now - loss.at) * 1000)
             reported.append(
-                WorkerLoss(loss.worker, loss.cause.value, ago_ms, loss.runs)
+                WorkerLoss(loss.worker, loss.cause.value, ago_ms, loss.runs, loss.ends)
             )
         return tuple(reported)
 
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -75,6 +75,7 @@
             self._move_runs(earlier_places, place, report_index)
         for loss in report.losses:
             if loss.worker != report.worker:
+                self._apply_lost_ends(worker, loss)
                 self._apply_loss(worker, loss, now)
                 self.requeue_lost_runs(
                     build_place(worker.node, loss.worker),
@@ -181,6 +182,23 @@
         if loss.cause == LossCause.CRASHED:
             self._crashes.record_crash(worker, loss, now)
 
+    def _apply_lost_ends(self, worker: WorkerState, loss: WorkerLoss) -> None:
+        """Apply ends that an incarnation listed before it was lost.
+
+        They can't be acknowledged to it any more. Agents report them to each leader.
+        """
+        place = build_place(worker.node, loss.worker)
+        for end in loss.ends:
+            task = self._registry.find_task(end.task)
+            if task is None or task.done:
+                continue
+            kind = parse_end_kind(end.how)
+            if (task.run, task.place) == (end.run, place):
+                for other in self._registry.end_run(task, kind, end.checkpoint):
+                    self.stop(other, "the job has failed")
+            elif kind is EndKind.DONE and self._may_complete(task):
+                self._complete_task(worker, task, end)
+
     def _list_earlier_places(self, worker: WorkerState, place: str) -> list[str]:
         """Return the places of earlier incarnations on a worker's node."""
         prefix = worker.node + PLACE_SEPARATOR
@@ -341,7 +359,7 @@
             return
         if (
             task is not None
-            and not (task.done or task.step.lasts or self._is_over(task))
+            and self._may_complete(task)
             and not self._complete_task(worker, task, end)
         ):
             # Looked at again in each report, until the newest run has ended.
@@ -351,6 +369,9 @@
         job_id = end.task.partition(".")[0]
         self._registry.call_when_saved(job_id, _build_acknowledgement(worker, end))
 
+    def _may_complete(self, task: Task) -> bool:
+        return not (task.done or task.step.lasts or self._is_over(task))
+
     def _complete_task(self, worker: WorkerState, task: Task, end: EndedTask) -> bool:
         """Tell whether a task is done; otherwise its newest run is stopped first."""
         if not task.proven:
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -88,12 +88,14 @@
     :param cause: a value of ``LossCause``.
     :param ago_ms: time since the worker first failed to respond.
     :param runs: runs that were, or may have been, active on it.
+    :param ends: ends that it had listed and that no leader has acknowledged.
     """
 
     worker: str
     cause: str
     ago_ms: int
     runs: tuple[LostRun, ...]
+    ends: tuple[EndedTask, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiodeal/wire/schema.capnp
+++ b/pistachiodeal/wire/schema.capnp
@@ -239,6 +239,7 @@
   cause @1 :Text;
   agoMs @2 :Int64;
   runs @3 :List(LostRun);
+  ends @4 :List(EndedTask);
 }
 
 struct WorkerReport {
--- a/tests/unit/test_jobagent_ledger.py
+++ b/tests/unit/test_jobagent_ledger.py
@@ -237,3 +237,20 @@
     rest = (*others[MAX_LISTED_ENDS:], EndedTask(502, task, 1, "done", ""))
     ledger.apply_listing(Listing(CallResult.DONE, 200, (), rest), 3.0, 3.1)
     assert not ledger.orders
+
+
+def test_a_loss_holds_the_ends_that_no_leader_has_acknowledged():
+    """Guards against a task that is started again after its listed end.
+
+    The runner crashes while its agent has no leader.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    ends = tuple(
+        EndedTask(number, f"{number:016x}.0.0.0", 1, "done", "") for number in (1, 2)
+    )
+    ledger.apply_listing(Listing(CallResult.DONE, 100, (), ends), 1.0, 1.0)
+    ledger.apply_directive(build_directive("w", noted=1), 0.0)
+    ledger.drop_worker("it crashed")
+    [loss] = ledger.build_report(2).losses
+    assert loss.ends == ends[1:]
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -422,6 +422,17 @@
     assert harness.task.waits
 
 
+def test_the_ends_of_a_lost_incarnation_count():
+    """Guards against a task that is started again after its listed end.
+
+    A runner crashes after its agent has read the end, and before a leader has.
+    """
+    harness = LeaderHarness()
+    harness.report(running=[RunningTask(TASK, 1, "", 5, 0)])
+    harness.report(worker="", losses=[replace(LOSS, ends=(DONE,))])
+    assert harness.task.done
+
+
 DONE = EndedTask(1, TASK, 1, "done", "")
 
 
