--- a/tests/unit/test_run_uniqueness.py
+++ b/tests/unit/test_run_uniqueness.py
@@ -22,8 +22,9 @@
 SETTLED_S = 60.0
 # Longest time for which a process is away, seconds.
 LONGEST_S = 4.0
-# Seeds by which a task was started again after an end "done" that was lost: of a run that
-# was taken for lost (18, 46, 74), or of a runner that crashed before the end was stored.
+# Seeds by which a task was started again after an end "done" that was lost: of a run
+# that was taken for lost (18, 46, 74), or of a runner that crashed before the end was
+# stored.
 FAILED_SEEDS = (18, 46, 74, 440)
 
 
