--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -28,6 +28,8 @@
 # may still take effect, and the next runs of its tasks wait for the end of its last
 # lease.
 SILENT_S = 1.5
+# A runner lists this many ends in one answer, those with the lowest numbers first.
+MAX_LISTED_ENDS = 500
 MAX_TEXTS = 400
 # Ended incarnations that are remembered. A sender that names an older one is adopted,
 # and dropped as soon as the runner answers for another incarnation.
@@ -67,6 +69,7 @@
         self.run_ages = RunAgeTracker()
         self._listing_ms = 0
         self._other_service = ""
+        self._adopted = False
         self._texts: dict[str, str] = {}
         self._gone: deque[str] = deque(maxlen=MAX_ENDED)
 
@@ -98,6 +101,10 @@
         # The first listing under the higher token settles orders that got no answer:
         # the runner refuses to start any run that this listing doesn't hold.
         now = read_boot_clock()
+        if not self._adopted:
+            # The agent's former process may have granted leases until it ended.
+            self._adopted = True
+            self.lease.until = now + self.lease.span_s
         unsettled = self.loss_history.pop_unsettled()
         for task, run in unsettled:
             self.orders[task, run] = Order(task, run, settled_at=now, sent=True)
@@ -182,12 +189,14 @@
             loss.unsettled = frozenset(
                 key
                 for key, order in self.orders.items()
-                if order.unanswered and key not in self.running
+                if order.is_unsettled(listed=self.listed) and key not in self.running
             )
+        loss.ends = self.ends
         self.loss_history.add(loss)
         self.beat = None
         self.listed = False
-        self.lease = Lease(self._longest_lease_s)
+        # If the incarnation answers again, its runs may still have their leases.
+        self.lease = Lease(self._longest_lease_s, self.lease.until)
         self.running, self.ends = {}, ()
         self.figures, self.run_ages = FigureSampler(), RunAgeTracker()
         self.orders, self.run_specs = {}, {}
@@ -223,7 +232,9 @@
         known = {end.number for end in self.ends}
         self.ends = tuple(end for end in listing.ends if end.number > self.acked_end)
         news |= any(end.number not in known for end in self.ends)
-        return self._settle(sent_at) or news
+        # With a full list of ends, a missing run may be among the ends that follow.
+        complete = len(listing.ends) < MAX_LISTED_ENDS
+        return self._settle(sent_at, complete=complete) or news
 
     def apply_directive(self, directive: Directive, sent_at: float | None) -> bool:
         """Apply a directive; return False if its leader has been replaced.
@@ -307,8 +318,11 @@
         )
         return [*self.running, *pending]
 
-    def _settle(self, sent_at: float) -> bool:
-        """Settle orders by a listing; return whether one of them became void."""
+    def _settle(self, sent_at: float, *, complete: bool) -> bool:
+        """Settle orders by a listing; return whether one of them became void.
+
+        :param complete: whether the listing holds all ends.
+        """
         ended = {(end.task, end.run) for end in self.ends}
         news = False
         for key, order in list(self.orders.items()):
@@ -317,7 +331,7 @@
                 continue
             if order.state is not OrderState.PENDING or order.started:
                 continue
-            if order.settled_at and order.settled_at < sent_at:
+            if complete and order.settled_at and order.settled_at < sent_at:
                 order.state = OrderState.VOID
                 news = True
         return news
--- a/pistachiodeal/jobagent/losses.py
+++ b/pistachiodeal/jobagent/losses.py
@@ -12,7 +12,7 @@
 
 from pistachiodeal.jobagent.figures import RunKey
 from pistachiodeal.jobs.model import LossCause
-from pistachiodeal.wire.job_messages import LostRun, WorkerLoss
+from pistachiodeal.wire.job_messages import EndedTask, LostRun, WorkerLoss
 
 # Age of a run that this agent has not started.
 UNKNOWN_AGE_MS = -1
@@ -36,6 +36,7 @@
         before.
     :param acknowledged: whether the leader has answered that report.
     :param unsettled: runs that may still be started at the next incarnation.
+    :param ends: ends that it had listed and that no leader has acknowledged.
     """
 
     worker: str
@@ -45,6 +46,7 @@
     reported_in: int = 0
     acknowledged: bool = False
     unsettled: frozenset[RunKey] = frozenset()
+    ends: tuple[EndedTask, ...] = ()
 
 
 @dataclass(slots=True)
@@ -54,7 +56,12 @@
     _losses: deque[Loss] = field(default_factory=lambda: deque(maxlen=MAX_LOSSES))
 
     def add(self, loss: Loss) -> None:
-        """Add the loss of an incarnation."""
+        """Add the loss of an incarnation, and report all others again.
+
+        A run of an earlier incarnation may have waited for this one to settle it. The
+        leader requeues runs only by the loss of the incarnation that it ordered.
+        """
+        self.reset_reports()
         self._losses.append(loss)
 
     def discard(self, worker: str) -> None:
@@ -83,9 +90,10 @@
         """Give up unsettled runs that have waited too long for a new incarnation."""
         for loss in self._losses:
             if loss.unsettled and now - loss.at >= UNSETTLED_S:
-                # Reported once more, as the leader has kept these runs until now.
+                # All are reported once more, as the leader has kept these runs until
+                # now, maybe as those of an earlier incarnation.
                 loss.unsettled = frozenset()
-                loss.reported_in, loss.acknowledged = 0, False
+                self.reset_reports()
 
     def list_unsettled(self) -> set[RunKey]:
         """Return the runs that the leader must not give up yet."""
@@ -100,7 +108,7 @@
             loss.reported_in = loss.reported_in or beat
             ago_ms = round((now - loss.at) * 1000)
             reported.append(
-                WorkerLoss(loss.worker, loss.cause.value, ago_ms, loss.runs)
+                WorkerLoss(loss.worker, loss.cause.value, ago_ms, loss.runs, loss.ends)
             )
         return tuple(reported)
 
@@ -110,7 +118,7 @@
             loss.acknowledged |= 0 < loss.reported_in <= beat
 
     def reset_reports(self) -> None:
-        """Report all losses again, on a new link that may be to another leader."""
+        """Report all losses again, for example to another leader."""
         for loss in self._losses:
             loss.reported_in, loss.acknowledged = 0, False
 
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -12,7 +12,7 @@
 from pistachiodeal.leader.advice import AdviceCache
 from pistachiodeal.leader.crashes import CrashTracker
 from pistachiodeal.leader.interference_monitor import InterferenceMonitor
-from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.registry import Callback, JobRegistry
 from pistachiodeal.leader.report_index import ReportIndex, RunKey, index_report
 from pistachiodeal.leader.workers import (
     PLACE_SEPARATOR,
@@ -75,9 +75,13 @@
             self._move_runs(earlier_places, place, report_index)
         for loss in report.losses:
             if loss.worker != report.worker:
+                self._apply_lost_ends(worker, loss)
                 self._apply_loss(worker, loss, now)
-                why = f"its agent saw it end: {loss.cause}"
-                self._requeue_all_lost(earlier_places, why, report_index.outcomes)
+                self.requeue_lost_runs(
+                    build_place(worker.node, loss.worker),
+                    f"its agent saw it end: {loss.cause}",
+                    report_index.outcomes,
+                )
         if not report.worker:
             worker.listed = False
             return
@@ -90,7 +94,8 @@
             return
         # The agent has reached the current worker of the node, so all earlier
         # incarnations are gone.
-        self._requeue_all_lost(earlier_places, "a new incarnation is at its address")
+        for other in earlier_places:
+            self.requeue_lost_runs(other, "a new incarnation is at its address")
         self._apply_runs(worker, attachment, report_index, now)
         self._apply_ends(worker, attachment, report)
         self._stop_orphans(worker, attachment, report_index)
@@ -177,6 +182,23 @@
         if loss.cause == LossCause.CRASHED:
             self._crashes.record_crash(worker, loss, now)
 
+    def _apply_lost_ends(self, worker: WorkerState, loss: WorkerLoss) -> None:
+        """Apply ends that an incarnation listed before it was lost.
+
+        They can't be acknowledged to it any more. Agents report them to each leader.
+        """
+        place = build_place(worker.node, loss.worker)
+        for end in loss.ends:
+            task = self._registry.find_task(end.task)
+            if task is None or task.done:
+                continue
+            kind = parse_end_kind(end.how)
+            if (task.run, task.place) == (end.run, place):
+                for other in self._registry.end_run(task, kind, end.checkpoint):
+                    self.stop(other, "the job has failed")
+            elif kind is EndKind.DONE and self._may_complete(task):
+                self._complete_task(worker, task, end)
+
     def _list_earlier_places(self, worker: WorkerState, place: str) -> list[str]:
         """Return the places of earlier incarnations on a worker's node."""
         prefix = worker.node + PLACE_SEPARATOR
@@ -186,12 +208,6 @@
             if other.startswith(prefix) and other != place
         ]
 
-    def _requeue_all_lost(
-        self, places: list[str], why: str, kept: Container[RunKey] = ()
-    ) -> None:
-        for place in places:
-            self.requeue_lost_runs(place, why, kept)
-
     def _move_runs(
         self, earlier_places: list[str], place: str, report_index: ReportIndex
     ) -> None:
@@ -295,7 +311,7 @@
             worker.ends_applied.add(end.number)
             task = self._registry.find_task(end.task)
             if task is None or task.run != end.run or task.place != worker.place:
-                worker.mark_end_durable(end.number)
+                self._apply_other_end(worker, task, end)
                 continue
             self._apply_end(worker, task, end)
         worker.advance_ends_noted(report.ends)
@@ -327,15 +343,51 @@
             if not task.failures:
                 worker.health.record_failure(now)
             task.avoid |= {worker.node}
-        incarnation = worker.worker
-
-        def acknowledge() -> None:
-            if worker.worker == incarnation:
-                worker.mark_end_durable(end.number)
-
+        acknowledge = _build_acknowledgement(worker, end)
         for other in self._registry.end_run(task, kind, end.checkpoint, acknowledge):
             self.stop(other, "the job has failed")
 
+    def _apply_other_end(
+        self, worker: WorkerState, task: Task | None, end: EndedTask
+    ) -> None:
+        """Apply the end of a run that isn't its task's newest one at its place.
+
+        A runner that was taken for lost may have completed the task meanwhile.
+        """
+        if parse_end_kind(end.how) is not EndKind.DONE:
+            worker.mark_end_durable(end.number)
+            return
+        if (
+            task is not None
+            and self._may_complete(task)
+            and not self._complete_task(worker, task, end)
+        ):
+            # Looked at again in each report, until the newest run has ended.
+            worker.ends_applied.discard(end.number)
+            return
+        # The task may be done by another end that isn't durable yet.
+        job_id = end.task.partition(".")[0]
+        self._registry.call_when_saved(job_id, _build_acknowledgement(worker, end))
+
+    def _may_complete(self, task: Task) -> bool:
+        return not (task.done or task.step.lasts or self._is_over(task))
+
+    def _complete_task(self, worker: WorkerState, task: Task, end: EndedTask) -> bool:
+        """Tell whether a task is done; otherwise its newest run is stopped first."""
+        if not task.proven:
+            self._events.emit(
+                "run.done_before",
+                task=end.task,
+                run=end.run,
+                place=worker.place,
+                newest=task.run,
+                newest_place=task.place,
+            )
+        if self._registry.complete_task(task):
+            return True
+        self.stop(task, "an earlier run has completed the task")
+        return False
+
     def _stop_orphans(
         self, worker: WorkerState, attachment: Attachment, report_index: ReportIndex
     ) -> None:
@@ -349,3 +401,14 @@
             # room until its end is listed.
             worker.orphans[name] = run
             attachment.order_stop(name, run)
+
+
+def _build_acknowledgement(worker: WorkerState, end: EndedTask) -> Callback:
+    """Return a callback that acknowledges an end to the incarnation that listed it."""
+    incarnation = worker.worker
+
+    def acknowledge() -> None:
+        if worker.worker == incarnation:
+            worker.mark_end_durable(end.number)
+
+    return acknowledge
--- a/tests/unit/test_jobagent_ledger.py
+++ b/tests/unit/test_jobagent_ledger.py
@@ -2,23 +2,24 @@
 
 from __future__ import annotations
 
-import os
 from dataclasses import replace
 
-from pistachiodeal.events import EventLog
+from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.jobagent.authority import SLOWEST_CLOCK, Lease
-from pistachiodeal.jobagent.ledger import AgentLedger
+from pistachiodeal.jobagent.ledger import MAX_LISTED_ENDS, AgentLedger
+from pistachiodeal.jobagent.losses import UNSETTLED_S
 from pistachiodeal.jobagent.orders import Order
 from pistachiodeal.jobs.model import LossCause, OrderState
 from pistachiodeal.jobs.runtime import CallResult, Listing, WorkerHeartbeat
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.wire.job_messages import Directive, EndedTask
+from tests.standins.job_cluster import create_quiet_log
 
 ROOM = Resources(16_000, 64_000, 0)
 
 
 def create_ledger() -> AgentLedger:
-    return AgentLedger(EventLog(os.open(os.devnull, os.O_WRONLY), "test"))
+    return AgentLedger(create_quiet_log())
 
 
 def build_beat(
@@ -170,3 +171,86 @@
     assert lease.extend(10.0, 11.0) == 1_000 + int(1_000 * SLOWEST_CLOCK)
     assert lease.until == 11.0
     assert lease.extend(11.0, 11.0) == 0
+
+
+def test_a_run_that_no_incarnation_settled_is_given_up_with_its_own():
+    """Guards against a task that waits for ever.
+
+    A start at the first incarnation got no answer, and the second ends before it has
+    listed its runs. The leader requeues the run only by the loss of the first, which it
+    has already acknowledged.
+    """
+    ledger = create_ledger()
+    task = "0123456789abcdef.0.0.0"
+    ledger.adopt(build_beat("w@1"))
+    ledger.apply_listing(Listing(CallResult.DONE, 100), 1.0, 1.0)
+    ledger.orders[task, 1] = Order(task, 1, sent=True)
+    ledger.drop_worker("it crashed")
+    ledger.build_report(1)
+    ledger.apply_directive(build_directive("w@1"), 0.0)
+    ledger.adopt(build_beat("w@2"))
+    ledger.drop_worker("it crashed")
+    report = ledger.build_report(2)
+    assert [loss.worker for loss in report.losses] == ["w@1", "w@2"]
+    assert [(one.task, one.outcome) for one in report.outcomes] == [(task, "pending")]
+    report_later = read_boot_clock() + UNSETTLED_S
+    ledger.loss_history.expire_unsettled(report_later)
+    report = ledger.build_report(3)
+    assert [loss.worker for loss in report.losses] == ["w@1", "w@2"]
+    assert report.outcomes == ()
+
+
+def test_leases_of_the_former_process_count_until_the_longest_has_passed():
+    """Guards against a task that runs twice.
+
+    The agent restarts, and its runner is silent before the first renewal. Its runs
+    continue under the leases that the former process of the agent has granted.
+    """
+    ledger = AgentLedger(create_quiet_log(), longest_lease_s=5.0)
+    before = read_boot_clock()
+    ledger.adopt(build_beat("w"))
+    ledger.apply_listing(Listing(CallResult.DONE, 100), before, before)
+    assert ledger.lease.until >= before + 5.0
+    ledger.drop_worker("it was silent", LossCause.SILENT)
+    until = ledger.lease.until
+    ledger.adopt(build_beat("w"))
+    assert ledger.lease.until == until
+
+
+def test_a_listing_that_may_go_on_settles_nothing():
+    """Guards against a task that runs again after its end.
+
+    A runner lists at most 500 ends in one answer, and the end of a run that was ordered
+    to stop is the next one. Taken for a run that never started, it would be requeued.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    task = "0123456789abcdef.0.0.0"
+    ledger.orders[task, 1] = Order(task, 1, settled_at=1.0, sent=True)
+    others = tuple(
+        EndedTask(number, f"{number:016x}.0.0.0", 1, "done", "")
+        for number in range(1, MAX_LISTED_ENDS + 2)
+    )
+    full = Listing(CallResult.DONE, 100, (), others[:MAX_LISTED_ENDS])
+    ledger.apply_listing(full, 2.0, 2.1)
+    assert ledger.orders[task, 1].state is OrderState.PENDING
+    rest = (*others[MAX_LISTED_ENDS:], EndedTask(502, task, 1, "done", ""))
+    ledger.apply_listing(Listing(CallResult.DONE, 200, (), rest), 3.0, 3.1)
+    assert not ledger.orders
+
+
+def test_a_loss_holds_the_ends_that_no_leader_has_acknowledged():
+    """Guards against a task that is started again after its listed end.
+
+    The runner crashes while its agent has no leader.
+    """
+    ledger = create_ledger()
+    ledger.adopt(build_beat("w"))
+    ends = tuple(
+        EndedTask(number, f"{number:016x}.0.0.0", 1, "done", "") for number in (1, 2)
+    )
+    ledger.apply_listing(Listing(CallResult.DONE, 100, (), ends), 1.0, 1.0)
+    ledger.apply_directive(build_directive("w", noted=1), 0.0)
+    ledger.drop_worker("it crashed")
+    [loss] = ledger.build_report(2).losses
+    assert loss.ends == ends[1:]
