The leader measures the speed of workers from the progress of their runs

Cause: some workers are two to eight times slower than the others while their health is good. Nothing noticed this, and short urgent jobs waited for the task placed there.

Change: a CUSUM test for each worker sums bounded evidence of all its tasks: progress against siblings of the step on other workers, or against the queue's prediction with its measured error, and the slack of serving tasks against their siblings. Time without a listing doesn't count. If more than a third of the workers seem slow, none is. Durations learnt on a slow worker are corrected by its speed. Off without `features.worker_speeds`.

--- a/pistachiodeal/leader/interference_monitor.py
+++ b/pistachiodeal/leader/interference_monitor.py
@@ -31,7 +31,7 @@
             for task in self._registry.get_runs(worker.place).values()
             if task.step.fills or task.step.serves_ms
         ]
-        self._observe(worker, runs, _sum_intensities(runs), now)
+        self._observe(worker, runs, sum_intensities(runs), now)
         for (filling, serving), value in self._interference.pop_changes().items():
             self._events.emit(
                 "interference.learnt",
@@ -72,7 +72,7 @@
                 attachment.queue_interference((filling, serving), interference)
 
 
-def _sum_intensities(runs: list[Task]) -> dict[str, float]:
+def sum_intensities(runs: list[Task]) -> dict[str, float]:
     """Return the summed intensity of the running filling tasks, by image."""
     intensities: dict[str, float] = {}
     for task in runs:
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -14,6 +14,7 @@
 from pistachiodeal.leader.interference_monitor import InterferenceMonitor
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.report_index import ReportIndex, RunKey, index_report
+from pistachiodeal.leader.speed_monitor import SpeedMonitor
 from pistachiodeal.leader.workers import (
     PLACE_SEPARATOR,
     Attachment,
@@ -49,14 +50,21 @@
         events: EventLog,
         *,
         advice: AdviceCache | None = None,
+        speeds: SpeedMonitor | None = None,
     ) -> None:
         self._advice = advice
+        self._speeds = speeds
         self._registry = registry
         self._fleet = fleet
         self._crashes = CrashTracker(registry, fleet, events)
         self._interference_monitor = InterferenceMonitor(registry, interference, events)
         self._events = events
 
+    @property
+    def speeds(self) -> SpeedMonitor | None:
+        """Return the speeds of workers, None without that feature."""
+        return self._speeds
+
     @property
     def crashes(self) -> CrashTracker:
         """Return the tracker of worker crashes."""
@@ -95,6 +103,8 @@
         self._apply_ends(worker, attachment, report)
         self._stop_orphans(worker, attachment, report_index)
         self._interference_monitor.update(worker, attachment, now)
+        if self._speeds is not None:
+            self._speeds.observe_listing(worker, now)
 
     def stop(self, task: Task, why: str) -> None:
         """Request the stop of a task's newest run."""
@@ -255,6 +265,8 @@
         """Add the time that the task has run since it was last listed."""
         since = task.seen_at or task.placed_at
         speed = worked if task.step.fills else 1.0
+        if self._speeds is not None:
+            speed *= self._speeds.get_speed(task.place, now)
         task.work_s += speed * (now - since)
         task.seen_at = now
 
@@ -320,6 +332,8 @@
             if task.fully_observed and not task.step.lasts:
                 self._add_work(task, task.worked if task.seen_at else 1.0, now)
                 record = self._registry.records[task.name.job_id]
+                if self._speeds is not None:
+                    self._speeds.observe_done(worker, task, now)
                 self._registry.estimator.observe_duration(record, task, task.work_s)
         elif kind is EndKind.FAILED and not task.step.lasts:
             # Only a task's first failure counts against its worker, since a task that
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -141,6 +141,8 @@
         cached from this state.
     :param solo_slack: by image, the least slack that its serving tasks would have
         without filling tasks.
+    :param speed: relative speed, 1.0 unless it is slow with certainty.
+    :param on_probation: whether one task at a time has to show its speed.
     """
 
     node: str
@@ -163,6 +165,8 @@
     closed: bool = False
     maybe_overcommitted: bool = True
     generation: int = 0
+    speed: float = 1.0
+    on_probation: bool = False
 
     @property
     def place(self) -> str:
@@ -209,6 +213,7 @@
         self.ends_durable.clear()
         self.ends_applied.clear()
         self.health = WorkerHealth()
+        self.speed, self.on_probation = 1.0, False
 
     def mark_end_durable(self, number: int) -> None:
         """Record that an end is durable or belongs to no current run."""
--- a/pistachiodeal/stats.py
+++ b/pistachiodeal/stats.py
@@ -30,6 +30,11 @@
             name = OTHER
         self._counters[name] = self._counters.get(name, 0) + n
 
+    def set(self, name: str, value: int) -> None:
+        """Set a number that can also fall, such as that of slow workers."""
+        if name in self._counters or len(self._counters) < MAX_NAMES:
+            self._counters[name] = value
+
     def time(self, name: str, seconds: float) -> None:
         """Record a duration in a histogram."""
         if name not in self._histograms and len(self._histograms) >= MAX_NAMES:
