The leader avoids slow workers, moves runs away, and hands the speeds over

Cause: a worker that is known as slow still got as many tasks as the others, and its runs were awaited. A new leader would have had to measure all speeds again.

Change: a slow worker is chosen only if no other one can take the task, except for filling tasks of late jobs, which also stay there. Without the feature, decisions and the row are as before.

--- a/pistachiodeal/leader/fleet_views.py
+++ b/pistachiodeal/leader/fleet_views.py
@@ -109,7 +109,9 @@
             _reserve_room(view, orphan)
     at_work = sum(1 for task in runs if not task.step.lasts)
     view.excluded = worker.health.is_excluded(now, at_work=at_work)
-    view.probing = worker.health.suspect
+    view.probing = worker.health.suspect or worker.on_probation
+    view.excluded |= worker.on_probation and at_work > 0
+    view.speed = worker.speed
     view.probation = any(_is_on_probation(task) for task in runs)
     view.unlisted = sum(1 for task in runs if not task.running)
     return view
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -28,6 +28,7 @@
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.sessions import AgentSessions
+from pistachiodeal.leader.speed_monitor import SpeedMonitor
 from pistachiodeal.leader.startup_wait import StartupWait
 from pistachiodeal.leader.workers import Fleet, split_place
 from pistachiodeal.scheduling.interference import InterferenceModel
@@ -92,8 +93,18 @@
         self._advice = None
         if adviser is not None:
             self._advice = AdviceCache(adviser, events, self._changed.set)
+        speeds = None
+        if features.worker_speeds:
+            speeds = SpeedMonitor(
+                self._registry, interference, events, limits.remote_factor
+            )
         self._reconciler = Reconciler(
-            self._registry, self._fleet, interference, events, advice=self._advice
+            self._registry,
+            self._fleet,
+            interference,
+            events,
+            advice=self._advice,
+            speeds=speeds,
         )
         self._learned_state = LearnedStatePersister(
             store,
@@ -101,6 +112,7 @@
             interference,
             self._registry.estimator.durations,
             events,
+            speeds=speeds,
         )
         self._planner = Planner(
             self._registry,
--- a/pistachiodeal/leader/learned_state.py
+++ b/pistachiodeal/leader/learned_state.py
@@ -7,16 +7,19 @@
 
 from __future__ import annotations
 
-from dataclasses import astuple, dataclass, fields
+from dataclasses import astuple, dataclass, field, fields
 
 import curio
 import orjson
 from logbook import Logger
 
+from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import ProtocolError, StoreError
 from pistachiodeal.jobs.checks import check_fields
 from pistachiodeal.leader.commits import CONTROL_TABLE, FencedWriter
+from pistachiodeal.leader.speed_monitor import SpeedMonitor
+from pistachiodeal.leader.speed_row import decode_speeds, encode_speeds
 from pistachiodeal.scheduling.durations import DurationFit, DurationModel
 from pistachiodeal.scheduling.interference import InterferenceModel, PairEstimate
 from pistachiodeal.store.row_store import RowStore, RowWrite, read_row
@@ -43,10 +46,12 @@
 
     :param pairs: which images interfere with each other.
     :param durations: how long tasks take, by queue.
+    :param speeds: relative speeds of slow workers, by place.
     """
 
     pairs: list[PairEstimate]
     durations: dict[str, DurationFit]
+    speeds: dict[str, float] = field(default_factory=dict)
 
 
 class LearnedStatePersister:
@@ -59,7 +64,10 @@
         model: InterferenceModel,
         durations: DurationModel,
         events: EventLog,
+        *,
+        speeds: SpeedMonitor | None = None,
     ) -> None:
+        self._speeds = speeds
         self._store = store
         self._writer = writer
         self._model = model
@@ -86,7 +94,8 @@
 
     def _collect(self) -> LearnedState:
         newest = list(self._durations.fits.items())[-MAX_QUEUES:]
-        return LearnedState(self._model.list_estimates(MAX_PAIRS), dict(newest))
+        speeds = self._speeds.model.list_slow() if self._speeds is not None else {}
+        return LearnedState(self._model.list_estimates(MAX_PAIRS), dict(newest), speeds)
 
     async def _load(self) -> bool:
         try:
@@ -95,6 +104,7 @@
             log.debug("lessons: cannot read the learned state yet: {}", error)
             return False
         for row in page.rows:
+            self._adopt_speeds(row.value)
             try:
                 learned = decode_learned_state(row.value)
             except ProtocolError as error:
@@ -112,6 +122,19 @@
             )
         return True
 
+    def _adopt_speeds(self, value: bytes) -> None:
+        if self._speeds is None:
+            return
+        try:
+            self._speeds.adopt(decode_speeds(value), read_boot_clock())
+        except ProtocolError as error:
+            self._events.emit(
+                "row.unreadable",
+                table=CONTROL_TABLE,
+                key=LEARNED_STATE_KEY,
+                cause=str(error),
+            )
+
 
 def encode_learned_state(learned: LearnedState) -> bytes:
     """Return the value to store in the row."""
@@ -128,7 +151,9 @@
         queue: [round(figure, 3) for figure in astuple(fit)]
         for queue, fit in learned.durations.items()
     }
-    return orjson.dumps({"pairs": pairs, "durations": durations})
+    return orjson.dumps(
+        {"pairs": pairs, "durations": durations, **encode_speeds(learned.speeds)}
+    )
 
 
 def decode_learned_state(value: bytes) -> LearnedState:
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -22,6 +22,7 @@
 from pistachiodeal.leader.preemptor import Preemptor, QueueLookup
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.slow_workers import SlowWorkers, is_late
 from pistachiodeal.leader.suspect_placer import SuspectPlacer
 from pistachiodeal.leader.workers import Fleet, split_place
 from pistachiodeal.scheduling.crash_attribution import is_suspect
@@ -80,6 +81,15 @@
         self._interference = interference
         self._descheduler = Descheduler(registry, fleet, reconciler, limits)
         self._views = FleetViews(registry, fleet)
+        self._slow_workers = SlowWorkers(
+            registry,
+            fleet,
+            reconciler,
+            interference,
+            views=self._views,
+            limits=limits,
+            events=events,
+        )
         self._failed_placements = FailedPlacements()
         self._preemptor = Preemptor(registry, fleet, reconciler, find_queue, limits)
         self._suspect_placer = SuspectPlacer(registry, reconciler, interference, events)
@@ -101,6 +111,7 @@
         if now - self._descheduled_at > DESCHEDULE_INTERVAL_S:
             self._descheduled_at = now
             self._descheduler.run(now)
+            self._slow_workers.run(now)
         views = self._views.refresh(now)
         self._preemptor.begin_round()
         self._suspect_placer.begin_round(now)
@@ -171,6 +182,7 @@
             urgent=is_urgent(queue.priority, step.step, _measure_wait_s(step)),
             racks=self._list_racks(step, views),
             may_interfere=self._is_starved(record, step),
+            late=step.step.fills and is_late(record, time.time()),
             remote_cost=self._remote_cost,
         )
         allowed = self._list_allowed(request, queue, views)
--- /dev/null
+++ b/pistachiodeal/leader/slow_workers.py
@@ -0,0 +1,176 @@
+"""Moves runs away from slow workers."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+
+from pistachiodeal.config.deployment import LimitSettings
+from pistachiodeal.events import EventLog
+from pistachiodeal.jobs.record import JobRecord, StepRecord, Task
+from pistachiodeal.leader.fleet_views import FleetViews, ViewsByService
+from pistachiodeal.leader.reconcile import Reconciler
+from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.workers import Fleet, WorkerState
+from pistachiodeal.scheduling.interference import InterferenceModel
+from pistachiodeal.scheduling.ordering import compute_objective_s
+from pistachiodeal.scheduling.placement import (
+    PlacementRequest,
+    choose_worker,
+    is_urgent,
+)
+from pistachiodeal.scheduling.slow_moves import compute_gain_s, may_move_serving
+from pistachiodeal.scheduling.views import StepKey
+
+# Interval between checks for runs that have to move. A check in which no worker has
+# room evaluates every worker for every step.
+CHECK_INTERVAL_S = 0.4
+# Limits a check to about 20 ms of processor time with 600 workers.
+MAX_EVALUATIONS = 3_000
+# No task moves twice within this time, so that a short one ends before the next move.
+MOVE_INTERVAL_S = 3.0
+REASON = "its worker is slow"
+
+
+@dataclass(frozen=True, slots=True)
+class _Move:
+    """A run that would end earlier elsewhere.
+
+    :param gain_s: by how much, 0 for a serving task.
+    """
+
+    priority: int
+    gain_s: float
+    task: Task
+    step: StepRecord
+    service: str
+
+
+class SlowWorkers:
+    """Publishes the speeds of workers and stops runs on slow ones."""
+
+    def __init__(
+        self,
+        registry: JobRegistry,
+        fleet: Fleet,
+        reconciler: Reconciler,
+        interference: InterferenceModel,
+        *,
+        views: FleetViews,
+        limits: LimitSettings,
+        events: EventLog,
+    ) -> None:
+        self._registry = registry
+        self._fleet = fleet
+        self._reconciler = reconciler
+        self._interference = interference
+        self._views = views
+        self._move_s = limits.move_s
+        self._remote_cost = limits.remote_factor - 1.0
+        self._events = events
+        self._checked_at = 0.0
+        self._moved_at: dict[str, float] = {}
+
+    def run(self, now: float) -> None:
+        """Stop the runs that have to move; nothing without the feature.
+
+        :param now: seconds of the boot clock.
+        """
+        speeds = self._reconciler.speeds
+        if speeds is None:
+            return
+        speeds.refresh(self._fleet, now)
+        if now - self._checked_at < CHECK_INTERVAL_S:
+            return
+        self._checked_at = now
+        self._moved_at = {
+            name: at
+            for name, at in self._moved_at.items()
+            if now - at < MOVE_INTERVAL_S
+        }
+        moves = [
+            move
+            for worker in self._fleet.workers.values()
+            if worker.speed < 1.0 and worker.listed and worker.attachment is not None
+            for move in self._list_moves(worker)
+        ]
+        if moves:
+            moves.sort(key=lambda move: (move.priority, -move.gain_s))
+            self._move(moves, self._views.refresh(now), now)
+
+    def _list_moves(self, worker: WorkerState) -> list[_Move]:
+        moves = []
+        for task in self._registry.get_runs(worker.place).values():
+            record = self._registry.records[task.name.job_id]
+            if not task.running or task.stopping or task.step.gang:
+                continue
+            if record.state.final or str(task.name) in self._moved_at:
+                continue
+            # The placement may choose a slow worker again for late filling tasks.
+            if task.step.fills and is_late(record, time.time()):
+                continue
+            step = record.find_step(task.name)
+            gain_s = 0.0
+            if task.step.lasts:
+                if not may_move_serving(task, step.tasks):
+                    continue
+            else:
+                gain_s = compute_gain_s(
+                    task, step.expected_s, worker.speed, self._move_s
+                )
+                if gain_s <= 0:
+                    continue
+            priority = record.job.queue.priority
+            moves.append(_Move(priority, gain_s, task, step, worker.service))
+        return moves
+
+    def _move(self, moves: list[_Move], views: ViewsByService, now: float) -> None:
+        trials = {
+            service: [view.copy() for view in one if view.speed >= 1.0]
+            for service, one in views.items()
+        }
+        no_room: set[StepKey] = set()
+        left = MAX_EVALUATIONS
+        for move in moves:
+            # An earlier move of this check may have taken a serving task away.
+            if move.step.key in no_room or (
+                move.task.step.lasts
+                and not may_move_serving(move.task, move.step.tasks)
+            ):
+                continue
+            trial = trials.get(move.service, [])
+            if left < len(trial):
+                return
+            left -= len(trial)
+            request = self._build_request(move)
+            view = choose_worker(request, trial, self._interference)
+            if view is None:
+                no_room.add(move.step.key)
+                continue
+            view.reserve(request.key, request.step)
+            self._events.stats.count("runs_moved_off_slow_workers")
+            self._moved_at[str(move.task.name)] = now
+            self._reconciler.stop(move.task, REASON)
+
+    def _build_request(self, move: _Move) -> PlacementRequest:
+        step = move.step.step
+        return PlacementRequest(
+            step,
+            move.step.key,
+            urgent=is_urgent(move.priority, step, 0.0),
+            avoid=move.task.avoid,
+            remote_cost=self._remote_cost,
+        )
+
+
+def is_late(record: JobRecord, time_of_day_s: float) -> bool:
+    """Tell whether a job can't be in time, even if all its tasks begin now."""
+    job = record.job
+    if job.repeats:
+        return False
+    objective_s = compute_objective_s(
+        record.critical_path_s, job.queue.stretch, job.queue.aim_s
+    )
+    steps = next(iter(record.occurrences.values()))
+    remaining_s = record.compute_remaining_s(steps)
+    return time_of_day_s - job.accepted_s + remaining_s > objective_s
--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -54,6 +54,9 @@
 # Cost of a worker with serving tasks for a task that may crash its worker: higher than
 # any load.
 SERVING_AT_RISK_COST = 10.0
+# Cost of a slow worker, beside the time that a task takes there: higher than any other,
+# so that a slow worker gets only what no other worker can take.
+SLOW_COST = 20.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +71,8 @@
     :param may_crash_worker: whether it is suspected of crashing its worker.
     :param require_settled: whether it needs a worker on which all ordered tasks have
         been reported as running.
+    :param late: whether the task's job can't be in time, so that a slow worker does as
+        well as another one.
     :param remote_cost: cost, in units of load (1.0 is a full worker), of a rack other
         than that of the data or of the step's other tasks.
     """
@@ -80,6 +85,7 @@
     may_interfere: bool = False
     may_crash_worker: bool = False
     require_settled: bool = False
+    late: bool = False
     remote_cost: float = 0.5
 
 
@@ -132,6 +138,8 @@
     """Return the cost of a worker for a task of a step; the lowest is best."""
     step, racks = request.step, request.racks
     cost = 0.0
+    if view.speed < 1.0 and not request.late:
+        cost += SLOW_COST + 1 / view.speed - 1
     if step.data_rack and view.rack != step.data_rack:
         cost += request.remote_cost
     if step.same_rack and racks and view.rack not in racks:
--- a/pistachiodeal/scheduling/views.py
+++ b/pistachiodeal/scheduling/views.py
@@ -36,6 +36,7 @@
         started there.
     :param unlisted: tasks that were ordered and not yet reported as running.
     :param built_round: the round of decisions in which it was built.
+    :param speed: relative speed, 1.0 unless it is slow with certainty.
     :param interference: slack that filling tasks take, by serving image; computed on
         first use, and reset when a task is added.
     """
@@ -57,6 +58,7 @@
     probation: bool = False
     unlisted: int = 0
     built_round: int = 0
+    speed: float = 1.0
     interference: dict[str, float] | None = None
 
     @property
--- a/tests/unit/test_leader_planner.py
+++ b/tests/unit/test_leader_planner.py
@@ -13,6 +13,7 @@
 from pistachiodeal.leader.planner import SLICE_S, Planner
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.speed_monitor import SpeedMonitor
 from pistachiodeal.leader.workers import Attachment, Fleet
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling import placement
@@ -27,11 +28,18 @@
 class Cluster:
     """A planner with a fleet of workers that have no agents behind them."""
 
-    def __init__(self, workers: int = WORKERS) -> None:
+    def __init__(self, workers: int = WORKERS, *, speeds: bool = False) -> None:
         events = create_quiet_log()
         self.registry, self.fleet = JobRegistry(events), Fleet()
         model = InterferenceModel()
-        reconciler = Reconciler(self.registry, self.fleet, model, events)
+        self.speeds = SpeedMonitor(self.registry, model, events, 1.5)
+        reconciler = Reconciler(
+            self.registry,
+            self.fleet,
+            model,
+            events,
+            speeds=self.speeds if speeds else None,
+        )
         self.planner = Planner(
             self.registry,
             self.fleet,
