Entries reject jobs that can't end while they are worth anything

With features.admission, an entry decides on each submission by the leader's newest summary and answers 429 overloaded with the outcome not_run. Before, it makes sure that the job doesn't exist, and decides again after that check; what can't be found out, has an insert under way, or had one without an answer in the last 30 s is accepted. Missing, old, older or malformed summaries reject nothing.

--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -8,6 +8,7 @@
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import Outcome, RequestError, StoreError
 from pistachiodeal.jobentry.acceptance import Acceptance
+from pistachiodeal.jobentry.admission import AdmissionGate
 from pistachiodeal.jobentry.configuration_copy import ConfigurationCopy
 from pistachiodeal.jobentry.states import JobStates
 from pistachiodeal.jobs.model import Queue
@@ -33,6 +34,7 @@
     than even a disturbed store allows decides nothing.
 
     :param row_bytes: maximum size of a row in the store, bytes.
+    :param admission: decides whether a job is accepted, None to accept every job.
     """
 
     def __init__(
@@ -44,12 +46,14 @@
         *,
         row_bytes: int,
         limits: LimitSettings,
+        admission: AdmissionGate | None = None,
     ) -> None:
         self._configuration = configuration
         self._acceptance = acceptance
         self._states = states
         self._row_bytes = row_bytes
         self._limits = limits
+        self._admission = admission
         self._events = events
         self._stats = events.stats
 
@@ -128,7 +132,11 @@
                 "the job is too large", code="job_too_large", status=413, step="jobs"
             )
         began = time.monotonic()
-        await self._acceptance.insert(job_id, value, read_budget_s(request))
+        budget_s = read_budget_s(request)
+        if self._admission is None:
+            await self._acceptance.insert(job_id, value, budget_s)
+        else:
+            await self._admission.submit(job, value, budget_s)
         await self._states.announce(job_id)
         self._events.emit(
             "job.accepted",
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -10,6 +10,7 @@
 from pistachiodeal.config.deployment import DeploymentSettings
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobentry.acceptance import Acceptance
+from pistachiodeal.jobentry.admission import AdmissionGate
 from pistachiodeal.jobentry.api import CallerApi
 from pistachiodeal.jobentry.configuration import ConfigurationWatcher
 from pistachiodeal.jobentry.configuration_copy import ConfigurationCopy
@@ -83,6 +84,16 @@
         self._election.set_answer_handler(
             build_dispatcher(relayed, states.handle_answer), relayed.abandon_calls
         )
+        admission = None
+        if settings.features.admission:
+            admission = AdmissionGate(
+                self._acceptance,
+                states,
+                self._peer_server,
+                self._election,
+                peers,
+            )
+            self._election.set_notice_handler(admission.apply_notice)
         api = CallerApi(
             self._configuration,
             self._acceptance,
@@ -90,6 +101,7 @@
             events,
             row_bytes=settings.store.row_bytes,
             limits=settings.limits,
+            admission=admission,
         )
         limits = WebLimits(body_bytes=BODY_BYTES, idle_s=IDLE_S)
         self._callers = _create_server(settings.listen.callers, api.handle, limits)
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -14,7 +14,11 @@
 
 import curio
 
-from pistachiodeal.config.deployment import LimitSettings
+from pistachiodeal.config.deployment import (
+    NO_FEATURES,
+    FeatureSettings,
+    LimitSettings,
+)
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.executor import Executor
 from pistachiodeal.jobagent.heartbeats import Heartbeats
@@ -24,6 +28,7 @@
 from pistachiodeal.jobagent.renewal import Renewal
 from pistachiodeal.jobagent.signals import AgentSignals
 from pistachiodeal.jobentry.acceptance import Acceptance
+from pistachiodeal.jobentry.admission import AdmissionGate
 from pistachiodeal.jobentry.handover import HandOver
 from pistachiodeal.jobentry.peer_server import PeerServer
 from pistachiodeal.jobentry.relay import RelayedRows, build_dispatcher
@@ -84,6 +89,7 @@
         self.address = addresses[int(name)]
         self.incarnation = 0
         self.fitness = 1.0
+        self.features = NO_FEATURES
 
     async def boot(self) -> None:
         """Start the process with a new incarnation."""
@@ -103,6 +109,7 @@
             lambda queue: queue,
             LimitSettings(kept_s=100.0),
             answer_configuration=lambda query: ConfigurationAnswer(0, b"", 0),
+            features=self.features,
         )
         self.election = Election(
             self.store, peers, self.seat.lead, fitness=self.fitness
@@ -116,6 +123,11 @@
             build_dispatcher(relayed, self.states.handle_answer),
             relayed.abandon_calls,
         )
+        self.gate = AdmissionGate(
+            self.acceptance, self.states, self.seat, self.election, peers
+        )
+        if self.features.admission:
+            self.election.set_notice_handler(self.gate.apply_notice)
         await self.start(
             self.seat.listen,
             self.election.run,
@@ -243,7 +255,12 @@
 
 @asynccontextmanager
 async def run_cluster(
-    *, entries: int = 2, agents: int = 2, work_s: float = 0.2, seed: int = 1
+    *,
+    entries: int = 2,
+    agents: int = 2,
+    work_s: float = 0.2,
+    seed: int = 1,
+    features: FeatureSettings = NO_FEATURES,
 ) -> AsyncIterator[JobCluster]:
     """Run a cluster until the end of the block.
 
@@ -266,6 +283,8 @@
             for number in range(agents)
         ],
     )
+    for entry in cluster.entries:
+        entry.features = features
     processes = [*cluster.entries, *cluster.agents]
     try:
         for process in processes:
