A stall of the leader is not taken for a low drain rate

A replay with no placement for 8 s at 0.8 of the capacity had jobs rejected in the stall, as with a silent store or after a change of leaders: work waited and none was completed, so the measured rate was near zero. Blocks of measurement below a tenth of the best one are now left out.

--- a/pistachiodeal/scheduling/drain_rate.py
+++ b/pistachiodeal/scheduling/drain_rate.py
@@ -22,6 +22,9 @@
 # With fewer blocks, the first tasks are still being placed, or agents are still
 # reporting to a new leader, and the rate would be too low.
 MIN_BLOCKS = 3
+# While a leader places nothing, as after a change of leaders or with a silent store, the
+# rate says nothing about the workers. A block below this share of the best is left out.
+STALL_SHARE = 0.1
 # The upper bound is at least this far above the mean.
 MARGIN = 1.25
 
@@ -48,13 +51,14 @@
         :param at: its end, seconds.
         :param work: completed core-seconds, negative if more was lost.
         """
-        begun = self._blocks or self._open_s
-        if lasted_s <= 0 or (work <= 0 and not begun):
+        if lasted_s <= 0 or (work <= 0 and not self._open_s):
             return
         self._open_s += lasted_s
         self._open_work += work
         if self._open_s >= BLOCK_S:
-            self._blocks.append((at, self._open_s, self._open_work))
+            best = max((done / each_s for _, each_s, done in self._blocks), default=0.0)
+            if self._open_work > STALL_SHARE * best * self._open_s:
+                self._blocks.append((at, self._open_s, self._open_work))
             self._open_s = self._open_work = 0.0
         while self._blocks and at - self._blocks[0][0] > MEMORY_S:
             self._blocks.popleft()
--- a/tests/unit/test_admission_load.py
+++ b/tests/unit/test_admission_load.py
@@ -38,6 +38,7 @@
     """
 
     admits: bool = True
+    paused: bool = False
     now: float = 1_000.0
     accepted: dict[str, float] = field(default_factory=dict)
     rejected: dict[str, list[float]] = field(default_factory=dict)
@@ -111,7 +112,7 @@
         ready = sorted(
             self.registry.iterate_ready(), key=lambda pair: self._rank(*pair)
         )
-        for _, step in ready:
+        for _, step in ready if not self.paused else ():
             for task in step.tasks:
                 if len(self.running) >= SLOTS:
                     return
@@ -187,3 +188,16 @@
     replay.arrive(JOBS_PER_S * 0.9, 40.0)
     replay.run(45.0)
     assert not replay.rejected
+
+
+def test_a_leader_that_places_nothing_for_seconds_rejects_nothing():
+    """Guards against taking a silent store, or a change of leaders, for an overload."""
+    replay = Replay()
+    replay.arrive(JOBS_PER_S * 0.8, 40.0)
+    replay.run(20.0)
+    replay.paused = True
+    replay.run(8.0)
+    assert not replay.rejected
+    replay.paused = False
+    # From here on a rejection needs that all slots are in use, see Replay.
+    replay.run(20.0)
