--- a/pistachiodeal/scheduling/drain_rate.py
+++ b/pistachiodeal/scheduling/drain_rate.py
@@ -22,8 +22,9 @@
 # With fewer blocks, the first tasks are still being placed, or agents are still
 # reporting to a new leader, and the rate would be too low.
 MIN_BLOCKS = 3
-# While a leader places nothing, as after a change of leaders or with a silent store, the
-# rate says nothing about the workers. A block below this share of the best is left out.
+# While a leader places nothing, as after a change of leaders or with a silent store,
+# the rate says nothing about the workers. A block below this share of the best is left
+# out.
 STALL_SHARE = 0.1
 # The upper bound is at least this far above the mean.
 MARGIN = 1.25
