A test waits until the entry knows that the store is back

test_a_refusal_covers_all_tries_of_the_insert failed once beside load (503, 504 expected): it waited 0.4 s for the entry's probe of the store, which takes longer on a busy machine; with 0.01 s it fails each time in the same way. It waits for the event now; its assertions are unchanged.

--- a/tests/unit/test_job_cluster.py
+++ b/tests/unit/test_job_cluster.py
@@ -255,7 +255,7 @@
                 await entry.submit(build_job(1))
             assert (refused.value.status, refused.value.outcome) == (503, "not_run")
             cluster.state.faults.down = False
-            await curio.sleep(0.4)
+            await wait_for(lambda: "store_regained 1" in entry.events.stats.format())
             cluster.state.faults.lost = 1.0
             with pytest.raises(RequestError) as unknown:
                 await entry.submit(build_job(2))
