Placement of filling tasks by their expected end, where forecasts are used

The agents' allocation of slack is applied to the forecasts. The cost of a worker is the time after which a task would end there plus what the other filling tasks lose. Without an outlook in the request nothing changes.

--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -14,6 +14,7 @@
 from heapq import heappop, heappush
 
 from pistachiodeal.jobs.model import Step
+from pistachiodeal.scheduling.filling_cost import Outlook
 from pistachiodeal.scheduling.interference import (
     MAX_INTERFERENCE,
     MAX_SLACK,
@@ -70,6 +71,7 @@
         been reported as running.
     :param remote_cost: cost, in units of load (1.0 is a full worker), of a rack other
         than that of the data or of the step's other tasks.
+    :param outlook: the expected progress of a filling task; None if it isn't used.
     """
 
     step: Step
@@ -81,6 +83,7 @@
     may_crash_worker: bool = False
     require_settled: bool = False
     remote_cost: float = 0.5
+    outlook: Outlook | None = None
 
 
 def is_urgent(priority: int, step: Step, waited_s: float) -> bool:
@@ -141,7 +144,7 @@
         return cost + view.load + (SERVING_AT_RISK_COST if view.serving else 0.0)
     cost += SPREAD_COST * view.steps.get(request.key, 0)
     if step.fills:
-        return cost + _compute_filling_cost(request, view, model)
+        return _add_filling_cost(cost, request, view, model)
     if step.serves_ms:
         return cost + _compute_serving_cost(request, view, model)
     return cost + view.load + (0.0 if view.serving else NON_SERVING_WORKER_COST)
@@ -236,6 +239,20 @@
     return step.size.accelerators <= max(0, whole.accelerators - used.accelerators)
 
 
+def _add_filling_cost(
+    cost: float, request: PlacementRequest, view: WorkerView, model: InterferenceModel
+) -> float:
+    """Return the cost in seconds with an outlook, in units of load without one."""
+    outlook = request.outlook
+    if outlook is None:
+        return cost + _compute_filling_cost(request, view, model)
+    expected_s = outlook.compute_cost(request.step, view)
+    if expected_s is not None:
+        return outlook.work_s * cost + expected_s
+    load = _compute_filling_cost(request, view, model)
+    return outlook.work_s * (1 + cost + load)
+
+
 def _compute_filling_cost(
     request: PlacementRequest, view: WorkerView, model: InterferenceModel
 ) -> float:
@@ -297,6 +314,10 @@
         return Obstacle.LEFTOVER
     if not view.serving or request.may_interfere:
         return None
+    if request.outlook is not None:
+        worth = request.outlook.is_worth_starting(request.step, view)
+        if worth is not None:
+            return None if worth else Obstacle.NEIGHBOURS
     if _compute_excess_interference(request, view, model) > 0:
         return Obstacle.NEIGHBOURS
     return None
--- a/pistachiodeal/scheduling/views.py
+++ b/pistachiodeal/scheduling/views.py
@@ -26,6 +26,7 @@
     :param fill_cpu_milli: processor time that its filling tasks request.
     :param steps: number of its tasks by step.
     :param serving: number of its tasks with a latency objective, by image.
+    :param serving_steps: images of the steps of these tasks.
     :param solo_slack: slack that serving tasks would have now without neighbours, the
         least by image.
     :param serving_cpu_milli: processor time that serving tasks have reserved.
@@ -49,6 +50,7 @@
     fill_cpu_milli: int = 0
     steps: dict[StepKey, int] = field(default_factory=dict)
     serving: dict[str, int] = field(default_factory=dict)
+    serving_steps: dict[StepKey, str] = field(default_factory=dict)
     solo_slack: dict[str, float] = field(default_factory=dict)
     serving_cpu_milli: int = 0
     filling: dict[str, float] = field(default_factory=dict)
@@ -83,6 +85,7 @@
             self,
             steps=dict(self.steps),
             serving=dict(self.serving),
+            serving_steps=dict(self.serving_steps),
             filling=dict(self.filling),
         )
 
@@ -98,6 +101,7 @@
             self.filling[step.image] = self.filling.get(step.image, 0.0) + 1.0
         if step.serves_ms:
             self.serving[step.image] = self.serving.get(step.image, 0) + 1
+            self.serving_steps[key] = step.image
             self.serving_cpu_milli += step.size.cpu_milli
 
 
