Forecasts: half as many samples, bounded work a second, today's rule without a period

At 600 workers a step's evaluation took 14 to 30 ms, and the forecasts of all steps were computed in one round. A start has to gain a quarter of its pace over 2 s.

--- a/pistachiodeal/scheduling/expected_progress.py
+++ b/pistachiodeal/scheduling/expected_progress.py
@@ -12,9 +12,14 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from itertools import accumulate
+from math import inf
 
 from pistachiodeal.scheduling.interference import InterferenceModel
-from pistachiodeal.scheduling.load_forecast import GRID_S, SlackForecaster
+from pistachiodeal.scheduling.load_forecast import (
+    GRID_S,
+    SlackForecast,
+    SlackForecaster,
+)
 from pistachiodeal.scheduling.pacing import REQUIRED_SLACK
 from pistachiodeal.scheduling.views import StepKey
 
@@ -24,15 +29,18 @@
 FINE_CELLS = 8
 COARSE_CELLS = int(HORIZON_S) - FINE_CELLS // 2
 CELL_WIDTHS = (GRID_S,) * FINE_CELLS + (2 * GRID_S,) * COARSE_CELLS
+GRID_POINTS = int(HORIZON_S / GRID_S) + 1
 CELL_STARTS = (0.0, *accumulate(CELL_WIDTHS))
 # Paces are set in tenths; below one tenth a task is paused.
 PACES = 10
 # Results are used for this long, with the time that has passed taken into account.
 REFRESH_S = 1.0
-# One result takes 75 us of a core. Beyond this rate, which 600 workers with several
-# waiting images exceed, older results are used, and then today's load decides.
+# One result takes 75 us of a core, and the forecast of a step three times that. Beyond
+# this rate, which 600 workers with several waiting images exceed, older results are
+# used, and then the load of the moment decides.
 MAX_PER_S = 1_500
-MAX_AT_ONCE = 200
+MAX_AT_ONCE = 100
+FORECAST_COST = 3
 MAX_STALE_S = 4.0
 # Bounds the cache.
 MAX_ENTRIES = 20_000
@@ -76,6 +84,8 @@
 
     def compute_lost_s(self, now: float, ahead_s: float) -> float:
         """Return what the others lose in the next seconds, up to the horizon."""
+        if self.lost is NOTHING:
+            return 0.0
         past = now - self.at
         return _interpolate(self.lost, past + ahead_s) - _interpolate(self.lost, past)
 
@@ -111,6 +121,7 @@
         self._at = float("-inf")
         self._allowed = float(MAX_AT_ONCE)
         self._allowed_at = 0.0
+        self._forecasts: dict[StepKey, tuple[float, SlackForecast]] = {}
         self._spare: dict[Servings, dict[str, Vector] | None] = {}
         self._allocations: dict[tuple[Servings, Mix], _Allocation] = {}
         self._starts: dict[tuple[Servings, Mix, str], Progress] = {}
@@ -135,7 +146,8 @@
         if spare is None:
             return None
         if self._rank(image, spare)[0] <= 0:
-            return Progress(self._at, FULL_SPEED, NOTHING)
+            progress = self._starts[key] = Progress(self._at, FULL_SPEED, NOTHING)
+            return progress
         if self._allowed < 1:
             stale = known is None or now - known.at > MAX_STALE_S
             return None if stale else known
@@ -166,8 +178,9 @@
             self._at = now
             self._spare.clear()
             self._allocations.clear()
-        if len(self._starts) > MAX_ENTRIES:
+        if len(self._starts) + len(self._forecasts) > MAX_ENTRIES:
             self._starts.clear()
+            self._forecasts.clear()
 
     def _compute_start(self, servings: Servings, mix: Mix, image: str) -> Progress:
         spare = self._list_spare(servings) or {}
@@ -193,23 +206,48 @@
         return Progress(self._at, _sum_up(paces[image]), _sum_up(lost))
 
     def _list_spare(self, servings: Servings) -> dict[str, Vector] | None:
-        """Return the slack to spare by serving image, None without current forecasts.
+        """Return the slack to spare by serving image, None without any forecast.
 
-        A step without recent reports counts with its mean.
+        Beside steps with a forecast, one without recent reports counts with its mean.
         """
         if servings not in self._spare:
             spare: dict[str, Vector] = {}
             current = not servings
             for step, image in servings:
-                found = self._forecaster.forecast(step, image, self._at, HORIZON_S)
-                current = current or found.current
-                cells = [
-                    max(0.0, slack - REQUIRED_SLACK) for slack in _average(found.slack)
-                ]
+                found = self._forecast(step, image)
+                if found is None:
+                    return None
+                slacks, known = found
+                current = current or known
+                cells = [max(0.0, slack - REQUIRED_SLACK) for slack in _average(slacks)]
                 spare[image] = list(map(min, cells, spare.get(image, cells)))
             self._spare[servings] = spare if current else None
         return self._spare[servings]
 
+    def _forecast(
+        self, step: StepKey, image: str
+    ) -> tuple[tuple[float, ...], bool] | None:
+        """Return a step's slack over the horizon, and whether that is a forecast.
+
+        Without a period, it goes from the current value to the mean. Decisions by that
+        were worse than those by the load of the moment.
+
+        :return: None if too many forecasts were computed just before.
+        """
+        known = self._forecasts.get(step)
+        age_s = self._at - known[0] if known is not None else inf
+        if age_s >= REFRESH_S and self._allowed >= FORECAST_COST:
+            self._allowed -= FORECAST_COST
+            ahead_s = HORIZON_S + MAX_STALE_S
+            found = self._forecaster.forecast(step, image, self._at, ahead_s)
+            known, age_s = (self._at, found), 0.0
+            self._forecasts[step] = known
+        if known is None or age_s > MAX_STALE_S:
+            return None
+        first = round(age_s / GRID_S)
+        slacks = known[1].slack[first : first + GRID_POINTS]
+        return slacks, known[1].current and known[1].periodic
+
     def _allocate(self, servings: Servings, mix: Mix) -> _Allocation:
         allocation = self._allocations.get((servings, mix))
         if allocation is None:
--- a/pistachiodeal/scheduling/filling_cost.py
+++ b/pistachiodeal/scheduling/filling_cost.py
@@ -16,8 +16,9 @@
 
 # A task waits if it would gain no work within this time.
 AHEAD_S = 2.0
-# Least gain, as a share of that time: one step of the agents' paces.
-MIN_GAIN = 0.1
+# Least gain, as a share of that time. Below a quarter of its pace a task counts as held
+# back.
+MIN_GAIN = 0.25
 # Cost in seconds of a worker whose processor time is fully requested: among equal ends,
 # emptier workers come first.
 LOAD_COST_S = 0.2
@@ -66,12 +67,12 @@
 
     def compute_cost(self, step: Step, view: WorkerView) -> float | None:
         """Return the cost of a worker in seconds; None without current forecasts."""
-        end_s = self.compute_end_s(step, view)
         progress = self.find_progress(step, view)
-        if end_s is None or progress is None:
+        if progress is None:
             return None
-        lost_s = progress.compute_lost_s(self.now, end_s)
-        return end_s + lost_s + LOAD_COST_S * measure_load(view, step)
+        load = measure_load(view, step)
+        end_s = progress.compute_end_s(self.work_s * max(1.0, load), self.now)
+        return end_s + progress.compute_lost_s(self.now, end_s) + LOAD_COST_S * load
 
 
 def measure_load(view: WorkerView, step: Step | None = None) -> float:
--- a/pistachiodeal/scheduling/load_forecast.py
+++ b/pistachiodeal/scheduling/load_forecast.py
@@ -20,9 +20,9 @@
 
 GRID_S = 0.5
 # Samples are averaged over this time; tasks are listed every 0.4 s, at different times.
-BIN_S = 0.25
+BIN_S = 0.5
 HISTORY_S = 60.0
-MAX_BINS = 240
+MAX_BINS = 120
 MAX_STEPS = 2_000
 MAX_IMAGES = 500
 # Without reports for this long, a step counts with its mean.
@@ -37,10 +37,9 @@
 FIT_PERIODS = 1.5
 MIN_FIT_PERIODS = 0.6
 REFIT_S = 0.5
-# A search takes 5 ms of a core.
+# A search takes 3 ms of a core.
 SEARCH_INTERVAL_S = 2.0
 CONFIRM_INTERVAL_S = 5.0
-SEARCH_BINS = 2
 MAX_SEARCHED_STEPS = 2
 # Share of the variance that a period has to explain, with 1.5 periods observed. A ramp
 # over a single period is explained by 0.61, a jump by 0.81.
@@ -60,11 +59,13 @@
 
     :param deviation: standard deviations.
     :param current: whether it is based on recent reports.
+    :param periodic: whether it follows a known period and phase.
     """
 
     slack: tuple[float, ...]
     deviation: tuple[float, ...]
     current: bool
+    periodic: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,15 +85,12 @@
 class _Bin:
     number: int
     total: float
+    total_at: float
     count: int
 
-    @property
-    def value(self) -> float:
-        return self.total / self.count
-
     @property
     def at(self) -> float:
-        return (self.number + 0.5) * BIN_S
+        return self.total_at / self.count
 
 
 @dataclass(slots=True)
@@ -119,32 +117,25 @@
     def add(self, slack: float, at: float) -> None:
         number = int(at // BIN_S)
         if self.bins and self.bins[-1].number >= number:
-            self.bins[-1].total += slack
-            self.bins[-1].count += 1
+            last = self.bins[-1]
+            last.total += slack
+            last.total_at += at
+            last.count += 1
             return
-        self.bins.append(_Bin(number, slack, 1))
+        self.bins.append(_Bin(number, slack, at, 1))
         while self.bins[0].at < at - HISTORY_S:
             self.bins.popleft()
 
     def list_series(self) -> list[tuple[float, float]]:
-        """Return the averages over ``SEARCH_BINS`` bins."""
-        merged: dict[int, list[_Bin]] = {}
-        for one in self.bins:
-            merged.setdefault(one.number // SEARCH_BINS, []).append(one)
-        return [
-            (
-                (number + 0.5) * BIN_S * SEARCH_BINS,
-                sum(one.total for one in bins) / sum(one.count for one in bins),
-            )
-            for number, bins in merged.items()
-        ]
+        """Return the times and averages of the bins."""
+        return [(one.total_at / one.count, one.total / one.count) for one in self.bins]
 
     def fit(self, period_s: float, now: float) -> None:
         """Fit the wave, or the mean without a period, unless that was done recently."""
         if now - self.fitted_at < REFIT_S:
             return
         self.fitted_at = now
-        series = [(one.at, one.value) for one in self.bins]
+        series = self.list_series()
         self.mean = sum(value for _, value in series) / len(series)
         recent = [one for one in series if one[0] > self.last_at - LEVEL_S]
         self.level = sum(value for _, value in recent) / len(recent)
@@ -177,6 +168,7 @@
             tuple(min(max(value, 0.0), MAX_SLACK) for value in slack),
             tuple(self.deviation * sqrt(1 - part**2) for part in fading),
             True,
+            self.wave is not None,
         )
 
 
@@ -278,7 +270,7 @@
         histories = histories[:MAX_SEARCHED_STEPS]
         span_s = max((one.span_s for one in histories), default=0.0)
         found_s, explained = find_period(
-            [one.list_series() for one in histories], SEARCH_BINS * BIN_S
+            [one.list_series() for one in histories], BIN_S
         )
         early = span_s < EARLY_PERIODS * found_s
         needed = MIN_EXPLAINED_EARLY if early else MIN_EXPLAINED
