Filling runs move by the expected end; periods are learned state; load_forecasts

A filling task was stopped after a second below a quarter of its pace, also when the load of its neighbours was about to fall. With load_forecasts it moves only if another worker is expected to end it earlier by more than the move costs, at most a twentieth of the running ones a second. run.place and run.stop have the expected end and pace, the histogram filling_end_error the error.

--- a/pistachiodeal/leader/descheduler.py
+++ b/pistachiodeal/leader/descheduler.py
@@ -8,10 +8,11 @@
 
 from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.jobs.record import Task
+from pistachiodeal.leader.held_back import HeldBackMover
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.victims import build_victim
-from pistachiodeal.leader.workers import Fleet, WorkerState
+from pistachiodeal.leader.workers import Fleet, WorkerState, split_place
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.preemption import choose_victims_to_fit
 from pistachiodeal.scheduling.views import get_reserved_size
@@ -45,6 +46,7 @@
     """Stops runs so that the planner places them on other workers.
 
     :param limits: time limits of the deployment.
+    :param mover: chooses held-back tasks by forecasts, None if these aren't used.
     """
 
     def __init__(
@@ -53,7 +55,9 @@
         fleet: Fleet,
         reconciler: Reconciler,
         limits: LimitSettings,
+        mover: HeldBackMover | None = None,
     ) -> None:
+        self._mover = mover
         self._move_s = limits.move_s
         self._stop_s = limits.stop_ms / 1000
         self._registry = registry
@@ -108,6 +112,9 @@
 
     def _stop_held_back(self, now: float) -> None:
         """Stop filling tasks that hardly progress beside their serving neighbours."""
+        if self._mover is not None:
+            self._move_held_back(self._mover, now)
+            return
         for worker in self._fleet.workers.values():
             if not worker.listed or worker.attachment is None:
                 continue
@@ -117,6 +124,21 @@
                 task.avoid |= {worker.node}
                 self._reconciler.stop(task, "its neighbours leave it no pace")
 
+    def _move_held_back(self, mover: HeldBackMover, now: float) -> None:
+        filling = [
+            (worker, task)
+            for worker in self._fleet.workers.values()
+            if worker.listed and worker.attachment is not None
+            for task in self._registry.get_runs(worker.place).values()
+            if task.step.fills and task.running and not task.stopping
+        ]
+        slow = [one for one in filling if now - one[1].slow_since >= HELD_BACK_S]
+        held = {str(task.name) for _, task in slow if self._is_held_back(task, now)}
+        for move in mover.choose(slow, held, len(filling), now):
+            move.task.avoid |= {split_place(move.task.place)[0]}
+            why = "its neighbours leave it no pace"
+            self._reconciler.stop(move.task, why, **move.details)
+
     def _relieve_memory_shortage(self, now: float) -> None:
         """Stop the cheapest runs on workers with too little memory for their runs.
 
--- a/pistachiodeal/leader/interference_monitor.py
+++ b/pistachiodeal/leader/interference_monitor.py
@@ -4,6 +4,7 @@
 
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobs.record import Task
+from pistachiodeal.leader.filling_work import FillingWork
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.workers import Attachment, WorkerState
 from pistachiodeal.scheduling.interference import (
@@ -15,11 +16,19 @@
 
 
 class InterferenceMonitor:
-    """Updates the interference model and sends its changes to the agents."""
+    """Updates the interference model and sends its changes to the agents.
+
+    :param filling: learns the load of serving tasks, None if forecasts aren't used.
+    """
 
     def __init__(
-        self, registry: JobRegistry, interference: InterferenceModel, events: EventLog
+        self,
+        registry: JobRegistry,
+        interference: InterferenceModel,
+        events: EventLog,
+        filling: FillingWork | None = None,
     ) -> None:
+        self._filling = filling
         self._registry = registry
         self._interference = interference
         self._events = events
@@ -40,6 +49,8 @@
                 press=value,
                 place=worker.place,
             )
+        if self._filling is not None:
+            self._filling.report_periods()
         self._queue_interference(attachment, runs)
 
     def _observe(
@@ -62,6 +73,10 @@
                 )
                 known = worker.solo_slack.get(sample.image, slack)
                 worker.solo_slack[sample.image] = min(slack, known)
+                if self._filling is not None:
+                    self._filling.forecaster.observe(
+                        sample.step, sample.image, slack, now
+                    )
 
     def _queue_interference(self, attachment: Attachment, runs: list[Task]) -> None:
         fillings = {task.step.image for task in runs if task.step.fills}
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -22,6 +22,7 @@
 from pistachiodeal.leader.closures import ClosureWatch
 from pistachiodeal.leader.commits import MAX_REMOVALS, FencedWriter, LeaderTerm
 from pistachiodeal.leader.feed import JobFeed
+from pistachiodeal.leader.filling_work import create_filling_work
 from pistachiodeal.leader.learned_state import LearnedStatePersister
 from pistachiodeal.leader.loader import JobLoader
 from pistachiodeal.leader.planner import Planner
@@ -89,11 +90,17 @@
         )
         self._writer = FencedWriter(store, term, events)
         interference = InterferenceModel()
+        filling = create_filling_work(features, interference, events)
         self._advice = None
         if adviser is not None:
             self._advice = AdviceCache(adviser, events, self._changed.set)
         self._reconciler = Reconciler(
-            self._registry, self._fleet, interference, events, advice=self._advice
+            self._registry,
+            self._fleet,
+            interference,
+            events,
+            advice=self._advice,
+            filling=filling,
         )
         self._learned_state = LearnedStatePersister(
             store,
@@ -101,6 +108,7 @@
             interference,
             self._registry.estimator.durations,
             events,
+            forecaster=filling.forecaster if filling is not None else None,
         )
         self._planner = Planner(
             self._registry,
@@ -112,6 +120,7 @@
             events=events,
             advice=self._advice,
             features=features,
+            filling=filling,
         )
         self._sessions = AgentSessions(
             self._writer,
--- a/pistachiodeal/leader/learned_state.py
+++ b/pistachiodeal/leader/learned_state.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from dataclasses import astuple, dataclass, fields
+from dataclasses import astuple, dataclass, field, fields
+from typing import Any
 
 import curio
 import orjson
@@ -17,8 +18,14 @@
 from pistachiodeal.exceptions import ProtocolError, StoreError
 from pistachiodeal.jobs.checks import check_fields
 from pistachiodeal.leader.commits import CONTROL_TABLE, FencedWriter
+from pistachiodeal.leader.learned_periods import (
+    MAX_PERIODS,
+    decode_periods,
+    encode_periods,
+)
 from pistachiodeal.scheduling.durations import DurationFit, DurationModel
 from pistachiodeal.scheduling.interference import InterferenceModel, PairEstimate
+from pistachiodeal.scheduling.load_forecast import PeriodEstimate, SlackForecaster
 from pistachiodeal.store.row_store import RowStore, RowWrite, read_row
 
 log = Logger("lessons")
@@ -43,14 +50,19 @@
 
     :param pairs: which images interfere with each other.
     :param durations: how long tasks take, by queue.
+    :param periods: of the load of serving images.
     """
 
     pairs: list[PairEstimate]
     durations: dict[str, DurationFit]
+    periods: list[PeriodEstimate] = field(default_factory=list)
 
 
 class LearnedStatePersister:
-    """Loads the learned state of the predecessor, then saves that of this leader."""
+    """Loads the learned state of the predecessor, then saves that of this leader.
+
+    :param forecaster: has the periods of serving load, None if these aren't used.
+    """
 
     def __init__(
         self,
@@ -59,7 +71,10 @@
         model: InterferenceModel,
         durations: DurationModel,
         events: EventLog,
+        *,
+        forecaster: SlackForecaster | None = None,
     ) -> None:
+        self._forecaster = forecaster
         self._store = store
         self._writer = writer
         self._model = model
@@ -86,7 +101,10 @@
 
     def _collect(self) -> LearnedState:
         newest = list(self._durations.fits.items())[-MAX_QUEUES:]
-        return LearnedState(self._model.list_estimates(MAX_PAIRS), dict(newest))
+        learned = LearnedState(self._model.list_estimates(MAX_PAIRS), dict(newest))
+        if self._forecaster is not None:
+            learned.periods.extend(self._forecaster.list_periods(MAX_PERIODS))
+        return learned
 
     async def _load(self) -> bool:
         try:
@@ -102,6 +120,7 @@
                     "row.unreadable", table=CONTROL_TABLE, key=row.key, cause=str(error)
                 )
                 continue
+            self._adopt_periods(row.key, row.value)
             self._model.adopt(learned.pairs)
             for queue, fit in learned.durations.items():
                 self._durations.adopt(queue, fit)
@@ -112,6 +131,16 @@
             )
         return True
 
+    def _adopt_periods(self, key: str, value: bytes) -> None:
+        if self._forecaster is None:
+            return
+        try:
+            self._forecaster.adopt(decode_periods(value))
+        except ProtocolError as error:
+            self._events.emit(
+                "row.unreadable", table=CONTROL_TABLE, key=key, cause=str(error)
+            )
+
 
 def encode_learned_state(learned: LearnedState) -> bytes:
     """Return the value to store in the row."""
@@ -128,7 +157,10 @@
         queue: [round(figure, 3) for figure in astuple(fit)]
         for queue, fit in learned.durations.items()
     }
-    return orjson.dumps({"pairs": pairs, "durations": durations})
+    document: dict[str, Any] = {"pairs": pairs, "durations": durations}
+    if learned.periods:
+        document["periods"] = encode_periods(learned.periods)
+    return orjson.dumps(document)
 
 
 def decode_learned_state(value: bytes) -> LearnedState:
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Mapping
 from dataclasses import replace
+from typing import Any
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.config.deployment import (
@@ -18,7 +19,9 @@
 from pistachiodeal.leader.advice import AdviceCache
 from pistachiodeal.leader.descheduler import Descheduler
 from pistachiodeal.leader.failed_placements import FailedPlacements
+from pistachiodeal.leader.filling_work import FillingWork
 from pistachiodeal.leader.fleet_views import FleetViews, ViewsByService
+from pistachiodeal.leader.held_back import create_mover
 from pistachiodeal.leader.preemptor import Preemptor, QueueLookup
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
@@ -61,6 +64,7 @@
     :param limits: time limits of the deployment.
     :param advice: answers of the external advice service, None without one.
     :param features: optional features of the deployment.
+    :param filling: expected ends of filling tasks, None if forecasts aren't used.
     """
 
     def __init__(
@@ -75,10 +79,15 @@
         events: EventLog,
         advice: AdviceCache | None = None,
         features: FeatureSettings = NO_FEATURES,
+        filling: FillingWork | None = None,
     ) -> None:
         self._features = features
         self._interference = interference
-        self._descheduler = Descheduler(registry, fleet, reconciler, limits)
+        self._filling = filling
+        self._mover = create_mover(filling, registry, interference, limits.move_s)
+        self._descheduler = Descheduler(
+            registry, fleet, reconciler, limits, self._mover
+        )
         self._views = FleetViews(registry, fleet)
         self._failed_placements = FailedPlacements()
         self._preemptor = Preemptor(registry, fleet, reconciler, find_queue, limits)
@@ -102,6 +111,8 @@
             self._descheduled_at = now
             self._descheduler.run(now)
         views = self._views.refresh(now)
+        if self._mover is not None:
+            self._mover.set_views(views)
         self._preemptor.begin_round()
         self._suspect_placer.begin_round(now)
         ready = self._order_ready()
@@ -172,6 +183,7 @@
             racks=self._list_racks(step, views),
             may_interfere=self._is_starved(record, step),
             remote_cost=self._remote_cost,
+            outlook=self._filling.build_outlook(step, now) if self._filling else None,
         )
         allowed = self._list_allowed(request, queue, views)
         suspects = [task for task in waiting if is_suspect(task)]
@@ -293,6 +305,11 @@
         self, task: Task, run: int, request: PlacementRequest, view: WorkerView
     ) -> None:
         place = view.place
+        expected: dict[str, Any] = {}
+        if self._filling is not None and task.step.fills:
+            expected_s = self._registry.get_expected_s(task)
+            now = read_boot_clock()
+            expected = self._filling.record_placement(task, run, view, expected_s, now)
         if self._advice is not None:
             task.ticket = self._advice.find_ticket(request.key, split_place(place)[1])
         self._events.emit(
@@ -302,6 +319,7 @@
             place=place,
             load=round(view.load, 2),
             waited_ms=int((read_boot_clock() - task.ready_at) * 1000),
+            **expected,
         )
         self._registry.place(
             task, run, place, lambda: self._reconciler.send_order(task, run, place)
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Container
+from typing import Any
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
@@ -11,6 +12,7 @@
 from pistachiodeal.jobs.runtime import CallResult
 from pistachiodeal.leader.advice import AdviceCache
 from pistachiodeal.leader.crashes import CrashTracker
+from pistachiodeal.leader.filling_work import FillingWork
 from pistachiodeal.leader.interference_monitor import InterferenceMonitor
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.report_index import ReportIndex, RunKey, index_report
@@ -49,12 +51,16 @@
         events: EventLog,
         *,
         advice: AdviceCache | None = None,
+        filling: FillingWork | None = None,
     ) -> None:
         self._advice = advice
         self._registry = registry
         self._fleet = fleet
         self._crashes = CrashTracker(registry, fleet, events)
-        self._interference_monitor = InterferenceMonitor(registry, interference, events)
+        self._filling = filling
+        self._interference_monitor = InterferenceMonitor(
+            registry, interference, events, filling
+        )
         self._events = events
 
     @property
@@ -96,13 +102,21 @@
         self._stop_orphans(worker, attachment, report_index)
         self._interference_monitor.update(worker, attachment, now)
 
-    def stop(self, task: Task, why: str) -> None:
-        """Request the stop of a task's newest run."""
+    def stop(self, task: Task, why: str, **details: Any) -> None:
+        """Request the stop of a task's newest run.
+
+        :param details: further fields of the event.
+        """
         if task.stopping or not task.place:
             return
         task.stopping = why
         self._events.emit(
-            "run.stop", task=str(task.name), run=task.run, place=task.place, why=why
+            "run.stop",
+            task=str(task.name),
+            run=task.run,
+            place=task.place,
+            why=why,
+            **details,
         )
         worker = self._fleet.find_by_place(task.place)
         attachment = worker.attachment if worker else None
@@ -315,6 +329,8 @@
             estimate_ms=int(task.step.estimate_s * 1000),
             took_ms=int((now - task.placed_at) * 1000),
         )
+        if self._filling is not None:
+            self._filling.record_end(task, done=kind is EndKind.DONE, now=now)
         if kind is EndKind.DONE:
             worker.health.record_success()
             if task.fully_observed and not task.step.lasts:
