--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -22,6 +22,7 @@
 from pistachiodeal.leader.closures import ClosureWatch
 from pistachiodeal.leader.commits import MAX_REMOVALS, FencedWriter, LeaderTerm
 from pistachiodeal.leader.feed import JobFeed
+from pistachiodeal.leader.filling_work import create_filling_work
 from pistachiodeal.leader.learned_state import LearnedStatePersister
 from pistachiodeal.leader.load_summary import LoadSummarizer
 from pistachiodeal.leader.loader import JobLoader
@@ -92,6 +93,7 @@
         )
         self._writer = FencedWriter(store, term, events)
         interference = InterferenceModel()
+        filling = create_filling_work(features, interference, events)
         self._advice = None
         if adviser is not None:
             self._advice = AdviceCache(adviser, events, self._changed.set)
@@ -107,6 +109,7 @@
             events,
             advice=self._advice,
             speeds=speeds,
+            filling=filling,
         )
         self._learned_state = LearnedStatePersister(
             store,
@@ -115,6 +118,7 @@
             self._registry.estimator.durations,
             events,
             speeds=speeds,
+            forecaster=filling.forecaster if filling is not None else None,
         )
         self._planner = Planner(
             self._registry,
@@ -126,6 +130,7 @@
             events=events,
             advice=self._advice,
             features=features,
+            filling=filling,
         )
         self._sessions = AgentSessions(
             self._writer,
--- a/pistachiodeal/leader/learned_state.py
+++ b/pistachiodeal/leader/learned_state.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import astuple, dataclass, field, fields
+from typing import Any
 
 import curio
 import orjson
@@ -18,10 +19,16 @@
 from pistachiodeal.exceptions import ProtocolError, StoreError
 from pistachiodeal.jobs.checks import check_fields
 from pistachiodeal.leader.commits import CONTROL_TABLE, FencedWriter
+from pistachiodeal.leader.learned_periods import (
+    MAX_PERIODS,
+    decode_periods,
+    encode_periods,
+)
 from pistachiodeal.leader.speed_monitor import SpeedMonitor
 from pistachiodeal.leader.speed_row import decode_speeds, encode_speeds
 from pistachiodeal.scheduling.durations import DurationFit, DurationModel
 from pistachiodeal.scheduling.interference import InterferenceModel, PairEstimate
+from pistachiodeal.scheduling.load_forecast import PeriodEstimate, SlackForecaster
 from pistachiodeal.store.row_store import RowStore, RowWrite, read_row
 
 log = Logger("lessons")
@@ -47,15 +54,21 @@
     :param pairs: which images interfere with each other.
     :param durations: how long tasks take, by queue.
     :param speeds: relative speeds of slow workers, by place.
+    :param periods: of the load of serving images.
     """
 
     pairs: list[PairEstimate]
     durations: dict[str, DurationFit]
     speeds: dict[str, float] = field(default_factory=dict)
+    periods: list[PeriodEstimate] = field(default_factory=list)
 
 
 class LearnedStatePersister:
-    """Loads the learned state of the predecessor, then saves that of this leader."""
+    """Loads the learned state of the predecessor, then saves that of this leader.
+
+    :param speeds: speeds of workers, None if they aren't used.
+    :param forecaster: has the periods of serving load, None if these aren't used.
+    """
 
     def __init__(
         self,
@@ -66,8 +79,10 @@
         events: EventLog,
         *,
         speeds: SpeedMonitor | None = None,
+        forecaster: SlackForecaster | None = None,
     ) -> None:
         self._speeds = speeds
+        self._forecaster = forecaster
         self._store = store
         self._writer = writer
         self._model = model
@@ -94,8 +109,12 @@
 
     def _collect(self) -> LearnedState:
         newest = list(self._durations.fits.items())[-MAX_QUEUES:]
-        speeds = self._speeds.model.list_slow() if self._speeds is not None else {}
-        return LearnedState(self._model.list_estimates(MAX_PAIRS), dict(newest), speeds)
+        learned = LearnedState(self._model.list_estimates(MAX_PAIRS), dict(newest))
+        if self._speeds is not None:
+            learned.speeds.update(self._speeds.model.list_slow())
+        if self._forecaster is not None:
+            learned.periods.extend(self._forecaster.list_periods(MAX_PERIODS))
+        return learned
 
     async def _load(self) -> bool:
         try:
@@ -104,13 +123,11 @@
             log.debug("lessons: cannot read the learned state yet: {}", error)
             return False
         for row in page.rows:
-            self._adopt_speeds(row.value)
+            self._adopt_features(row.key, row.value)
             try:
                 learned = decode_learned_state(row.value)
             except ProtocolError as error:
-                self._events.emit(
-                    "row.unreadable", table=CONTROL_TABLE, key=row.key, cause=str(error)
-                )
+                self._report_unreadable(row.key, error)
                 continue
             self._model.adopt(learned.pairs)
             for queue, fit in learned.durations.items():
@@ -122,18 +139,23 @@
             )
         return True
 
-    def _adopt_speeds(self, value: bytes) -> None:
-        if self._speeds is None:
-            return
+    def _adopt_features(self, key: str, value: bytes) -> None:
+        """Adopt what optional features have learned, each by itself."""
         try:
-            self._speeds.adopt(decode_speeds(value), read_boot_clock())
+            if self._speeds is not None:
+                self._speeds.adopt(decode_speeds(value), read_boot_clock())
         except ProtocolError as error:
-            self._events.emit(
-                "row.unreadable",
-                table=CONTROL_TABLE,
-                key=LEARNED_STATE_KEY,
-                cause=str(error),
-            )
+            self._report_unreadable(key, error)
+        try:
+            if self._forecaster is not None:
+                self._forecaster.adopt(decode_periods(value))
+        except ProtocolError as error:
+            self._report_unreadable(key, error)
+
+    def _report_unreadable(self, key: str, error: ProtocolError) -> None:
+        self._events.emit(
+            "row.unreadable", table=CONTROL_TABLE, key=key, cause=str(error)
+        )
 
 
 def encode_learned_state(learned: LearnedState) -> bytes:
@@ -151,9 +173,14 @@
         queue: [round(figure, 3) for figure in astuple(fit)]
         for queue, fit in learned.durations.items()
     }
-    return orjson.dumps(
-        {"pairs": pairs, "durations": durations, **encode_speeds(learned.speeds)}
-    )
+    document: dict[str, Any] = {
+        "pairs": pairs,
+        "durations": durations,
+        **encode_speeds(learned.speeds),
+    }
+    if learned.periods:
+        document["periods"] = encode_periods(learned.periods)
+    return orjson.dumps(document)
 
 
 def decode_learned_state(value: bytes) -> LearnedState:
