Runs of expired jobs yield to jobs that would be in time

Callers saw jobs become late behind runs of jobs that are past three times their objective: only priority 0 preempted, and such runs kept their room.

`job path` counts reasons that name a task as one reason.

--- a/pistachiodeal/jobpath/parts.py
+++ b/pistachiodeal/jobpath/parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
@@ -19,6 +20,8 @@
 OTHER = "not told by any line"
 # Tolerated clock skew between the processes whose logs are combined.
 MAX_CLOCK_SKEW_S = 0.05
+# A reason that names a task, such as "yields to", counts as one reason for all tasks.
+TASK_NAME = re.compile(r"\b[0-9a-f]{16}(\.\d+){3}\b")
 
 
 def find_critical_path(job: JobTrace) -> list[TaskTrace]:
@@ -83,7 +86,7 @@
     if not run.finished_at:
         return
     if run.how != EndKind.DONE:
-        why = f": {run.why}" if run.why else ""
+        why = f": {TASK_NAME.sub('a task', run.why)}" if run.why else ""
         parts[f"{run.how}{why}"] += max(0.0, run.finished_at - left_at)
         return
     begun_at = min(max(run.started_at, left_at), run.finished_at)
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -16,6 +16,7 @@
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.jobs.record import JobRecord, StepRecord, Task
 from pistachiodeal.leader.advice import AdviceCache
+from pistachiodeal.leader.deadlines import measure_age_s
 from pistachiodeal.leader.descheduler import Descheduler
 from pistachiodeal.leader.failed_placements import FailedPlacements
 from pistachiodeal.leader.fleet_views import FleetViews, ViewsByService
@@ -24,6 +25,7 @@
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.suspect_placer import SuspectPlacer
 from pistachiodeal.leader.workers import Fleet, split_place
+from pistachiodeal.leader.yielder import Yielder
 from pistachiodeal.scheduling.crash_attribution import is_suspect
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.scheduling.ordering import (
@@ -83,6 +85,16 @@
         self._failed_placements = FailedPlacements()
         self._preemptor = Preemptor(registry, fleet, reconciler, find_queue, limits)
         self._suspect_placer = SuspectPlacer(registry, reconciler, interference, events)
+        self._yielder: Yielder | None = None
+        if features.yielding:
+            self._yielder = Yielder(
+                registry,
+                reconciler,
+                interference,
+                find_queue,
+                limits=limits,
+                events=events,
+            )
         # Extra cost of running away from the data: a task that takes twice as long
         # there occupies a whole worker for the same time again.
         self._remote_cost = limits.remote_factor - 1.0
@@ -104,6 +116,8 @@
         views = self._views.refresh(now)
         self._preemptor.begin_round()
         self._suspect_placer.begin_round(now)
+        if self._yielder is not None:
+            self._yielder.begin_round(now)
         ready = self._order_ready()
         self._failed_placements.begin_round(step.key for *_, step in ready)
         until = read_boot_clock() + SLICE_S
@@ -134,17 +148,13 @@
     def _rank(
         self, record: JobRecord, step: StepRecord, queue: Queue, time_of_day_s: float
     ) -> Rank:
-        job = record.job
-        due_s = job.accepted_s
-        if job.repeats:
-            due_s = job.first_run_s + step.occurrence * job.interval_s
         steps = record.occurrences[step.occurrence]
         self._registry.estimator.estimate_steps(record, steps)
         return rank_step(
             WaitingStep(
                 queue.priority,
                 step.step.lasts,
-                max(0.0, time_of_day_s - due_s),
+                measure_age_s(record, step.occurrence, time_of_day_s),
                 record.compute_remaining_s(steps),
                 compute_objective_s(record.critical_path_s, queue.stretch, queue.aim_s),
                 sum(one.remaining_work for one in steps),
@@ -193,7 +203,10 @@
                 if full_check:
                     self._failed_placements.record_full_check(request, now)
                     self._explain_wait(request, candidates.obstacles)
-                self._preemptor.make_room(task, queue, views)
+                if self._yielder is None or not self._yielder.make_room(
+                    waiting, record, request, queue, views
+                ):
+                    self._preemptor.make_room(task, queue, views)
                 return
             self._place(task, task.run + 1, request, view)
             # The candidates also depend on the racks already used, and on
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -96,13 +96,21 @@
         self._stop_orphans(worker, attachment, report_index)
         self._interference_monitor.update(worker, attachment, now)
 
-    def stop(self, task: Task, why: str) -> None:
-        """Request the stop of a task's newest run."""
+    def stop(self, task: Task, why: str, **inputs: object) -> None:
+        """Request the stop of a task's newest run.
+
+        :param inputs: what the decision is based on, for its event.
+        """
         if task.stopping or not task.place:
             return
         task.stopping = why
         self._events.emit(
-            "run.stop", task=str(task.name), run=task.run, place=task.place, why=why
+            "run.stop",
+            task=str(task.name),
+            run=task.run,
+            place=task.place,
+            why=why,
+            **inputs,
         )
         worker = self._fleet.find_by_place(task.place)
         attachment = worker.attachment if worker else None
--- a/pistachiodeal/scheduling/views.py
+++ b/pistachiodeal/scheduling/views.py
@@ -100,6 +100,15 @@
             self.serving[step.image] = self.serving.get(step.image, 0) + 1
             self.serving_cpu_milli += step.size.cpu_milli
 
+    def release(self, key: StepKey, step: Step) -> None:
+        """Remove one task that doesn't serve, and free its resources."""
+        self.used = self.used - get_reserved_size(step)
+        self.interference = None
+        self.steps[key] -= 1
+        if step.fills:
+            self.fill_cpu_milli -= step.size.cpu_milli
+            self.filling[step.image] -= 1.0
+
 
 def get_reserved_size(step: Step) -> Resources:
     """Return the resources that a task of a step reserves on its worker."""
--- a/tests/unit/test_job_path.py
+++ b/tests/unit/test_job_path.py
@@ -85,6 +85,16 @@
     assert parts["shown after its end"] == 0.25
 
 
+def test_a_reason_that_names_a_task_counts_as_one_reason():
+    """Guards against a table with one line for each task that made a run stop."""
+    lines = [
+        line.replace("it stands still", f"yields to {OTHER}") for line in write_day()
+    ]
+    tracer = trace(lines)
+    parts = measure_parts(tracer.jobs[JOB], tracer.paces)
+    assert parts["stopped: yields to a task"] == 1.25
+
+
 def test_a_job_without_lines_of_agents_is_analysed():
     """Guards against an error when the log of an agent is missing."""
     tracer = trace([line for line in write_day() if NODE not in line.split()[1]])
--- a/tests/unit/test_leader_planner.py
+++ b/tests/unit/test_leader_planner.py
@@ -8,7 +8,11 @@
 
 import pytest
 
-from pistachiodeal.config.deployment import LimitSettings
+from pistachiodeal.config.deployment import (
+    NO_FEATURES,
+    FeatureSettings,
+    LimitSettings,
+)
 from pistachiodeal.jobs.model import EndKind, Job, Queue, Step
 from pistachiodeal.leader.planner import SLICE_S, Planner
 from pistachiodeal.leader.reconcile import Reconciler
@@ -27,26 +31,33 @@
 class Cluster:
     """A planner with a fleet of workers that have no agents behind them."""
 
-    def __init__(self, workers: int = WORKERS) -> None:
-        events = create_quiet_log()
-        self.registry, self.fleet = JobRegistry(events), Fleet()
+    def __init__(
+        self, workers: int = WORKERS, features: FeatureSettings = NO_FEATURES
+    ) -> None:
+        self.events = create_quiet_log()
+        self.registry, self.fleet = JobRegistry(self.events), Fleet()
+        self.lead(features)
+        for number in range(workers):
+            worker = self.fleet.get(f"n{number}")
+            worker.attach(Attachment(worker.node, 1))
+            worker.worker, worker.service, worker.listed = "w", "svc", True
+            worker.capacity = ROOM
+            worker.labels = ("a", f"r{number // 16}")
+
+    def lead(self, features: FeatureSettings) -> None:
+        """Continue with the state of a new leader."""
         model = InterferenceModel()
-        reconciler = Reconciler(self.registry, self.fleet, model, events)
+        self.reconciler = Reconciler(self.registry, self.fleet, model, self.events)
         self.planner = Planner(
             self.registry,
             self.fleet,
-            reconciler,
+            self.reconciler,
             model,
             lambda queue: queue,
             limits=LimitSettings(),
-            events=events,
+            events=self.events,
+            features=features,
         )
-        for number in range(workers):
-            worker = self.fleet.get(f"n{number}")
-            worker.attach(Attachment(worker.node, 1))
-            worker.worker, worker.service, worker.listed = "w", "svc", True
-            worker.capacity = ROOM
-            worker.labels = ("a", f"r{number // 16}")
 
     def add(self, number: int, count: int, cpu_milli: int) -> Job:
         """Add a job of one step."""
