Each queue and job size keeps a share of the capacity under overload

Rank is per job and prefers little work that remains, so under lasting overload the largest jobs bore the cost for all others.

With the feature `fair_shares`, the leader accounts for the work that should have been done and that was done in about the last 30 s, by queue and size class. While jobs become late only because they wait, a class below half of the best one of its service and priority goes first among the steps that are in time. Without the feature or without overload the rank is as before. A job demands its work evenly over its objective: with all of it at once, a large job seems unserved from its acceptance.

--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -23,6 +23,7 @@
 from pistachiodeal.leader.preemptor import Preemptor, QueueLookup
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.shares import ShareKeeper
 from pistachiodeal.leader.suspect_placer import SuspectPlacer
 from pistachiodeal.leader.workers import Fleet, split_place
 from pistachiodeal.leader.yielder import Yielder
@@ -95,6 +96,9 @@
                 limits=limits,
                 events=events,
             )
+        self._shares: ShareKeeper | None = None
+        if features.fair_shares:
+            self._shares = ShareKeeper(registry, find_queue, events)
         # Extra cost of running away from the data: a task that takes twice as long
         # there occupies a whole worker for the same time again.
         self._remote_cost = limits.remote_factor - 1.0
@@ -118,6 +122,8 @@
         self._suspect_placer.begin_round(now)
         if self._yielder is not None:
             self._yielder.begin_round(now)
+        if self._shares is not None:
+            self._shares.update(now)
         ready = self._order_ready()
         self._failed_placements.begin_round(step.key for *_, step in ready)
         until = read_boot_clock() + SLICE_S
@@ -160,6 +166,7 @@
                 sum(one.remaining_work for one in steps),
                 record.work,
                 self._registry.estimator.get_average_work(queue.name),
+                self._shares is not None and self._shares.is_underserved(step),
             )
         )
 
--- a/pistachiodeal/scheduling/ordering.py
+++ b/pistachiodeal/scheduling/ordering.py
@@ -41,6 +41,7 @@
     :param remaining_work: remaining core-seconds.
     :param work: core-seconds of the whole job.
     :param usual_work: core-seconds of a typical job of its queue.
+    :param underserved: whether jobs of its queue and size get less than their share.
     """
 
     priority: int
@@ -51,6 +52,7 @@
     remaining_work: float = 0.0
     work: float = 0.0
     usual_work: float = 0.0
+    underserved: bool = False
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -60,6 +62,7 @@
     priority: int
     finite: bool
     status: DeadlineStatus
+    served: bool
     remaining_share: float
     slack_s: float
 
@@ -83,6 +86,7 @@
         waiting.priority,
         not waiting.lasts,
         status,
+        status is not DeadlineStatus.IN_TIME or not waiting.underserved,
         _compute_remaining_share(waiting),
         limit - done_at,
     )
