--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Container
-from typing import Any
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
@@ -117,10 +116,10 @@
         if self._speeds is not None:
             self._speeds.observe_listing(worker, now)
 
-    def stop(self, task: Task, why: str, **details: Any) -> None:
+    def stop(self, task: Task, why: str, **inputs: object) -> None:
         """Request the stop of a task's newest run.
 
-        :param details: further fields of the event.
+        :param inputs: what the decision is based on, for its event.
         """
         if task.stopping or not task.place:
             return
@@ -131,7 +130,7 @@
             run=task.run,
             place=task.place,
             why=why,
-            **details,
+            **inputs,
         )
         worker = self._fleet.find_by_place(task.place)
         attachment = worker.attachment if worker else None
--- a/tests/unit/test_slow_workers.py
+++ b/tests/unit/test_slow_workers.py
@@ -10,6 +10,7 @@
 import pytest
 
 from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.config.deployment import FeatureSettings
 from pistachiodeal.exceptions import ProtocolError
 from pistachiodeal.jobs.model import Job, Step
 from pistachiodeal.jobs.record import Task
@@ -40,7 +41,7 @@
     """A planner with workers ``n0``, which is slow, and ``n1``, ``n2``."""
 
     def __init__(self, *, enabled: bool = True) -> None:
-        super().__init__(3, speeds=enabled)
+        super().__init__(3, FeatureSettings(worker_speeds=enabled))
         self.speeds.adopt({"n0/w": 0.2}, read_boot_clock())
 
     def submit(self, step: Step, age_s: float = 0.0) -> list[Task]:
