Tasks that have just begun are no reference for their siblings

No progress counts as half a percent, so the first rate of a task of ten minutes was up to seven times too high, and workers with older tasks of its step counted as slow.

--- a/pistachiodeal/leader/speed_monitor.py
+++ b/pistachiodeal/leader/speed_monitor.py
@@ -19,6 +19,7 @@
     ProgressWindow,
     ReferenceModel,
     is_measurable,
+    is_reference,
 )
 from pistachiodeal.scheduling.views import StepKey
 from pistachiodeal.scheduling.worker_speed import SpeedChange, SpeedModel
@@ -196,7 +197,8 @@
         progress = window.measure(reference.expected_s)
         if progress is None:
             return
-        self._references.record_rate(step.key, name, place, progress.rate)
+        if is_reference(progress, step.expected_s):
+            self._references.record_rate(step.key, name, place, progress.rate)
         expected_s = reference.expected_s * self._find_factor(task, worker)
         if not is_measurable(progress, expected_s):
             return
--- a/pistachiodeal/scheduling/run_progress.py
+++ b/pistachiodeal/scheduling/run_progress.py
@@ -176,3 +176,13 @@
 def is_measurable(progress: Progress, expected_s: float) -> bool:
     """Tell whether the usual speed would have made enough progress to be measured."""
     return 100 * progress.took_s >= MIN_EXPECTED_PERCENT * expected_s > 0
+
+
+def is_reference(progress: Progress, predicted_s: float) -> bool:
+    """Tell whether a task's rate is accurate enough to compare its siblings with.
+
+    The rate of a long task that has just begun is far too high, as no progress counts
+    as half a percent. A task that is faster than predicted shows that by its progress.
+    """
+    accurate = progress.percent >= MIN_EXPECTED_PERCENT
+    return accurate or is_measurable(progress, predicted_s)
--- a/tests/unit/test_worker_speed.py
+++ b/tests/unit/test_worker_speed.py
@@ -112,6 +112,24 @@
         assert not fleet.list_slow()
 
 
+@pytest.mark.parametrize("work_s", [300.0, 600.0, 1_500.0])
+def test_new_siblings_of_long_tasks_make_no_worker_slow(create_fleet, work_s):
+    """Guards against healthy workers that count as slow while a step's tasks begin.
+
+    The rates of tasks that had just begun were references, and were too high.
+    """
+    fleet = create_fleet(lambda worker, now: 1.0, 12)
+    tasks = fleet.add_job(Step(40, SIZE, work_s))
+    for number in range(12):
+        fleet.start(tasks[number], number % 2, work_s)
+    for _ in fleet.run_for(30.0):
+        assert not fleet.list_slow()
+    for number in range(12, 40):
+        fleet.start(tasks[number], 2 + number % 10, work_s)
+    for _ in fleet.run_for(10.0):
+        assert not fleet.list_slow()
+
+
 def test_a_worker_that_is_slow_for_good_gets_one_task_at_a_time(create_fleet):
     """Load: one worker five times slower for good; it gets no tasks once it is found.
 
