A task leaves a slow worker only for one on which the planner would place it

The check ignored the tickets of the advice service and the newest configuration of the queue. A task of an advised queue without a ticket elsewhere was stopped and placed on its slow worker again, every three seconds.

--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -87,8 +87,10 @@
             reconciler,
             interference,
             views=self._views,
+            find_queue=find_queue,
             limits=limits,
             events=events,
+            advice=advice,
         )
         self._failed_placements = FailedPlacements()
         self._preemptor = Preemptor(registry, fleet, reconciler, find_queue, limits)
--- a/pistachiodeal/leader/slow_workers.py
+++ b/pistachiodeal/leader/slow_workers.py
@@ -7,11 +7,14 @@
 
 from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.events import EventLog
+from pistachiodeal.jobs.model import Queue
 from pistachiodeal.jobs.record import JobRecord, StepRecord, Task
+from pistachiodeal.leader.advice import AdviceCache
 from pistachiodeal.leader.fleet_views import FleetViews, ViewsByService
+from pistachiodeal.leader.preemptor import QueueLookup
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
-from pistachiodeal.leader.workers import Fleet, WorkerState
+from pistachiodeal.leader.workers import Fleet, WorkerState, split_place
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.scheduling.ordering import compute_objective_s
 from pistachiodeal.scheduling.placement import (
@@ -20,7 +23,7 @@
     is_urgent,
 )
 from pistachiodeal.scheduling.slow_moves import compute_gain_s, count_movable
-from pistachiodeal.scheduling.views import StepKey
+from pistachiodeal.scheduling.views import StepKey, WorkerView
 
 # Interval between checks for runs that have to move. A check in which no worker has
 # room evaluates every worker for every step.
@@ -36,18 +39,22 @@
 class _Move:
     """A run that would end earlier elsewhere.
 
+    :param queue: its queue, by which the planner will place it again.
     :param gain_s: by how much, 0 for a serving task.
     """
 
-    priority: int
+    queue: Queue
     gain_s: float
     task: Task
     step: StepRecord
-    service: str
 
 
 class SlowWorkers:
-    """Publishes the speeds of workers and stops runs on slow ones."""
+    """Publishes the speeds of workers and stops runs on slow ones.
+
+    :param find_queue: returns the queue as defined by the newest configuration.
+    :param advice: answers of the external advice service, None without one.
+    """
 
     def __init__(
         self,
@@ -57,9 +64,13 @@
         interference: InterferenceModel,
         *,
         views: FleetViews,
+        find_queue: QueueLookup,
         limits: LimitSettings,
         events: EventLog,
+        advice: AdviceCache | None = None,
     ) -> None:
+        self._find_queue = find_queue
+        self._advice = advice
         self._registry = registry
         self._fleet = fleet
         self._reconciler = reconciler
@@ -97,7 +108,7 @@
             for move in self._list_moves(worker, movable)
         ]
         if moves:
-            moves.sort(key=lambda move: (move.priority, -move.gain_s))
+            moves.sort(key=lambda move: (move.queue.priority, -move.gain_s))
             self._move(moves, movable, self._views.refresh(now), now)
 
     def _list_moves(
@@ -131,8 +142,8 @@
                 )
                 if gain_s <= 0:
                     continue
-            priority = record.job.queue.priority
-            moves.append(_Move(priority, gain_s, task, step, worker.service))
+            queue = self._find_queue(record.job.queue)
+            moves.append(_Move(queue, gain_s, task, step))
         return moves
 
     def _move(
@@ -153,7 +164,7 @@
             # An earlier move of this check may have taken a serving task away.
             if key in no_room or not movable.get(key, 1):
                 continue
-            trial = trials.get(move.service, [])
+            trial = self._list_allowed(move, trials.get(move.queue.service, []))
             if left < len(trial):
                 return
             left -= len(trial)
@@ -169,12 +180,23 @@
             self._moved_at[str(move.task.name)] = now
             self._reconciler.stop(move.task, REASON)
 
+    def _list_allowed(self, move: _Move, views: list[WorkerView]) -> list[WorkerView]:
+        """Return the workers that the advice service allows; all if it isn't used.
+
+        The planner places the task on no others. Without a ticket elsewhere, it would
+        return to its slow worker each time.
+        """
+        if not move.queue.advised or self._advice is None:
+            return views
+        find, key = self._advice.find_ticket, move.step.key
+        return [view for view in views if find(key, split_place(view.place)[1])]
+
     def _build_request(self, move: _Move) -> PlacementRequest:
         step = move.step.step
         return PlacementRequest(
             step,
             move.step.key,
-            urgent=is_urgent(move.priority, step, 0.0),
+            urgent=is_urgent(move.queue.priority, step, 0.0),
             avoid=move.task.avoid,
             remote_cost=self._remote_cost,
         )
--- a/tests/unit/test_leader_advice.py
+++ b/tests/unit/test_leader_advice.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import time
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
 import curio
+import pytest
 
+from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.exceptions import AdviceError
 from pistachiodeal.jobs.advice import Advice
@@ -14,6 +17,8 @@
 from pistachiodeal.leader.planner import Planner
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.slow_workers import CHECK_INTERVAL_S
+from pistachiodeal.leader.speed_monitor import SpeedMonitor
 from pistachiodeal.leader.workers import Attachment, Fleet
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.wire.job_messages import Label, OrderOutcome, WorkerReport
@@ -44,14 +49,24 @@
 class AdviceHarness:
     """A leader with one advised job, and workers on nodes n0, n1, ..."""
 
-    def __init__(self, adviser: FakeAdviser, workers: int) -> None:
+    def __init__(
+        self, adviser: FakeAdviser, workers: int, slow: Sequence[str] = ()
+    ) -> None:
         events = create_quiet_log()
         self.registry = JobRegistry(events)
         fleet = Fleet()
         model = InterferenceModel()
         self.advice = AdviceCache(adviser, events, self.note_change)
+        speeds = SpeedMonitor(self.registry, model, events, 1.5) if slow else None
+        if speeds is not None:
+            speeds.adopt(dict.fromkeys(slow, 0.2), read_boot_clock())
         self.reconciler = reconciler = Reconciler(
-            self.registry, fleet, model, events, advice=self.advice
+            self.registry,
+            fleet,
+            model,
+            events,
+            advice=self.advice,
+            speeds=speeds,
         )
         self.planner = Planner(
             self.registry,
@@ -180,3 +195,22 @@
     curio.run(harness.run, 0.05)
     assert [workers for _, workers in adviser.calls[1:]] == [("w1",)]
     assert harness.list_tickets() == {("n1/w1", "t-w1")}
+
+
+@pytest.mark.parametrize(("approved", "moved"), [({"w0"}, 0), ({"w0", "w1"}, 2)])
+def test_a_task_leaves_a_slow_worker_only_for_one_with_a_ticket(approved, moved):
+    """Guards against a task that is stopped, returns to its worker, and never ends.
+
+    The check for moves looked for room on workers on which the planner places nothing.
+    """
+    adviser = FakeAdviser(approved)
+    harness = AdviceHarness(adviser, 3, slow=["n0/w0"])
+    curio.run(harness.run, 0.3)
+    step = harness.registry.records[KEY[0]].occurrences[0][0]
+    step.expected_s = 20.0
+    for task in step.tasks:
+        harness.registry.move_run(task, "n0/w0")
+        task.running = True
+    time.sleep(CHECK_INTERVAL_S)
+    harness.planner.plan()
+    assert sum(bool(task.stopping) for task in step.tasks) == moved
