--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -204,10 +204,11 @@
                 continue
             kind = parse_end_kind(end.how)
             if (task.run, task.place) == (end.run, place):
+                self._emit_end(task, end, read_boot_clock())
                 for other in self._registry.end_run(task, kind, end.checkpoint):
                     self.stop(other, "the job has failed")
             elif kind is EndKind.DONE and self._may_complete(task):
-                self._complete_task(worker, task, end)
+                self._complete_task(place, task, end)
 
     def _list_earlier_places(self, worker: WorkerState, place: str) -> list[str]:
         """Return the places of earlier incarnations on a worker's node."""
@@ -331,18 +332,7 @@
     def _apply_end(self, worker: WorkerState, task: Task, end: EndedTask) -> None:
         kind = parse_end_kind(end.how)
         now = read_boot_clock()
-        self._events.emit(
-            "run.end",
-            task=end.task,
-            run=end.run,
-            place=worker.place,
-            how=end.how,
-            why=task.stopping,
-            percent=task.percent,
-            pace=round(task.worked, 2) if task.step.fills else None,
-            estimate_ms=int(task.step.estimate_s * 1000),
-            took_ms=int((now - task.placed_at) * 1000),
-        )
+        self._emit_end(task, end, now)
         if kind is EndKind.DONE:
             worker.health.record_success()
             if task.fully_observed and not task.step.lasts:
@@ -361,6 +351,20 @@
         for other in self._registry.end_run(task, kind, end.checkpoint, acknowledge):
             self.stop(other, "the job has failed")
 
+    def _emit_end(self, task: Task, end: EndedTask, now: float) -> None:
+        self._events.emit(
+            "run.end",
+            task=end.task,
+            run=end.run,
+            place=task.place,
+            how=end.how,
+            why=task.stopping,
+            percent=task.percent,
+            pace=round(task.worked, 2) if task.step.fills else None,
+            estimate_ms=int(task.step.estimate_s * 1000),
+            took_ms=int((now - task.placed_at) * 1000),
+        )
+
     def _apply_other_end(
         self, worker: WorkerState, task: Task | None, end: EndedTask
     ) -> None:
@@ -374,7 +378,7 @@
         if (
             task is not None
             and self._may_complete(task)
-            and not self._complete_task(worker, task, end)
+            and not self._complete_task(worker.place, task, end)
         ):
             # Looked at again in each report, until the newest run has ended.
             worker.ends_applied.discard(end.number)
@@ -386,14 +390,17 @@
     def _may_complete(self, task: Task) -> bool:
         return not (task.done or task.step.lasts or self._is_over(task))
 
-    def _complete_task(self, worker: WorkerState, task: Task, end: EndedTask) -> bool:
-        """Tell whether a task is done; otherwise its newest run is stopped first."""
+    def _complete_task(self, place: str, task: Task, end: EndedTask) -> bool:
+        """Tell whether a task is done; otherwise its newest run is stopped first.
+
+        :param place: where the run with this end was.
+        """
         if not task.proven:
             self._events.emit(
                 "run.done_before",
                 task=end.task,
                 run=end.run,
-                place=worker.place,
+                place=place,
                 newest=task.run,
                 newest_place=task.place,
             )
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -8,6 +8,7 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.config.deployment import LimitSettings
+from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.authority import LEASE_S, SLOWEST_CLOCK, Lease
 from pistachiodeal.jobs.model import EndKind
 from pistachiodeal.leader.descheduler import HELD_BACK_S, STALL_S, Descheduler
@@ -436,6 +437,26 @@
 DONE = EndedTask(1, TASK, 1, "done", "")
 
 
+@pytest.mark.parametrize("run", [1, 2])
+def test_the_end_of_a_lost_incarnation_leaves_its_event(run, monkeypatch):
+    """Guards against a task whose events don't show which run has completed it, where.
+
+    An end that a loss reported left no event, or one with the place of the newest
+    incarnation of the node.
+    """
+    harness, seen = LeaderHarness(), []
+    harness.report(running=[RunningTask(TASK, 1, "", 5, 0)])
+    if run == 2:
+        harness.report(worker="w2")
+        harness.registry.place(harness.task, 2, "other/w9", lambda: None)
+    monkeypatch.setattr(
+        EventLog, "emit", lambda _, event, **fields: seen.append((event, fields))
+    )
+    harness.report(worker="w2", losses=[replace(LOSS, ends=(DONE,))])
+    events = {name: (one["run"], one["place"]) for name, one in seen if "run" in one}
+    assert events["run.end" if run == 1 else "run.done_before"] == (1, "node/w1")
+
+
 def test_an_end_done_of_a_run_that_was_taken_for_lost_counts():
     """Guards against a task that is started again after its end.
 
