--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -184,7 +184,7 @@
             urgent=is_urgent(queue.priority, step.step, _measure_wait_s(step)),
             racks=self._list_racks(step, views),
             may_interfere=self._is_starved(record, step),
-            late=step.step.fills and is_late(record, time.time()),
+            late=self._accepts_slow_worker(record, step),
             remote_cost=self._remote_cost,
         )
         allowed = self._list_allowed(request, queue, views)
@@ -303,6 +303,12 @@
             return False
         return _measure_wait_s(step) > STARVED_S
 
+    def _accepts_slow_worker(self, record: JobRecord, step: StepRecord) -> bool:
+        """Tell whether a slow worker does as well for a step as another one."""
+        if self._reconciler.speeds is None or not step.step.fills:
+            return False
+        return is_late(record, time.time())
+
     def _place(
         self, task: Task, run: int, request: PlacementRequest, view: WorkerView
     ) -> None:
--- a/tests/unit/test_slow_workers.py
+++ b/tests/unit/test_slow_workers.py
@@ -4,6 +4,7 @@
 
 import time
 from dataclasses import replace
+from unittest import mock
 
 import curio
 import orjson
@@ -13,6 +14,7 @@
 from pistachiodeal.exceptions import ProtocolError
 from pistachiodeal.jobs.model import Job, Step
 from pistachiodeal.jobs.record import Task
+from pistachiodeal.leader import planner
 from pistachiodeal.leader.commits import CONTROL_TABLE
 from pistachiodeal.leader.learned_state import (
     LEARNED_STATE_KEY,
@@ -20,7 +22,7 @@
     LearnedStatePersister,
     encode_learned_state,
 )
-from pistachiodeal.leader.slow_workers import REASON
+from pistachiodeal.leader.slow_workers import REASON, is_late
 from pistachiodeal.leader.speed_row import MAX_BYTES, decode_speeds, encode_speeds
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling import slow_moves
@@ -174,11 +176,16 @@
     assert len(looked) <= 40
 
 
-def test_without_the_feature_nothing_changes():
+def test_without_the_feature_nothing_changes(monkeypatch):
+    """Guards against cost and effects where the feature is off."""
+    late = mock.Mock(side_effect=is_late)
+    monkeypatch.setattr(planner, "is_late", late)
     leader = Leader(enabled=False)
     (long,) = leader.start(LONG)
+    leader.submit(replace(SHORT, fills=True, image="f"))
     tasks = leader.submit(replace(SHORT, count=11))
     leader.planner.plan()
+    assert not late.called
     assert not long.stopping
     assert sum(task.place == "n0/w" for task in tasks) == 3
     assert encode_learned_state(LearnedState([], {})) == b'{"pairs":[],"durations":{}}'
