--- a/pistachiodeal/leader/slow_workers.py
+++ b/pistachiodeal/leader/slow_workers.py
@@ -28,7 +28,8 @@
 # Interval between checks for runs that have to move. A check in which no worker has
 # room evaluates every worker for every step.
 CHECK_INTERVAL_S = 0.4
-# Limits a check to about 20 ms of processor time with 600 workers.
+# Limits a check to about 20 ms of processor time with 600 workers. No step is evaluated
+# beyond this number; the last one is evaluated against all workers, however many.
 MAX_EVALUATIONS = 3_000
 # No task moves twice within this time, so that a short one ends before the next move.
 MOVE_INTERVAL_S = 3.0
@@ -165,7 +166,7 @@
             if key in no_room or not movable.get(key, 1):
                 continue
             trial = self._list_allowed(move, trials.get(move.queue.service, []))
-            if left < len(trial):
+            if left <= 0:
                 return
             left -= len(trial)
             request = self._build_request(move)
--- a/tests/unit/test_slow_workers.py
+++ b/tests/unit/test_slow_workers.py
@@ -14,7 +14,7 @@
 from pistachiodeal.exceptions import ProtocolError
 from pistachiodeal.jobs.model import Job, Step
 from pistachiodeal.jobs.record import Task
-from pistachiodeal.leader import planner
+from pistachiodeal.leader import planner, slow_workers
 from pistachiodeal.leader.commits import CONTROL_TABLE
 from pistachiodeal.leader.learned_state import (
     LEARNED_STATE_KEY,
@@ -129,6 +129,15 @@
     assert sum(bool(task.stopping) for task in tasks) == 2 * free
 
 
+def test_a_large_fleet_moves_tasks_too(monkeypatch):
+    """Guards against a service with more workers than evaluations, where none moves."""
+    monkeypatch.setattr(slow_workers, "MAX_EVALUATIONS", 1)
+    leader = Leader()
+    tasks = leader.start(replace(LONG, count=2))
+    leader.planner.plan()
+    assert sum(bool(task.stopping) for task in tasks) == 1
+
+
 @pytest.mark.parametrize("late", [False, True])
 def test_late_filling_tasks_stay_on_slow_workers(late):
     """Guards against a task that moves away, is placed there again, and never ends."""
