--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -6,15 +6,16 @@
 
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
-from pistachiodeal.jobs.model import EndKind, LossCause, OrderState, parse_end_kind
+from pistachiodeal.jobs.model import LossCause, OrderState
 from pistachiodeal.jobs.record import Task
 from pistachiodeal.jobs.runtime import CallResult
 from pistachiodeal.leader.advice import AdviceCache
 from pistachiodeal.leader.crashes import CrashTracker
 from pistachiodeal.leader.filling_work import FillingWork
 from pistachiodeal.leader.interference_monitor import InterferenceMonitor
-from pistachiodeal.leader.registry import Callback, JobRegistry
+from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.report_index import ReportIndex, RunKey, index_report
+from pistachiodeal.leader.run_ends import RunEnds
 from pistachiodeal.leader.speed_monitor import SpeedMonitor
 from pistachiodeal.leader.workers import (
     PLACE_SEPARATOR,
@@ -26,7 +27,6 @@
 )
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.wire.job_messages import (
-    EndedTask,
     OrderOutcome,
     RunningTask,
     WorkerLoss,
@@ -59,7 +59,14 @@
         self._registry = registry
         self._fleet = fleet
         self._crashes = CrashTracker(registry, fleet, events)
-        self._filling = filling
+        self._run_ends = RunEnds(
+            registry,
+            events,
+            self.stop,
+            self._add_work,
+            speeds=speeds,
+            filling=filling,
+        )
         self._interference_monitor = InterferenceMonitor(
             registry, interference, events, filling
         )
@@ -88,7 +95,7 @@
             self._move_runs(earlier_places, place, report_index)
         for loss in report.losses:
             if loss.worker != report.worker:
-                self._apply_lost_ends(worker, loss)
+                self._run_ends.apply_lost(worker, loss)
                 self._apply_loss(worker, loss, now)
                 self.requeue_lost_runs(
                     build_place(worker.node, loss.worker),
@@ -110,7 +117,7 @@
         for other in earlier_places:
             self.requeue_lost_runs(other, "a new incarnation is at its address")
         self._apply_runs(worker, attachment, report_index, now)
-        self._apply_ends(worker, attachment, report)
+        self._run_ends.apply(worker, report)
         self._stop_orphans(worker, attachment, report_index)
         self._interference_monitor.update(worker, attachment, now)
         if self._speeds is not None:
@@ -205,24 +212,6 @@
         if loss.cause == LossCause.CRASHED:
             self._crashes.record_crash(worker, loss, now)
 
-    def _apply_lost_ends(self, worker: WorkerState, loss: WorkerLoss) -> None:
-        """Apply ends that an incarnation listed before it was lost.
-
-        They can't be acknowledged to it any more. Agents report them to each leader.
-        """
-        place = build_place(worker.node, loss.worker)
-        for end in loss.ends:
-            task = self._registry.find_task(end.task)
-            if task is None or task.done:
-                continue
-            kind = parse_end_kind(end.how)
-            if (task.run, task.place) == (end.run, place):
-                self._emit_end(task, end, read_boot_clock())
-                for other in self._registry.end_run(task, kind, end.checkpoint):
-                    self.stop(other, "the job has failed")
-            elif kind is EndKind.DONE and self._may_complete(task):
-                self._complete_task(place, task, end)
-
     def _list_earlier_places(self, worker: WorkerState, place: str) -> list[str]:
         """Return the places of earlier incarnations on a worker's node."""
         prefix = worker.node + PLACE_SEPARATOR
@@ -328,102 +317,6 @@
             # orders travel.
             task.held_until = now + REFUSAL_BACKOFF_S
 
-    def _apply_ends(
-        self, worker: WorkerState, attachment: Attachment, report: WorkerReport
-    ) -> None:
-        for end in report.ends:
-            if end.number in worker.ends_applied:
-                continue
-            worker.ends_applied.add(end.number)
-            task = self._registry.find_task(end.task)
-            if task is None or task.run != end.run or task.place != worker.place:
-                self._apply_other_end(worker, task, end)
-                continue
-            self._apply_end(worker, task, end)
-        worker.advance_ends_noted(report.ends)
-
-    def _apply_end(self, worker: WorkerState, task: Task, end: EndedTask) -> None:
-        kind = parse_end_kind(end.how)
-        now = read_boot_clock()
-        self._emit_end(task, end, now)
-        if self._filling is not None:
-            self._filling.record_end(task, done=kind is EndKind.DONE, now=now)
-        if kind is EndKind.DONE:
-            worker.health.record_success()
-            if task.fully_observed and not task.step.lasts:
-                self._add_work(task, task.worked if task.seen_at else 1.0, now)
-                record = self._registry.records[task.name.job_id]
-                if self._speeds is not None:
-                    self._speeds.observe_done(worker, task, now)
-                self._registry.estimator.observe_duration(record, task, task.work_s)
-        elif kind is EndKind.FAILED and not task.step.lasts:
-            # Only a task's first failure counts against its worker, since a task that
-            # fails everywhere says nothing about the worker.
-            if not task.failures:
-                worker.health.record_failure(now)
-            task.avoid |= {worker.node}
-        acknowledge = _build_acknowledgement(worker, end)
-        for other in self._registry.end_run(task, kind, end.checkpoint, acknowledge):
-            self.stop(other, "the job has failed")
-
-    def _emit_end(self, task: Task, end: EndedTask, now: float) -> None:
-        self._events.emit(
-            "run.end",
-            task=end.task,
-            run=end.run,
-            place=task.place,
-            how=end.how,
-            why=task.stopping,
-            percent=task.percent,
-            pace=round(task.worked, 2) if task.step.fills else None,
-            estimate_ms=int(task.step.estimate_s * 1000),
-            took_ms=int((now - task.placed_at) * 1000),
-        )
-
-    def _apply_other_end(
-        self, worker: WorkerState, task: Task | None, end: EndedTask
-    ) -> None:
-        """Apply the end of a run that isn't its task's newest one at its place.
-
-        A runner that was taken for lost may have completed the task meanwhile.
-        """
-        if parse_end_kind(end.how) is not EndKind.DONE:
-            worker.mark_end_durable(end.number)
-            return
-        if (
-            task is not None
-            and self._may_complete(task)
-            and not self._complete_task(worker.place, task, end)
-        ):
-            # Looked at again in each report, until the newest run has ended.
-            worker.ends_applied.discard(end.number)
-            return
-        # The task may be done by another end that isn't durable yet.
-        job_id = end.task.partition(".")[0]
-        self._registry.call_when_saved(job_id, _build_acknowledgement(worker, end))
-
-    def _may_complete(self, task: Task) -> bool:
-        return not (task.done or task.step.lasts or self._is_over(task))
-
-    def _complete_task(self, place: str, task: Task, end: EndedTask) -> bool:
-        """Tell whether a task is done; otherwise its newest run is stopped first.
-
-        :param place: where the run with this end was.
-        """
-        if not task.proven:
-            self._events.emit(
-                "run.done_before",
-                task=end.task,
-                run=end.run,
-                place=place,
-                newest=task.run,
-                newest_place=task.place,
-            )
-        if self._registry.complete_task(task):
-            return True
-        self.stop(task, "an earlier run has completed the task")
-        return False
-
     def _stop_orphans(
         self, worker: WorkerState, attachment: Attachment, report_index: ReportIndex
     ) -> None:
@@ -437,14 +330,3 @@
             # room until its end is listed.
             worker.orphans[name] = run
             attachment.order_stop(name, run)
-
-
-def _build_acknowledgement(worker: WorkerState, end: EndedTask) -> Callback:
-    """Return a callback that acknowledges an end to the incarnation that listed it."""
-    incarnation = worker.worker
-
-    def acknowledge() -> None:
-        if worker.worker == incarnation:
-            worker.mark_end_durable(end.number)
-
-    return acknowledge
--- a/tests/unit/test_worker_speed.py
+++ b/tests/unit/test_worker_speed.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pistachiodeal.jobs.model import Step
-from pistachiodeal.leader import reconcile, registry
+from pistachiodeal.leader import reconcile, registry, run_ends
 from pistachiodeal.scheduling.worker_speed import HOLD_S, MAX_SLOWNESS, SpeedModel
 from tests.unit.fake_speed_fleet import SIZE, FindSpeed, SpeedFleet
 
@@ -22,6 +22,7 @@
             return fleet.clock if fleet is not None else 100.0
 
         monkeypatch.setattr(reconcile, "read_boot_clock", read_clock)
+        monkeypatch.setattr(run_ends, "read_boot_clock", read_clock)
         monkeypatch.setattr(registry, "read_boot_clock", read_clock)
         fleet = SpeedFleet(workers, find_speed, **options)
         return fleet
