Entries report their queues at GET /queues

Nobody could ask a running entry why a queue waits, how much work is ahead of it, or what was rejected: the leader logs this in events, and entries keep the summary of the load to themselves.

The metrics listener of an entry now answers GET /queues with a JSON document. The leader builds it from its registry, load summary, shares and speeds, from the rejections of the last minute, and from the main obstacle of each waiting step. The planner keeps the latter for the newest 1,000 steps that wait, with one dictionary entry per step.waits event; all else is computed on request. An entry that doesn't lead, or still loads the jobs, reports the summary that it has and its age. Columns of features that are off are null.

--- a/pistachiodeal/jobentry/admission.py
+++ b/pistachiodeal/jobentry/admission.py
@@ -16,7 +16,7 @@
 from pistachiodeal.leader.election import Election
 from pistachiodeal.leader.load_messages import decode_summary, encode_rejection
 from pistachiodeal.peers import PeerContext
-from pistachiodeal.scheduling.admission import Admission, Rejection
+from pistachiodeal.scheduling.admission import Admission, LoadSummary, Rejection
 from pistachiodeal.scheduling.backlog import QueueLoad, describe_new_job
 from pistachiodeal.scheduling.retry_after import choose_retry_after_s
 from pistachiodeal.wire.job_messages import JobNotice, LeaderNotice
@@ -54,6 +54,11 @@
         self._uncertain: dict[str, float] = {}
         self._invalid_epoch = -1
 
+    @property
+    def summary(self) -> LoadSummary | None:
+        """Return the newest summary of a leader, None before the first."""
+        return self._admission.current
+
     def apply_notice(self, notice: LeaderNotice) -> None:
         """Take over the summary in a notice of the leader."""
         summary, invalid = decode_summary(notice, read_boot_clock())
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -16,6 +16,7 @@
 from pistachiodeal.jobentry.configuration_copy import ConfigurationCopy
 from pistachiodeal.jobentry.handover import HandOver
 from pistachiodeal.jobentry.peer_server import PeerServer
+from pistachiodeal.jobentry.queue_view import QUEUES_PATH, QueueView
 from pistachiodeal.jobentry.relay import RelayedRows, build_dispatcher
 from pistachiodeal.jobentry.states import JobStates
 from pistachiodeal.jobs.rows import find_partition
@@ -94,6 +95,11 @@
                 peers,
             )
             self._election.set_notice_handler(admission.apply_notice)
+        self._queue_view = QueueView(
+            self._peer_server,
+            peers.directory,
+            lambda: admission.summary if admission else None,
+        )
         api = CallerApi(
             self._configuration,
             self._acceptance,
@@ -166,6 +172,8 @@
         return WebResponse(200 if ready else 503)
 
     async def _answer_metrics(self, request: WebRequest) -> WebResponse:
+        if request.path == QUEUES_PATH:
+            return self._queue_view.answer()
         return build_metrics(self._events.stats)
 
 
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -27,6 +27,7 @@
 from pistachiodeal.leader.load_summary import LoadSummarizer
 from pistachiodeal.leader.loader import JobLoader
 from pistachiodeal.leader.planner import Planner
+from pistachiodeal.leader.queue_reporter import QueueReporter
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.sessions import AgentSessions
@@ -145,6 +146,13 @@
             self._load_summary = LoadSummarizer(
                 self._registry, find_queue, term.epoch, events
             )
+        self._queue_reporter = QueueReporter(
+            self._registry,
+            self._fleet,
+            self._planner,
+            self._load_summary,
+            knows_speeds=features.worker_speeds,
+        )
         self._loaded = False
         self._loaded_at = 0.0
         self._startup_wait = StartupWait(self._fleet)
@@ -185,6 +193,11 @@
         """Return the summary of the backlog, None with the feature off."""
         return self._load_summary
 
+    @property
+    def queue_reporter(self) -> QueueReporter:
+        """Return what builds the report on queues."""
+        return self._queue_reporter
+
     def find_state(self, job_id: str) -> JobState | None:
         """Return the durable state of a job, None if it is unknown or not loaded."""
         record = self._registry.records.get(job_id) if self._loaded else None
--- a/pistachiodeal/leader/load_summary.py
+++ b/pistachiodeal/leader/load_summary.py
@@ -14,6 +14,7 @@
 from pistachiodeal.leader.drain_observer import DrainObserver
 from pistachiodeal.leader.load_messages import decode_rejection
 from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.rejection_counts import RejectionCounts
 from pistachiodeal.scheduling.admission import MIN_WAIT_S, LoadSummary
 from pistachiodeal.scheduling.backlog import (
     NewJob,
@@ -30,6 +31,8 @@
 from pistachiodeal.scheduling.returning_callers import ReturningCallers
 from pistachiodeal.wire.job_messages import JobNotice
 
+# The reason of all rejections of which entries notify the leader.
+OVERLOADED = "overloaded"
 MIN_INTERVAL_S = 0.25
 # Longer intervals would make entries' copies too old for a decision.
 MAX_INTERVAL_S = 0.8
@@ -56,6 +59,7 @@
         self._events = events
         self._drains = DrainObserver()
         self._returning = ReturningCallers()
+        self._rejections = RejectionCounts()
         self._finite: dict[str, NewJob | None] = {}
         self._current: LoadSummary | None = None
 
@@ -64,6 +68,11 @@
         """Return the newest summary, None before the first."""
         return self._current
 
+    @property
+    def rejections(self) -> RejectionCounts:
+        """Return the rejections of which entries have notified this leader."""
+        return self._rejections
+
     def record(self, notice: JobNotice, now: float) -> None:
         """Keep a job that an entry has rejected, or whose insert got no answer."""
         job = decode_rejection(notice)
@@ -72,6 +81,7 @@
         elif notice.uncertain:
             self._returning.record_uncertain(notice.key, now)
         else:
+            self._rejections.record(job.queue, OVERLOADED, now)
             retry_after_s = notice.retry_ms / 1000
             self._returning.record_rejection(notice.key, job, now, retry_after_s)
 
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -23,6 +23,7 @@
 from pistachiodeal.leader.filling_work import FillingWork
 from pistachiodeal.leader.fleet_views import FleetViews, ViewsByService
 from pistachiodeal.leader.held_back import create_mover
+from pistachiodeal.leader.obstacle_book import ObstacleBook
 from pistachiodeal.leader.preemptor import Preemptor, QueueLookup
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
@@ -102,6 +103,7 @@
             events=events,
         )
         self._failed_placements = FailedPlacements()
+        self._obstacles = ObstacleBook()
         self._preemptor = Preemptor(registry, fleet, reconciler, find_queue, limits)
         self._suspect_placer = SuspectPlacer(registry, reconciler, interference, events)
         self._yielder: Yielder | None = None
@@ -128,6 +130,16 @@
         self._events = events
         self._advice = advice
 
+    @property
+    def obstacles(self) -> ObstacleBook:
+        """Return what holds up the steps that wait."""
+        return self._obstacles
+
+    @property
+    def shares(self) -> ShareKeeper | None:
+        """Return the shares of queues and job sizes, None with the feature off."""
+        return self._shares
+
     def plan(self) -> bool:
         """Run one planning round; tell whether all waiting steps were considered."""
         now = read_boot_clock()
@@ -232,7 +244,7 @@
                 self._failed_placements.record_failure(request, self._views.round)
                 if full_check:
                     self._failed_placements.record_full_check(request, now)
-                    self._explain_wait(request, candidates.obstacles)
+                    self._explain_wait(request, queue, candidates.obstacles)
                 if self._yielder is None or not self._yielder.make_room(
                     waiting, record, request, queue, views
                 ):
@@ -315,9 +327,13 @@
         )
 
     def _explain_wait(
-        self, request: PlacementRequest, obstacles: Mapping[Obstacle, int]
+        self,
+        request: PlacementRequest,
+        queue: Queue,
+        obstacles: Mapping[Obstacle, int],
     ) -> None:
-        """Log the obstacles that keep a step waiting."""
+        """Log and record the obstacles that keep a step waiting."""
+        self._obstacles.record(queue.name, request.key, obstacles)
         counts = {obstacle.value: count for obstacle, count in obstacles.items()}
         job_id, occurrence, step = request.key
         self._events.emit(
