job queues ADDRESS... shows what entries know of the queues

`job queues` only counted rows of the store, which says neither why jobs wait nor how much work is ahead. With addresses of metrics listeners it now asks each entry for its report and prints it; without addresses it counts rows as before.

--- a/pistachiodeal/commands/job.py
+++ b/pistachiodeal/commands/job.py
@@ -1,7 +1,7 @@
 """``pistachiodeal job``: shows jobs on the users' platform.
 
 The rows are read directly from the store, so the commands also work while no entry is
-reachable.
+reachable. Only ``job queues ADDRESS...`` asks entries.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 from pistachiodeal.addresses import is_address
 from pistachiodeal.commands.errors import CommandError, UsageError
 from pistachiodeal.commands.job_path import add_path
+from pistachiodeal.commands.job_queues import print_reports
 from pistachiodeal.commands.options import Context
 from pistachiodeal.commands.output import print_fields, print_json, print_table
 from pistachiodeal.commands.parsers import Subparsers, add_command, add_group
@@ -67,7 +68,15 @@
     listing.add_argument(
         "--open", action="store_true", help="only jobs that are not final"
     )
-    queues = add_command(group, common, "queues", "count jobs by queue", run_queues)
+    queues = add_command(
+        group, common, "queues", "count jobs by queue, or ask entries", run_queues
+    )
+    queues.add_argument(
+        "addresses",
+        nargs="*",
+        metavar="ADDRESS",
+        help="metrics listener of an entry; without any, the store's rows are counted",
+    )
     for command in (show, why):
         command.add_argument("job_id")
     add_path(group, common)
@@ -123,7 +132,10 @@
 
 
 async def run_queues(context: Context, args: argparse.Namespace) -> None:
-    """Print the number of jobs by queue and state."""
+    """Print what entries know of the queues, or the number of jobs by state."""
+    if args.addresses:
+        await print_reports(context, args.addresses)
+        return
     counts: dict[str, dict[str, int]] = {}
     for found in await _read(_read_jobs, args):
         states = counts.setdefault(found.record.job.queue.name, {})
--- a/pistachiodeal/exit_codes.py
+++ b/pistachiodeal/exit_codes.py
@@ -9,6 +9,7 @@
 CONFLICT = 4
 NOT_FOUND = 5
 UNAUTHENTICATED = 6
+NO_ANSWER = 69  # EX_UNAVAILABLE of sysexits.h
 
 MEANINGS: dict[int, str] = {
     OK: "Done.",
@@ -18,4 +19,5 @@
     CONFLICT: "Somebody else changed it first, or it is still in use.",
     NOT_FOUND: "No such profile, service, task or job.",
     UNAUTHENTICATED: "The operators' token is missing or wrong.",
+    NO_ANSWER: "An entry whose address was given to `job queues` did not answer.",
 }
