--- a/pistachiodeal/jobentry/admission.py
+++ b/pistachiodeal/jobentry/admission.py
@@ -8,7 +8,12 @@
 import curio
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.exceptions import LinkClosedError, Outcome, RequestError
+from pistachiodeal.exceptions import (
+    LinkClosedError,
+    Outcome,
+    PistachiodealError,
+    RequestError,
+)
 from pistachiodeal.jobentry.acceptance import Acceptance
 from pistachiodeal.jobentry.peer_server import PeerServer
 from pistachiodeal.jobentry.states import JobStates
@@ -127,8 +132,9 @@
                 state = await self._states.find_state(job_id)
         except curio.TaskTimeout:
             return "its state was not found in time"
-        except RequestError as error:
-            return f"its state is unknown: {error.detail}"
+        except (PistachiodealError, ValueError) as error:
+            # A row or a state of another version can't be read, but it exists.
+            return f"its state is unknown: {error}"
         if job_id in self._inserting or job_id in self._uncertain:
             return "an insert of it may still be carried out"
         return "" if state is None else "it exists"
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -13,7 +13,12 @@
 from hypothesis import strategies as st
 
 from pistachiodeal.config.deployment import FeatureSettings
-from pistachiodeal.exceptions import LinkClosedError, Outcome, RequestError
+from pistachiodeal.exceptions import (
+    LinkClosedError,
+    Outcome,
+    ProtocolError,
+    RequestError,
+)
 from pistachiodeal.jobentry.admission import AdmissionGate
 from pistachiodeal.jobs.model import Job, JobState, Step
 from pistachiodeal.jobs.rows import encode_job
@@ -309,20 +314,30 @@
     raise RequestError("the store is silent", status=503)
 
 
+def fail_to_decode(entry: FakeEntry) -> None:
+    raise ProtocolError("not a progress row", step="jobs.decode_progress")
+
+
+def answer_unknown_state(entry: FakeEntry) -> None:
+    JobState("a state of a later version")
+
+
 @pytest.mark.parametrize(
     ("state", "on_check"),
     [
         (JobState.QUEUED, lambda entry: None),
         (JobState.COMPLETED, lambda entry: None),
         (None, hide_state),
+        (None, fail_to_decode),
+        (None, answer_unknown_state),
         (None, lose_leader),
     ],
 )
 def test_a_job_that_may_exist_is_not_rejected(state, on_check):
     """Guards against "has not run" for a repeat, or by what may be wrong meanwhile.
 
-    Neither the leader nor the store may answer the check, or the leader may be lost
-    between its summary and the rejection.
+    Neither the leader nor the store may answer the check, the answer may be of another
+    version, or the leader may be lost between its summary and the rejection.
     """
     entry = FakeEntry()
     entry.state, entry.on_check = state, on_check
