Shares: jobs of a new leader are sized by their estimated work

A record that was read from its rows has no work until one of its steps is ranked. The first update of the shares comes before that: it counted all these jobs as empty, so that even small jobs were the largest of their queue, and counted their past demand as new.

--- a/pistachiodeal/leader/shares.py
+++ b/pistachiodeal/leader/shares.py
@@ -107,6 +107,9 @@
         time_of_day_s: float,
     ) -> None:
         queue = self._find_queue(record.job.queue)
+        if not record.work:
+            # It was read from its rows, and none of its steps has been ranked yet.
+            self._registry.estimator.estimate_steps(record, steps)
         deadline = find_deadline(record, steps, queue, time_of_day_s)
         due = min(1.0, deadline.age_s / max(deadline.objective_s, 0.001))
         demanded, served = record.work * due, measure_done_work(steps)
--- a/tests/unit/test_fair_share.py
+++ b/tests/unit/test_fair_share.py
@@ -11,7 +11,9 @@
 from hypothesis import strategies as st
 
 from pistachiodeal.config.deployment import NO_FEATURES, FeatureSettings
+from pistachiodeal.jobs.record import build_record
 from pistachiodeal.leader.deadlines import measure_done_work
+from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.shares import ShareKeeper
 from pistachiodeal.scheduling.fair_share import (
     DECAY_S,
@@ -21,7 +23,7 @@
     SizeClass,
 )
 from pistachiodeal.scheduling.ordering import DeadlineStatus, WaitingStep, rank_step
-from tests.unit.overload_replay import Arrival, Replay
+from tests.unit.overload_replay import HEAVY, Arrival, Replay
 
 FAIR = FeatureSettings(fair_shares=True)
 GROUP = ("svc", 1)
@@ -100,6 +102,33 @@
         assert not keeper.book.list_shares(replay.now + 0.5 * beat)
 
 
+def test_restored_jobs_are_sized_before_they_are_ranked(monkeypatch):
+    """Guards against jobs of a new leader that all count as empty.
+
+    A record that was read from its rows has no work until its steps are estimated.
+    Their whole demand of the past would count as new, and all would be small jobs.
+    """
+    replay = Replay(monkeypatch, FAIR, 0)
+    jobs = [replay.submit(Arrival(0.0, 1, 1.0, age_s=2.0)) for _ in range(18)]
+    jobs += [replay.submit(Arrival(0.0, 8, 5.0, age_s=2.0)) for _ in range(2)]
+    registry, demanded = JobRegistry(replay.events), []
+    for job in jobs:
+        record = build_record(job)
+        registry.restore(record)
+        registry.open_due(record, replay.now)
+    keeper = ShareKeeper(registry, lambda queue: queue, replay.events)
+    monkeypatch.setattr(
+        keeper.book, "record_demand", lambda *fields: demanded.append(fields[2])
+    )
+    keeper.update(replay.now)
+    works = [keeper.book.classify(HEAVY.name, work) for work in (4.0, 160.0)]
+    assert works == [SizeClass.REST, SizeClass.LARGEST]
+    for record in registry.open_records.values():
+        registry.estimator.estimate_steps(record, record.occurrences[0])
+    keeper.update(replay.now + 0.5)
+    assert sum(demanded) == 0.0
+
+
 def test_demand_and_work_of_completed_jobs_are_equal(monkeypatch):
     """Guards against shares that drift because ends or repeated work count wrongly."""
     replay = Replay(monkeypatch, FAIR, 2)
