Jobs whose times overflow don't end the leaders that read them

An estimate near the largest float made the objective infinite, and a tiny interval the number of due occurrences; the conversion to an integer ended each leader that had the job. Such estimates are refused, and the interval is compared without a quotient.

--- a/pistachiodeal/jobs/checks.py
+++ b/pistachiodeal/jobs/checks.py
@@ -19,6 +19,10 @@
 MAX_STEPS = 100
 MAX_TASKS = 10_000
 MAX_OCCURRENCES = 10_000
+# Objectives and sums of work that are computed from estimates near the largest float
+# are infinite, and raise when they are converted to integers. The bound is above the
+# largest 32-bit float, by which a caller may say that it has no estimate.
+MAX_ESTIMATE_S = 1e100
 SCALAR_TYPES = (int, float, str, bool)
 
 
@@ -67,6 +71,8 @@
     others = (step.estimate_s, step.spread, step.serves_ms, step.may_be_away)
     if min(*sizes, *others) < 0:
         raise ValueError(f"step {number} has a negative value")
+    if step.estimate_s > MAX_ESTIMATE_S:
+        raise ValueError(f"step {number} has an estimate that is out of bounds")
     for earlier in step.after:
         if type(earlier) is not int or not 0 <= earlier < number:
             raise ValueError(
--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -236,7 +236,8 @@
         late_s = time_of_day_s - job.first_run_s
         if late_s < 0:
             return 0
-        if job.interval_s <= 0:
+        # Also true without an interval; the quotient of a tiny one would be infinite.
+        if late_s >= job.interval_s * (job.repeats - 1):
             return job.repeats
         return min(job.repeats, int(late_s / job.interval_s) + 1)
 
--- a/tests/unit/test_foreign_writers.py
+++ b/tests/unit/test_foreign_writers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from dataclasses import replace
 
 import curio
 import orjson
@@ -257,6 +258,38 @@
     assert decode_job(job.job_id, encode_job(job)) == job
 
 
+@pytest.mark.parametrize("estimate_s", [1e101, 1.7e305])
+def test_a_job_whose_times_overflow_is_refused(estimate_s):
+    """Guards against an objective that is infinite in milliseconds.
+
+    Its conversion to an integer would end each leader that reads the row.
+    """
+    job = build_job(1)
+    step = replace(job.steps[0], estimate_s=estimate_s)
+    with pytest.raises(ValueError, match="estimate"):
+        check_job(replace(job, steps=(step,)))
+    # The largest 32-bit float, which may stand for "unknown", is still accepted.
+    check_job(replace(job, steps=(replace(step, estimate_s=3.5e38),)))
+
+
+def test_occurrences_with_a_tiny_interval_are_all_due():
+    """Guards against a quotient that is infinite and ends the leader."""
+    job = replace(build_job(1), repeats=3, first_run_s=0.0, interval_s=1e-303)
+    record = build_record(job)
+    assert record.open_due(1e9)
+    assert sorted(record.occurrences) == [0, 1, 2]
+
+
+def test_occurrences_fall_due_one_by_one():
+    """Guards against an occurrence that is opened before it is due."""
+    job = replace(build_job(1), repeats=3, first_run_s=100.0, interval_s=10.0)
+    record, opened = build_record(job), []
+    for at in (99.9, 100.0, 109.9, 110.0, 119.9, 120.0, 500.0):
+        record.open_due(at)
+        opened.append(len(record.occurrences))
+    assert opened == [0, 1, 1, 2, 2, 3, 3]
+
+
 @pytest.mark.parametrize("born", [None, "1783446900684", 1.5, True, -1])
 def test_a_start_that_is_not_a_whole_number_is_refused(born):
     """A message that names no valid start of a runner is not attributed to any."""
