--- a/pistachiodeal/events.py
+++ b/pistachiodeal/events.py
@@ -65,7 +65,12 @@
         if not self._admit(event, int(now)):
             return
         document = {"t": round(now, 3), "p": self._process, "event": event, **fields}
-        self._write(orjson.dumps(document, default=str) + b"\n")
+        try:
+            line = orjson.dumps(document, default=str)
+        except TypeError:
+            # An integer of more than 64 bits, such as a time that a caller has named.
+            line = orjson.dumps({name: str(value) for name, value in document.items()})
+        self._write(line + b"\n")
 
     def _measure(self, event: str, fields: dict[str, Any]) -> None:
         name = event.replace(".", "_")
--- a/tests/unit/test_logs.py
+++ b/tests/unit/test_logs.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import json
+import os
 import subprocess
 import sys
 
+from pistachiodeal.events import EventLog
+
 PROGRAM = """
 import logbook
 from pistachiodeal.config.common import LogSettings
@@ -38,3 +41,16 @@
 def test_text_has_level_and_prefix() -> None:
     first = write_logs("text")[0]
     assert first.endswith("NOTICE  batch: partition 3 taken at epoch 7")
+
+
+def test_an_event_with_an_integer_of_more_than_64_bits_is_written() -> None:
+    """Guards against an odd time in a job that ends the leader when it is logged."""
+    reader, writer = os.pipe()
+    try:
+        EventLog(writer, "test").emit("job.shown", job="a", objective_ms=2**70)
+        event = json.loads(os.read(reader, 4_096))
+    finally:
+        os.close(reader)
+        os.close(writer)
+    assert (event["event"], event["job"]) == ("job.shown", "a")
+    assert event["objective_ms"] == str(2**70)
