Admission: jobs that fit on no worker are left out of the backlog

Waiting jobs that no worker of their service can take counted as work ahead of new jobs, and made the drain rate show the load instead of what the workers can complete. Jobs were rejected while workers were idle.

--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -143,7 +143,7 @@
         self._load_summary = None
         if features.admission:
             self._load_summary = LoadSummarizer(
-                self._registry, find_queue, term.epoch, events
+                self._registry, self._fleet, find_queue, term.epoch, events
             )
         self._loaded = False
         self._loaded_at = 0.0
--- a/pistachiodeal/leader/load_summary.py
+++ b/pistachiodeal/leader/load_summary.py
@@ -14,6 +14,8 @@
 from pistachiodeal.leader.drain_observer import DrainObserver
 from pistachiodeal.leader.load_messages import decode_rejection
 from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.workers import Fleet
+from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.admission import MIN_WAIT_S, LoadSummary
 from pistachiodeal.scheduling.backlog import (
     NewJob,
@@ -28,6 +30,7 @@
     rank_step,
 )
 from pistachiodeal.scheduling.returning_callers import ReturningCallers
+from pistachiodeal.scheduling.views import get_reserved_size
 from pistachiodeal.wire.job_messages import JobNotice
 
 MIN_INTERVAL_S = 0.25
@@ -46,11 +49,13 @@
     def __init__(
         self,
         registry: JobRegistry,
+        fleet: Fleet,
         find_queue: Callable[[Queue], Queue],
         epoch: int,
         events: EventLog,
     ) -> None:
         self._registry = registry
+        self._fleet = fleet
         self._find_queue = find_queue
         self._epoch = epoch
         self._events = events
@@ -119,8 +124,13 @@
         return self._current
 
     def _list_finite(self) -> list[tuple[JobRecord, NewJob]]:
-        """Return the open jobs that end by themselves."""
+        """Return the open jobs that end by themselves.
+
+        Jobs that are too large for any worker are left out: no other job waits for
+        them, and while only they wait, the drain rate shows the load.
+        """
         finite: dict[str, NewJob | None] = {}
+        largest = self._find_largest()
         records = []
         for job_id, record in self._registry.open_records.items():
             if job_id in self._finite:
@@ -131,12 +141,24 @@
             steps = record.occurrences.get(0)
             if job is None or steps is None:
                 continue
+            service = self._find_queue(record.job.queue).service
+            whole = largest.get(service, Resources())
+            if not record.begun and not _fits(record.job, whole):
+                continue
             if not record.work:
                 self._registry.estimator.estimate_steps(record, steps)
             records.append((record, job))
         self._finite = finite
         return records
 
+    def _find_largest(self) -> dict[str, Resources]:
+        """Return the most of each resource that a worker of a service has."""
+        largest: dict[str, Resources] = {}
+        for worker in self._fleet.workers.values():
+            known = largest.get(worker.service, worker.capacity)
+            largest[worker.service] = known.elementwise_max(worker.capacity)
+        return largest
+
     def _describe(
         self,
         record: JobRecord,
@@ -179,6 +201,13 @@
         )
 
 
+def _fits(job: Job, whole: Resources) -> bool:
+    """Tell whether any first step of a job has tasks that fit on a whole worker."""
+    return any(
+        get_reserved_size(step).fits(whole) for step in job.steps if not step.after
+    )
+
+
 def _describe_finite(job: Job) -> NewJob | None:
     """Return what the backlog needs of a job, None if it doesn't end by itself."""
     if job.repeats or any(step.lasts for step in job.steps):
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -33,6 +33,7 @@
 )
 from pistachiodeal.leader.load_summary import LoadSummarizer
 from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.workers import Fleet
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.admission import (
     MAX_AGE_S,
@@ -81,7 +82,7 @@
 
 def create_summarizer() -> LoadSummarizer:
     events = create_quiet_log()
-    return LoadSummarizer(JobRegistry(events), lambda queue: queue, 1, events)
+    return LoadSummarizer(JobRegistry(events), Fleet(), lambda queue: queue, 1, events)
 
 
 def create_overloaded() -> Admission:
--- a/tests/unit/test_admission_load.py
+++ b/tests/unit/test_admission_load.py
@@ -11,6 +11,7 @@
 from pistachiodeal.leader.load_messages import encode_rejection
 from pistachiodeal.leader.load_summary import LoadSummarizer
 from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.workers import Fleet
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.admission import Admission
 from pistachiodeal.scheduling.backlog import describe_new_job
@@ -48,7 +49,12 @@
         self.rng = random.Random(1)
         events = create_quiet_log()
         self.registry = JobRegistry(events)
-        self.leader = LoadSummarizer(self.registry, lambda queue: queue, 1, events)
+        fleet = Fleet()
+        worker = fleet.get("node")
+        worker.service, worker.capacity = "svc", Resources(16_000, 64, 0)
+        self.leader = LoadSummarizer(
+            self.registry, fleet, lambda queue: queue, 1, events
+        )
         self.changes: list[bool] = []
         self.admission = Admission(lambda _, begins, __: self.changes.append(begins))
         self.running: list[tuple[float, int, object]] = []
@@ -116,7 +122,7 @@
             for task in step.tasks:
                 if len(self.running) >= SLOTS:
                     return
-                if task.waits:
+                if task.waits and task.step.size.memory_mib <= 64:
                     self.registry.place(task, 1, "node/w", lambda: None)
                     entry = (self.now + 1.0, self.rng.random(), task)
                     heapq.heappush(self.running, entry)
@@ -190,6 +196,18 @@
     assert not replay.rejected
 
 
+def test_jobs_that_fit_on_no_worker_reject_no_others():
+    """Guards against work that nothing waits for, and a rate that shows the load."""
+    replay = Replay()
+    replay.arrive(JOBS_PER_S / 2, 30.0)
+    step = Step(TASKS, Resources(1_000, 65, 0), 1.0, fills=True)
+    for number in range(120):
+        job = Job(f"{number:016x}", QUEUE, "", (step,), replay.now)
+        replay.registry.add(job, replay.now)
+        replay.run(0.25)
+    assert not replay.rejected
+
+
 def test_a_leader_that_places_nothing_for_seconds_rejects_nothing():
     """Guards against taking a silent store, or a change of leaders, for an overload."""
     replay = Replay()
