Yielding: no run is stopped for room that was taken in the same round

The rooms of workers were copied when the first step of a round found no worker. Tasks placed later in the round were missing in the copies, so that runs were stopped for tasks that still did not fit.

--- a/pistachiodeal/leader/yielder.py
+++ b/pistachiodeal/leader/yielder.py
@@ -99,7 +99,8 @@
         self._history = YieldHistory()
         self._promises: dict[Task, _Promise] = {}
         self._failed_at: dict[StepKey, float] = {}
-        self._rooms: dict[str, list[YieldingRoom]] = {}
+        # With the view of each worker, and its number of unlisted tasks at the time.
+        self._rooms: dict[str, list[tuple[WorkerView, int, YieldingRoom]]] = {}
         self._now = self._searched_at = 0.0
         self._searches = self._budget = 0
 
@@ -193,14 +194,22 @@
             # the same workers each time.
             others = random.sample(others, min(len(others), MAX_WORKERS_PER_SEARCH))
             rooms = [
-                self._build_room(view, promises.get(view.place, []))
+                (view, view.unlisted, self._build_room(view, promises.get(view.place)))
                 for view in promised + others
             ]
-            self._rooms[service] = [room for room in rooms if room is not None]
-        return self._rooms[service]
+            self._rooms[service] = [
+                (view, unlisted, room) for view, unlisted, room in rooms if room
+            ]
+        # A task that was placed on a worker since then may have taken the room for
+        # which runs would be stopped.
+        return [
+            room
+            for view, unlisted, room in self._rooms[service]
+            if view.unlisted == unlisted
+        ]
 
     def _build_room(
-        self, view: WorkerView, promises: list[_Promise]
+        self, view: WorkerView, promises: list[_Promise] | None
     ) -> YieldingRoom | None:
         """Return a worker as it will be after the stops that are under way."""
         runs = [
@@ -212,7 +221,7 @@
             return None
         runs.sort(key=lambda entry: entry[0])
         room = YieldingRoom(view.copy(), runs, promised=bool(promises))
-        for promise in promises:
+        for promise in promises or ():
             for task in promise.list_stopping():
                 room.view.release(get_step_key(task), task.step)
             room.view.reserve(promise.request.key, promise.request.step)
--- a/tests/unit/test_yielding.py
+++ b/tests/unit/test_yielding.py
@@ -26,7 +26,7 @@
     YieldingRoom,
     choose_yielding,
 )
-from tests.unit.overload_replay import Arrival, Replay, draw_burst
+from tests.unit.overload_replay import HEAVY, Arrival, Replay, draw_burst
 
 YIELDING = FeatureSettings(yielding=True)
 WORKERS = 8
@@ -114,6 +114,22 @@
     assert replay.count_placed(job) == 1
 
 
+def test_no_run_yields_for_room_that_was_taken_in_the_same_round(monkeypatch):
+    """Guards against a run that is stopped although too little room becomes free.
+
+    The first step fits nowhere, the second is placed, and the third would fit only
+    without the second.
+    """
+    replay = Replay(monkeypatch, YIELDING, 1)
+    replay.run([Arrival(0.0, 1, 20.0, cpu_milli=8_000, age_s=500.0)], 1.0)
+    replay.submit(Arrival(0.0, 1, 8.0, cpu_milli=32_000), replace(HEAVY, priority=0))
+    placed = replay.submit(Arrival(0.0, 1, 8.0, cpu_milli=4_000))
+    replay.submit(Arrival(0.0, 1, 8.0, cpu_milli=14_000))
+    replay.run([], 4.0)
+    assert replay.count_placed(placed) == 1
+    assert not replay.stops
+
+
 def test_a_job_that_is_cancelled_while_it_yields_is_not_placed_again(monkeypatch):
     """Guards against a run of a cancelled job after its stop."""
     replay = Replay(monkeypatch, YIELDING, WORKERS)
