Admission: a small job that is accepted doesn't relieve the queue for large ones

Small jobs overtake the large ones that are rejected. Each accepted one ended the rejections of the queue, and the next large job began them again: two events for each pair, and no hysteresis.

--- a/pistachiodeal/scheduling/admission.py
+++ b/pistachiodeal/scheduling/admission.py
@@ -76,8 +76,9 @@
         self._on_change = on_change
         self._previous: LoadSummary | None = None
         self._current: LoadSummary | None = None
-        # The latest end that was allowed to a rejected job, by queue that rejects.
-        self._rejecting: dict[tuple[str, str], float] = {}
+        # By queue that rejects: the latest end that was allowed to a rejected job, and
+        # the lowest level of one. Jobs of lower levels overtake these jobs.
+        self._rejecting: dict[tuple[str, str], tuple[float, int]] = {}
 
     @property
     def current(self) -> LoadSummary | None:
@@ -123,24 +124,29 @@
             self._relieve(key, load)
             return None
         prediction = predict_completion_s(load, job)
-        if not self._is_hopeless(key, job, prediction):
+        if not self._is_hopeless(key, job, load, prediction):
             return None
-        self._begin_rejecting(key, prediction.limit_s, load)
+        self._begin_rejecting(key, prediction.limit_s, load, job)
         return Rejection(
             load, prediction, age_s, current.epoch, _predict_room_s(load, prediction)
         )
 
     def _is_hopeless(
-        self, key: tuple[str, str], job: NewJob, prediction: Prediction
+        self,
+        key: tuple[str, str],
+        job: NewJob,
+        load: QueueLoad,
+        prediction: Prediction,
     ) -> bool:
         limit_s = prediction.limit_s
         # A job that is too long by itself doesn't gain from waiting elsewhere.
         if prediction.path_s >= RELIEF * limit_s:
             return False
-        if limit_s <= self._rejecting.get(key, 0.0):
+        latest_s, lowest = self._rejecting.get(key, (0.0, 0))
+        if limit_s <= latest_s and load.find_level(job.work) >= lowest:
             if prediction.completion_s > RELIEF * limit_s:
                 return True
-            self._relieve(key, self._current.loads.get(key) if self._current else None)
+            self._relieve(key, load)
             return False
         if prediction.completion_s <= limit_s:
             return False
@@ -158,11 +164,13 @@
         return load if load is not None and is_overloadable(load) else None
 
     def _begin_rejecting(
-        self, key: tuple[str, str], limit_s: float, load: QueueLoad
+        self, key: tuple[str, str], limit_s: float, load: QueueLoad, job: NewJob
     ) -> None:
-        known = key in self._rejecting
-        self._rejecting[key] = max(limit_s, self._rejecting.get(key, 0.0))
-        if not known:
+        level = load.find_level(job.work)
+        known = self._rejecting.get(key)
+        latest_s, lowest = known or (limit_s, level)
+        self._rejecting[key] = max(limit_s, latest_s), min(level, lowest)
+        if known is None:
             self._on_change(key[0], True, load)
 
     def _relieve(self, key: tuple[str, str], load: QueueLoad | None) -> None:
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -165,6 +165,24 @@
     assert changes == [True, False]
 
 
+def test_an_accepted_small_job_does_not_end_the_rejections_of_large_ones():
+    """Guards against a queue that is overloaded and relieved with each pair of jobs."""
+    changes: list[bool] = []
+    admission = Admission(lambda _, begins, __: changes.append(begins))
+    levels = tuple(
+        LoadLevel(ahead, ahead)
+        for ahead in (5.0 if share < 0.8 else 1_000.0 for share in SHARE_LEVELS)
+    )
+    load = build_load(usual_work=16.0, levels=levels)
+    large, small = replace(NEW, work=16.0), replace(NEW, work=1.0)
+    for at in (10.0, 10.25, 10.5):
+        admission.apply(build_summary(load, at))
+        rejected = admission.decide("large", large, at, 1) is not None
+        assert rejected is (at > 10.0)
+        assert admission.decide("small", small, at, 1) is None
+    assert changes == [True]
+
+
 def test_messages_of_an_older_version_mean_that_there_is_no_summary(tmp_path):
     """Guards against an update of entries one by one that breaks their links."""
     old_schema = tmp_path / "old.capnp"
