--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -13,7 +13,12 @@
 from hypothesis import strategies as st
 
 from pistachiodeal.config.deployment import FeatureSettings
-from pistachiodeal.exceptions import LinkClosedError, Outcome, RequestError
+from pistachiodeal.exceptions import (
+    LinkClosedError,
+    Outcome,
+    ProtocolError,
+    RequestError,
+)
 from pistachiodeal.jobentry.admission import AdmissionGate
 from pistachiodeal.jobs.model import Job, JobState, Step
 from pistachiodeal.jobs.rows import encode_job
@@ -28,6 +33,7 @@
 )
 from pistachiodeal.leader.load_summary import LoadSummarizer
 from pistachiodeal.leader.registry import JobRegistry
+from pistachiodeal.leader.workers import Fleet
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.admission import (
     MAX_AGE_S,
@@ -76,7 +82,7 @@
 
 def create_summarizer() -> LoadSummarizer:
     events = create_quiet_log()
-    return LoadSummarizer(JobRegistry(events), lambda queue: queue, 1, events)
+    return LoadSummarizer(JobRegistry(events), Fleet(), lambda queue: queue, 1, events)
 
 
 def create_overloaded() -> Admission:
@@ -159,6 +165,24 @@
     assert changes == [True, False]
 
 
+def test_an_accepted_small_job_does_not_end_the_rejections_of_large_ones():
+    """Guards against a queue that is overloaded and relieved with each pair of jobs."""
+    changes: list[bool] = []
+    admission = Admission(lambda _, begins, __: changes.append(begins))
+    levels = tuple(
+        LoadLevel(ahead, ahead)
+        for ahead in (5.0 if share < 0.8 else 1_000.0 for share in SHARE_LEVELS)
+    )
+    load = build_load(usual_work=16.0, levels=levels)
+    large, small = replace(NEW, work=16.0), replace(NEW, work=1.0)
+    for at in (10.0, 10.25, 10.5):
+        admission.apply(build_summary(load, at))
+        rejected = admission.decide("large", large, at, 1) is not None
+        assert rejected is (at > 10.0)
+        assert admission.decide("small", small, at, 1) is None
+    assert changes == [True]
+
+
 def test_messages_of_an_older_version_mean_that_there_is_no_summary(tmp_path):
     """Guards against an update of entries one by one that breaks their links."""
     old_schema = tmp_path / "old.capnp"
@@ -309,20 +333,30 @@
     raise RequestError("the store is silent", status=503)
 
 
+def fail_to_decode(entry: FakeEntry) -> None:
+    raise ProtocolError("not a progress row", step="jobs.decode_progress")
+
+
+def answer_unknown_state(entry: FakeEntry) -> None:
+    JobState("a state of a later version")
+
+
 @pytest.mark.parametrize(
     ("state", "on_check"),
     [
         (JobState.QUEUED, lambda entry: None),
         (JobState.COMPLETED, lambda entry: None),
         (None, hide_state),
+        (None, fail_to_decode),
+        (None, answer_unknown_state),
         (None, lose_leader),
     ],
 )
 def test_a_job_that_may_exist_is_not_rejected(state, on_check):
     """Guards against "has not run" for a repeat, or by what may be wrong meanwhile.
 
-    Neither the leader nor the store may answer the check, or the leader may be lost
-    between its summary and the rejection.
+    Neither the leader nor the store may answer the check, the answer may be of another
+    version, or the leader may be lost between its summary and the rejection.
     """
     entry = FakeEntry()
     entry.state, entry.on_check = state, on_check
