Filling tasks wait where they would start at a low pace

Starts at a quarter of the speed kept the slack of serving tasks used up, and wide steps waited for their slowest task.

--- a/pistachiodeal/scheduling/filling_cost.py
+++ b/pistachiodeal/scheduling/filling_cost.py
@@ -16,9 +16,10 @@
 
 # A task waits if it would gain no work within this time.
 AHEAD_S = 2.0
-# Least gain, as a share of that time. Below a quarter of its pace a task counts as held
-# back.
-MIN_GAIN = 0.25
+# Least gain, as a share of that time. A task that starts at less keeps the slack of its
+# serving neighbours used up: with 0.25, they were over their objective for up to twice
+# as long, and wide steps waited for their slowest task.
+MIN_GAIN = 0.7
 # Cost in seconds of a worker whose processor time is fully requested: among equal ends,
 # emptier workers come first.
 LOAD_COST_S = 0.2
