--- a/tests/unit/test_load_forecasts.py
+++ b/tests/unit/test_load_forecasts.py
@@ -5,6 +5,7 @@
 import math
 import random
 from dataclasses import replace
+from types import SimpleNamespace
 
 import curio
 import pytest
@@ -26,7 +27,13 @@
 from pistachiodeal.leader.workers import Fleet
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.durations import DurationModel
-from pistachiodeal.scheduling.expected_progress import MAX_AT_ONCE, ProgressModel
+from pistachiodeal.scheduling.expected_progress import (
+    CELL_STARTS,
+    MAX_AT_ONCE,
+    NOTHING,
+    Progress,
+    ProgressModel,
+)
 from pistachiodeal.scheduling.filling_cost import Outlook
 from pistachiodeal.scheduling.interference import InterferenceModel, PairEstimate
 from pistachiodeal.scheduling.load_forecast import (
@@ -35,8 +42,10 @@
     MAX_BINS,
     MAX_STEPS,
     PeriodEstimate,
+    SlackForecast,
     SlackForecaster,
 )
+from pistachiodeal.scheduling.pacing import REQUIRED_SLACK
 from pistachiodeal.scheduling.placement import PlacementRequest, choose_worker
 from pistachiodeal.scheduling.views import WorkerView
 from pistachiodeal.store.row_store import RowWrite, Transaction
@@ -81,7 +90,7 @@
 @pytest.fixture(name="model")
 def build_model() -> InterferenceModel:
     model = InterferenceModel()
-    model.adopt([PairEstimate("f", "s", 0.8, 0.04)])
+    model.adopt([PairEstimate("f", "s", 0.5, 0.04)])
     return model
 
 
@@ -154,12 +163,17 @@
 
 def test_a_task_starts_where_it_ends_first_even_at_partial_pace(filling, model):
     """Load: one worker has spare slack now and none soon, the other the reverse."""
-    now = 140.0
+    now = 142.0
+    observe(filling.forecaster, 140.0, now)
     views = [build_view("rising", TROUGH), build_view("falling", PEAK)]
     ends = {}
     for view in views:
         outlook = Outlook(filling.build_task_outlook(6.0, now).model, 6.0, now)
         ends[view.node] = outlook.compute_end_s(FILLING, view)
+    progress = outlook.model.expect_start(
+        views[0].serving_steps, views[0].filling, FILLING.image, now
+    )
+    assert 0.7 < progress.compute_work_s(now, 1.0) < 1.0
     request = PlacementRequest(FILLING, KEY, outlook=outlook)
     assert choose_worker(request, views, model).node == min(ends, key=ends.get)
     assert choose_worker(request, [build_view("idle", None), *views], model).node == (
@@ -175,6 +189,29 @@
     assert choose_worker(request, [build_view("n", None, fillings=4)], model)
 
 
+@pytest.mark.parametrize(("pace", "worth"), [(0.3, False), (0.6, False), (0.8, True)])
+def test_a_task_waits_where_it_would_start_at_a_low_pace(pace, worth):
+    """Guards against starts that use up the slack of serving tasks and end late."""
+    progress = Progress(140.0, [pace * start for start in CELL_STARTS], NOTHING)
+    model = SimpleNamespace(expect_start=lambda *_: progress)
+    outlook = Outlook(model, 4.0, 140.0)
+    assert outlook.is_worth_starting(FILLING, build_view("n", PEAK)) is worth
+
+
+def test_slack_within_the_error_of_measured_tails_gives_no_full_pace(model):
+    """Guards against expecting more than the agents allow by the lowest figure."""
+    paces = []
+    for excess in (0.1, 0.6):
+        slack = SlackForecast((REQUIRED_SLACK + 0.5 + excess,) * 99, (), True, True)
+        forecaster = SimpleNamespace(forecast=lambda *_, slack=slack: slack)
+        progress = ProgressModel(forecaster, model).expect_start(
+            {PEAK: "s"}, {}, "f", 140.0
+        )
+        paces.append(progress.compute_work_s(140.0, 1.0))
+    assert 0.5 <= paces[0] < 0.9
+    assert paces[1] == pytest.approx(1.0)
+
+
 def test_a_round_on_a_large_fleet_computes_a_bounded_number_of_forecasts(
     filling, monkeypatch
 ):
@@ -221,8 +258,9 @@
 
 def test_a_run_that_stays_without_pace_is_moved(filling, model):
     """Guards against waiting for seven seconds beside a load that has just risen."""
-    assert HeldBackCase(filling, model, 140.0).choose()
-    assert not HeldBackCase(filling, model, 140.0, elsewhere=PEAK).choose()
+    observe(filling.forecaster, 140.0, 142.0)
+    assert HeldBackCase(filling, model, 142.0).choose()
+    assert not HeldBackCase(filling, model, 142.0, elsewhere=PEAK).choose()
 
 
 def test_a_run_whose_pace_is_about_to_return_is_not_stopped(filling, model):
@@ -253,7 +291,8 @@
 
 def test_few_runs_move_at_a_time_and_none_twice_within_seconds(filling, model):
     """Guards against moving the whole fleet when all loads rise at once."""
-    case = HeldBackCase(filling, model, 140.0, tasks=8)
+    observe(filling.forecaster, 140.0, 141.5)
+    case = HeldBackCase(filling, model, 141.5, tasks=8)
     first = case.choose(running=40)
     assert len(first) == 2
     case.now += 0.5
@@ -310,7 +349,7 @@
         await curio.ignore_after(0.3, persister.run)
 
     curio.run(main)
-    assert learned.get_interference("f", "s") == pytest.approx(0.8)
+    assert learned.get_interference("f", "s") == pytest.approx(0.5)
     assert not forecaster.list_periods(9)
     assert "row_unreadable 1" in events.stats.format()
 
