--- a/tests/unit/test_queue_report.py
+++ b/tests/unit/test_queue_report.py
@@ -51,7 +51,9 @@
         super().__init__(2, features)
         self.loads = None
         if features.admission:
-            self.loads = LoadSummarizer(self.registry, lambda one: one, 3, self.events)
+            self.loads = LoadSummarizer(
+                self.registry, self.fleet, lambda one: one, 3, self.events
+            )
         self.jobs = [self.add(number, 2, 16_000) for number in range(3)]
         self.plan_all()
         (placed,) = [one for one in self.registry.records.values() if one.begun]
