Entries no longer import pydantic and statistics at their start

The report is a data class, and only the command validates answers. A test keeps pydantic out of both programs.

--- a/pistachiodeal/commands/job_queues.py
+++ b/pistachiodeal/commands/job_queues.py
@@ -4,7 +4,7 @@
 
 import sys
 from collections.abc import Mapping, Sequence
-from dataclasses import replace
+from dataclasses import asdict, replace
 
 from pistachiodeal import exit_codes
 from pistachiodeal.addresses import is_address
@@ -12,8 +12,9 @@
 from pistachiodeal.commands.errors import CommandError, UsageError
 from pistachiodeal.commands.options import Context
 from pistachiodeal.commands.output import format_error, print_json, print_table
+from pistachiodeal.commands.queue_answers import decode_report
 from pistachiodeal.exceptions import ProtocolError
-from pistachiodeal.jobs.queue_report import QueueReport, QueueRow, decode_report
+from pistachiodeal.jobs.queue_report import QueueReport, QueueRow
 
 COLUMNS = (
     "queue",
@@ -84,7 +85,7 @@
     if context.as_json:
         print_json(
             [
-                {"entry": address, **report.model_dump()}
+                {"entry": address, **asdict(report)}
                 for address, report in reports.items()
             ]
         )
--- a/pistachiodeal/jobs/queue_report.py
+++ b/pistachiodeal/jobs/queue_report.py
@@ -5,20 +5,13 @@
 
 from __future__ import annotations
 
-from typing import Any
+from dataclasses import dataclass
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import orjson
 
-from pistachiodeal.exceptions import ProtocolError
 
-STEP = "queues.decode"
-
-
-class _Part(BaseModel):
-    model_config = ConfigDict(strict=True, frozen=True, allow_inf_nan=False)
-
-
-class QueueRow(_Part):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueueRow:
     """One queue.
 
     :param waiting_jobs: jobs none of whose tasks has been placed.
@@ -30,29 +23,31 @@
     :param obstacle: what keeps most steps waiting.
     """
 
-    queue: str = Field(min_length=1)
-    waiting_jobs: int | None = Field(None, ge=0)
-    active_jobs: int | None = Field(None, ge=0)
-    running_tasks: int | None = Field(None, ge=0)
-    work_ahead: float | None = Field(None, ge=0)
-    drain_rate: float | None = Field(None, ge=0)
-    predicted_wait_s: float | None = Field(None, ge=0)
+    queue: str
+    waiting_jobs: int | None = None
+    active_jobs: int | None = None
+    running_tasks: int | None = None
+    work_ahead: float | None = None
+    drain_rate: float | None = None
+    predicted_wait_s: float | None = None
     rejected: dict[str, int] | None = None
     shares: dict[str, float] | None = None
     obstacle: str | None = None
 
 
-class SlowWorker(_Part):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SlowWorker:
     """A worker that is slower than the others.
 
     :param speed: relative to the usual speed.
     """
 
     place: str
-    speed: float = Field(gt=0)
+    speed: float
 
 
-class QueueReport(_Part):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueueReport:
     """What an entry knows of all queues.
 
     :param leads: whether the entry leads; another knows only the leader's summary.
@@ -63,7 +58,7 @@
 
     leads: bool
     leader: str
-    epoch: int = Field(ge=0)
+    epoch: int
     age_s: float | None
     queues: list[QueueRow]
     slow_workers: list[SlowWorker] | None = None
@@ -71,21 +66,4 @@
 
 def encode_report(report: QueueReport) -> bytes:
     """Return the body of an answer."""
-    return report.model_dump_json().encode()
-
-
-def decode_report(document: Any) -> QueueReport:
-    """Return the report in a parsed JSON document.
-
-    :raises ProtocolError: the detail lists all missing and invalid fields.
-    """
-    try:
-        return QueueReport.model_validate(document)
-    except ValidationError as error:
-        faults = [
-            f"{'.'.join(str(part) for part in fault['loc']) or 'top'}: {fault['msg']}"
-            for fault in error.errors(include_url=False)
-        ]
-        raise ProtocolError(
-            f"not a report on queues ({'; '.join(faults)})", step=STEP
-        ) from None
+    return orjson.dumps(report)
--- a/pistachiodeal/scheduling/run_progress.py
+++ b/pistachiodeal/scheduling/run_progress.py
@@ -8,10 +8,9 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Hashable
+from collections.abc import Hashable, Sequence
 from dataclasses import dataclass, field
 from math import hypot, log
-from statistics import median
 
 from pistachiodeal.scheduling.views import StepKey
 
@@ -166,7 +165,7 @@
         ]
         if rates:
             spread = hypot(TASK_SPREAD, SIBLING_SPREAD / len(rates) ** 0.5)
-            return Reference(1 / median(rates), spread, False)
+            return Reference(1 / compute_median(rates), spread, False)
         steps, squares = self._errors.get(queue, (0.0, 0.0))
         prior = PREDICTION_STEPS * PREDICTION_SPREAD**2
         variance = (squares + prior) / (steps + PREDICTION_STEPS)
@@ -186,3 +185,11 @@
     """
     accurate = progress.percent >= MIN_EXPECTED_PERCENT
     return accurate or is_measurable(progress, predicted_s)
+
+
+def compute_median(values: Sequence[float]) -> float:
+    """Return the median; importing ``statistics`` would slow down each start."""
+    ordered, half = sorted(values), len(values) // 2
+    if len(ordered) % 2:
+        return ordered[half]
+    return (ordered[half - 1] + ordered[half]) / 2
--- a/pistachiodeal/scheduling/worker_speed.py
+++ b/pistachiodeal/scheduling/worker_speed.py
@@ -17,8 +17,8 @@
 from collections.abc import Hashable, Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from math import exp, log
-from statistics import median
 
+from pistachiodeal.scheduling.run_progress import compute_median
 from pistachiodeal.scheduling.speed_evidence import (
     MAX_SLOWNESS,
     MIN_SLOWNESS,
@@ -147,7 +147,9 @@
         recent = [one for one, at in self.ratios if now - at < SPEED_WINDOW_S]
         if not recent:
             return self.speed if self.slow else 1 / MIN_SLOWNESS
-        return exp(min(max(median(recent), -log(MAX_SLOWNESS)), -log(MIN_SLOWNESS)))
+        return exp(
+            min(max(compute_median(recent), -log(MAX_SLOWNESS)), -log(MIN_SLOWNESS))
+        )
 
     def set_slow(self, now: float) -> None:
         """Count the worker as slow until tasks have shown that it is not."""
@@ -238,7 +240,7 @@
         :param siblings: likewise, at least one.
         :param disturbed: whether filling tasks are at work on the worker.
         """
-        ratio = log(max(slack, 1e-3) / max(median(siblings), 1e-3))
+        ratio = log(max(slack, 1e-3) / max(compute_median(siblings), 1e-3))
         evidence = weigh_slack(ratio, spread)
         state = self._observe(worker, evidence, now)
         state.disturbed = disturbed
--- a/tests/unit/test_commands_queues.py
+++ b/tests/unit/test_commands_queues.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import asdict
 
 import pytest
 
@@ -23,7 +24,7 @@
         QueueReport(leads=False, age_s=40.0, **shared),
     ]
     for entry, report in zip(entries, reports, strict=True):
-        entry.answers = [(200, {}, report.model_dump())] * 2
+        entry.answers = [(200, {}, asdict(report))] * 2
     return entries
 
 
--- a/tests/unit/test_queue_report.py
+++ b/tests/unit/test_queue_report.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
 import time
 from dataclasses import replace
 from types import SimpleNamespace
@@ -11,6 +13,7 @@
 import pytest
 
 from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.commands.queue_answers import decode_report
 from pistachiodeal.config.deployment import (
     NO_FEATURES,
     DeploymentSettings,
@@ -20,7 +23,7 @@
 )
 from pistachiodeal.jobentry.app import EntryApp
 from pistachiodeal.jobentry.queue_view import QueueView
-from pistachiodeal.jobs.queue_report import QueueReport, decode_report
+from pistachiodeal.jobs.queue_report import QueueReport, encode_report
 from pistachiodeal.leader.load_messages import encode_rejection
 from pistachiodeal.leader.load_summary import LoadSummarizer
 from pistachiodeal.leader.obstacle_book import MAX_STEPS, NO_WORKER, ObstacleBook
@@ -70,7 +73,7 @@
 def ask(leadership: object, summary: LoadSummary | None, now: float) -> QueueReport:
     server = SimpleNamespace(leadership=leadership)
     view = QueueView(server, DIRECTORY, lambda: summary)
-    return decode_report(json.loads(view.build(now).model_dump_json()))
+    return decode_report(json.loads(encode_report(view.build(now))))
 
 
 def test_a_leader_reports_all_columns():
@@ -186,3 +189,12 @@
 
 def build_view(entry: EntryProcess) -> QueueView:
     return QueueView(entry.seat, DIRECTORY, lambda: entry.gate.summary)
+
+
+@pytest.mark.parametrize("module", ["jobentry", "jobagent"])
+def test_a_program_of_the_job_path_starts_without_pydantic(module):
+    """Guards against a slow start of every entry or agent, as after a power failure."""
+    code = (
+        f"import sys, pistachiodeal.{module}.app; sys.exit('pydantic' in sys.modules)"
+    )
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
