--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+from dataclasses import fields
 from pathlib import Path
 from typing import Any
 
 import curio
 from curio.io import Socket
 
+from pistachiodeal.config.deployment import FeatureSettings
 from pistachiodeal.web.listener import bind_listener
 from tests.harness.ports import reserve_port
 from tests.harness.processes import Process
@@ -168,6 +170,7 @@
             "store": {"address": seen[0]},
             "runner": seen[1] if runner else "",
             "limits": {"grace_s": GRACE_S},
+            "features": {item.name: True for item in fields(FeatureSettings)},
         }
         node = Node(name, module, settings, self._folder)
         node.relays = relays
