--- a/pistachiodeal/jobs/names.py
+++ b/pistachiodeal/jobs/names.py
@@ -17,6 +17,11 @@
     step: int
     index: int
 
+    @property
+    def step_key(self) -> tuple[str, int, int]:
+        """Return job, occurrence and number of the task's step."""
+        return self.job_id, self.occurrence, self.step
+
     def __str__(self) -> str:
         return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
 
--- a/pistachiodeal/leader/expired_runs.py
+++ b/pistachiodeal/leader/expired_runs.py
@@ -10,7 +10,6 @@
 from pistachiodeal.leader.preemptor import QueueLookup
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.scheduling.ordering import compute_objective_s
-from pistachiodeal.scheduling.views import StepKey
 from pistachiodeal.scheduling.yielding import ExpiredRun
 
 # Computing the deadline of a job takes some 20 microseconds, and thousands may run.
@@ -48,7 +47,7 @@
             record = self._registry.records[task.name.job_id]
             yield ExpiredRun(
                 name,
-                get_step_key(task),
+                task.name.step_key,
                 task.step,
                 self._find_queue(record.job.queue).priority,
                 task.percent,
@@ -77,8 +76,3 @@
         # Estimates are current only for steps that were ranked a moment ago.
         self._registry.estimator.estimate_steps(record, steps)
         return find_deadline(record, steps, queue, now)
-
-
-def get_step_key(task: Task) -> StepKey:
-    """Return the key of a task's step."""
-    return task.name.job_id, task.name.occurrence, task.name.step
--- a/pistachiodeal/leader/fleet_views.py
+++ b/pistachiodeal/leader/fleet_views.py
@@ -124,5 +124,4 @@
 
 
 def _reserve_room(view: WorkerView, task: Task) -> None:
-    name = task.name
-    view.reserve((name.job_id, name.occurrence, name.step), task.step)
+    view.reserve(task.name.step_key, task.step)
--- a/pistachiodeal/leader/held_back.py
+++ b/pistachiodeal/leader/held_back.py
@@ -139,7 +139,7 @@
         if best is None or elsewhere_s + cost_s >= end_s:
             return None
         self._trial[best.node] = reserved = best.copy()
-        reserved.reserve(self._find_step_key(task), task.step)
+        reserved.reserve(task.name.step_key, task.step)
         details = describe_progress(progress, end_s, now)
         details["elsewhere_end_ms"] = int((elsewhere_s + cost_s) * 1000)
         return details
@@ -183,9 +183,7 @@
     ) -> tuple[WorkerView | None, float]:
         """Return the best other worker, and after how long the task would end there."""
         outlook = self._work.build_task_outlook(work_s, now)
-        request = PlacementRequest(
-            task.step, self._find_step_key(task), outlook=outlook
-        )
+        request = PlacementRequest(task.step, task.name.step_key, outlook=outlook)
         best, least_s = None, inf
         for view in views:
             if (
@@ -209,9 +207,6 @@
             return 0.0
         return self._registry.get_expected_s(task) * task.percent / 100
 
-    def _find_step_key(self, task: Task) -> tuple[str, int, int]:
-        return task.name.job_id, task.name.occurrence, task.name.step
-
 
 def create_mover(
     work: FillingWork | None,
--- a/pistachiodeal/leader/interference_monitor.py
+++ b/pistachiodeal/leader/interference_monitor.py
@@ -102,10 +102,9 @@
 def _build_sample(
     task: Task, intensities: dict[str, float], now: float
 ) -> ServingSample:
-    name = task.name
     return ServingSample(
-        (name.job_id, name.occurrence, name.step),
-        str(name),
+        task.name.step_key,
+        str(task.name),
         task.step.image,
         task.figure / task.step.serves_ms,
         intensities,
--- a/pistachiodeal/leader/speed_monitor.py
+++ b/pistachiodeal/leader/speed_monitor.py
@@ -264,11 +264,10 @@
         self, task: Task, place: str, slack: float, now: float
     ) -> list[float]:
         """Record a task's slack; return that of its siblings on other workers."""
-        name = task.name
-        key = (name.job_id, name.occurrence, name.step)
-        slacks = self._slacks.setdefault(key, {})
-        slacks.pop(str(name), None)
-        slacks[str(name)] = place, slack, now
+        name = str(task.name)
+        slacks = self._slacks.setdefault(task.name.step_key, {})
+        slacks.pop(name, None)
+        slacks[name] = place, slack, now
         if len(slacks) > MAX_SIBLINGS:
             del slacks[next(iter(slacks))]
         if len(self._slacks) > MAX_SERVING_STEPS:
--- a/pistachiodeal/leader/yielder.py
+++ b/pistachiodeal/leader/yielder.py
@@ -13,7 +13,7 @@
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.jobs.record import JobRecord, Task
 from pistachiodeal.leader.deadlines import find_deadline
-from pistachiodeal.leader.expired_runs import ExpiredRuns, get_step_key
+from pistachiodeal.leader.expired_runs import ExpiredRuns
 from pistachiodeal.leader.preemptor import QueueLookup
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
@@ -223,7 +223,7 @@
         room = YieldingRoom(view.copy(), runs, promised=bool(promises))
         for promise in promises or ():
             for task in promise.list_stopping():
-                room.view.release(get_step_key(task), task.step)
+                room.view.release(task.name.step_key, task.step)
             room.view.reserve(promise.request.key, promise.request.step)
         return room
 
--- a/pistachiodeal/scheduling/worker_speed.py
+++ b/pistachiodeal/scheduling/worker_speed.py
@@ -302,10 +302,6 @@
             return USUAL_SPEED
         return state.speed if now - state.observed_at <= HOLD_S else USUAL_SPEED
 
-    def is_slow(self, worker: str, now: float) -> bool:
-        """Tell whether a worker is slow with certainty."""
-        return self.get_speed(worker, now) < USUAL_SPEED
-
     def is_on_probation(self, worker: str) -> bool:
         """Tell whether a worker's former slowness is neither confirmed nor refuted."""
         state = self._workers.get(worker)
