--- a/pistachiodeal/leader/deadlines.py
+++ b/pistachiodeal/leader/deadlines.py
@@ -42,6 +42,20 @@
     return max(0.0, time_of_day_s - due_s)
 
 
+def is_late(record: JobRecord, time_of_day_s: float) -> bool:
+    """Tell whether a job can't be in time, even if all its tasks begin now."""
+    job = record.job
+    if job.repeats:
+        return False
+    number, steps = next(iter(record.occurrences.items()))
+    deadline = Deadline(
+        measure_age_s(record, number, time_of_day_s),
+        record.compute_remaining_s(steps),
+        compute_objective_s(record.critical_path_s, job.queue.stretch, job.queue.aim_s),
+    )
+    return deadline.over_s > 0
+
+
 def find_deadline(
     record: JobRecord, steps: list[StepRecord], queue: Queue, time_of_day_s: float
 ) -> Deadline:
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -17,7 +17,7 @@
 from pistachiodeal.jobs.model import Queue
 from pistachiodeal.jobs.record import JobRecord, StepRecord, Task
 from pistachiodeal.leader.advice import AdviceCache
-from pistachiodeal.leader.deadlines import measure_age_s
+from pistachiodeal.leader.deadlines import is_late, measure_age_s
 from pistachiodeal.leader.descheduler import Descheduler
 from pistachiodeal.leader.failed_placements import FailedPlacements
 from pistachiodeal.leader.filling_work import FillingWork
@@ -28,7 +28,7 @@
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.shares import ShareKeeper
-from pistachiodeal.leader.slow_workers import SlowWorkers, is_late
+from pistachiodeal.leader.slow_workers import SlowWorkers
 from pistachiodeal.leader.suspect_placer import SuspectPlacer
 from pistachiodeal.leader.workers import Fleet, split_place
 from pistachiodeal.leader.yielder import Yielder
--- a/pistachiodeal/leader/slow_workers.py
+++ b/pistachiodeal/leader/slow_workers.py
@@ -8,15 +8,15 @@
 from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobs.model import Queue
-from pistachiodeal.jobs.record import JobRecord, StepRecord, Task
+from pistachiodeal.jobs.record import StepRecord, Task
 from pistachiodeal.leader.advice import AdviceCache
+from pistachiodeal.leader.deadlines import is_late
 from pistachiodeal.leader.fleet_views import FleetViews, ViewsByService
 from pistachiodeal.leader.preemptor import QueueLookup
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.workers import Fleet, WorkerState, split_place
 from pistachiodeal.scheduling.interference import InterferenceModel
-from pistachiodeal.scheduling.ordering import compute_objective_s
 from pistachiodeal.scheduling.placement import (
     PlacementRequest,
     choose_worker,
@@ -201,16 +201,3 @@
             avoid=move.task.avoid,
             remote_cost=self._remote_cost,
         )
-
-
-def is_late(record: JobRecord, time_of_day_s: float) -> bool:
-    """Tell whether a job can't be in time, even if all its tasks begin now."""
-    job = record.job
-    if job.repeats:
-        return False
-    objective_s = compute_objective_s(
-        record.critical_path_s, job.queue.stretch, job.queue.aim_s
-    )
-    steps = next(iter(record.occurrences.values()))
-    remaining_s = record.compute_remaining_s(steps)
-    return time_of_day_s - job.accepted_s + remaining_s > objective_s
--- a/tests/unit/test_slow_workers.py
+++ b/tests/unit/test_slow_workers.py
@@ -17,13 +17,14 @@
 from pistachiodeal.jobs.record import Task
 from pistachiodeal.leader import planner, slow_workers
 from pistachiodeal.leader.commits import CONTROL_TABLE
+from pistachiodeal.leader.deadlines import is_late
 from pistachiodeal.leader.learned_state import (
     LEARNED_STATE_KEY,
     LearnedState,
     LearnedStatePersister,
     encode_learned_state,
 )
-from pistachiodeal.leader.slow_workers import REASON, is_late
+from pistachiodeal.leader.slow_workers import REASON
 from pistachiodeal.leader.speed_row import MAX_BYTES, decode_speeds, encode_speeds
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling import slow_moves
