Review: the killed leader on slow links becomes case 1, the flaps go

Cause: a new leader reads all jobs at once with a time-out of 1 to 2.5 s for each read, starts over after one that fails, and is replaced after 2 s since it doesn't confirm its row meanwhile. Some 700 jobs on links of 5 Mbit/s take longer, so no entry gets to lead.

Done: a script with the entries' links to the store played by proxies. The cases of the restarted agent and of the empty spec become 2 and 3.

--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,4 +1,4 @@
-"""Case 2: a runner crashes after its machine's agent has seen some 400 jobs."""
+"""Case 2: a runner is lost for good while the agent beside it is restarted."""
 
 from __future__ import annotations
 
@@ -10,105 +10,106 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from deployment import Deployment, build_job_id, build_route  # noqa: E402
+from deployment import (  # noqa: E402
+    BROKEN,
+    HELD,
+    NOT_RUN,
+    Deployment,
+    build_job_id,
+    build_route,
+    run_case,
+)
 from standins import Record, SentJob, StepPlan  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 WORKERS = 11
-# One of the eleven machines is of another kind, which the jobs of this case require.
-SPECIAL, KIND = 5, "b"
-PREFIX = "/lohu930/"
-STANDING_JOBS = 20
-SHORT_JOBS = 378
-SHORT_EVERY_S = 0.12
-CRASH_S = 4.0
-NEW_JOBS = 28
-WATCH_S = 8.0
-HELD, BROKEN, NOT_RUN = 0, 1, 2
-
-
-def build_job(kind: str, number: int, *, lasts: bool) -> SentJob:
-    """Return a job of one small task for the special machine."""
+PREFIX = "/pule252/"
+STANDING_JOBS = 33
+BATCH_JOBS = 22
+BATCH_WORK_S = 15.0
+CALM_S = 4.0
+# From the kill of the agent to its next start.
+RESTART_S = 1.0
+WATCH_S = 60.0
+
+
+def build_job(kind: str, number: int, work_s: float | None) -> SentJob:
+    """Return a job of one task."""
     step = {
         "count": 1,
-        "cpu": 100,
-        "mem_mb": 64,
-        "estimated_ms": 200,
-        "requirements": KIND,
+        "cpu": 1000,
+        "mem_mb": 512,
+        "estimated_ms": int((work_s or 0.3) * 1000),
     }
-    if lasts:
+    if work_s is None:
         step["long_running"] = True
-    spec = f"{kind}-{number}: print order {number} of the {kind} jobs"
-    plan = StepPlan(step, None if lasts else 0.2)
-    return SentJob(build_job_id(), PREFIX, spec, [plan])
-
-
-async def submit_all(deployment: Deployment, jobs: list[SentJob], gap_s: float) -> int:
-    """Hand jobs in, one after the other; return how many were accepted."""
-    async with asyncio.TaskGroup() as group:
-        sent = []
-        for job in jobs:
-            sent.append(group.create_task(deployment.submit(job)))
-            await asyncio.sleep(gap_s)
-    return sum(task.result() for task in sent)
+    plan = StepPlan(step, work_s)
+    return SentJob(build_job_id(), PREFIX, f"{kind} {number}", [plan])
 
 
 async def play(record: Record) -> int:
     """Play the case; return the exit status."""
-    route = build_route("r-3hwrr6x", PREFIX)
-    deployment = Deployment(
-        record, workers=WORKERS, routes=[route], kinds={SPECIAL: KIND}
-    )
-    special = deployment.runners[SPECIAL]
+    route = build_route("r-9n73hh2", PREFIX, target_latency_ms=2500, stretch=2.2)
+    deployment = Deployment(record, workers=WORKERS, routes=[route])
+    jobs = [build_job("standing", n, None) for n in range(STANDING_JOBS)]
+    jobs += [build_job("batch", n, BATCH_WORK_S) for n in range(BATCH_JOBS)]
     try:
         if not await deployment.start():
             print("the deployment did not become ready", deployment.folder)
             return NOT_RUN
-        standing = [build_job("standing", n, lasts=True) for n in range(STANDING_JOBS)]
-        short = [build_job("short", n, lasts=False) for n in range(SHORT_JOBS)]
-        new = [build_job("new", n, lasts=True) for n in range(NEW_JOBS)]
-        accepted = await submit_all(deployment, standing, 0.1)
-        accepted += await submit_all(deployment, short, SHORT_EVERY_S)
-        await asyncio.sleep(1.0)
-        if TROUBLE:
-            await special.crash()
-        accepted += await submit_all(deployment, new, CRASH_S / NEW_JOBS)
-        if TROUBLE:
-            await special.start()
+        for job in jobs:
+            if not await deployment.submit(job):
+                print("a job was not accepted")
+                return NOT_RUN
+        await asyncio.sleep(CALM_S)
+        lost = await disturb(deployment, record)
         await asyncio.sleep(WATCH_S)
-        record.write("accepted", jobs=accepted, ended=deployment.list_ended())
-        if accepted < STANDING_JOBS + SHORT_JOBS or deployment.list_ended():
-            print("too few jobs were accepted:", accepted, deployment.list_ended())
+        if deployment.list_ended():
+            print("a program has ended:", deployment.list_ended())
             return NOT_RUN
-        return judge(deployment, record)
+        return await judge(deployment, jobs, lost, record)
     finally:
         await deployment.stop()
 
 
-def judge(deployment: Deployment, record: Record) -> int:
-    """Compare what the runners were told to start with what the clients sent."""
-    wrong, total = [], 0
-    for runner in deployment.runners:
-        for at, task, number, spec in runner.starts:
-            total += 1
-            job = deployment.jobs.get(task.partition(".")[0])
-            if job is None or spec != job.spec:
-                sent = job.spec if job else None
-                wrong.append((at, task, number))
-                record.write("UNASKED", task=task, run=number, told=spec, sent=sent)
-    print(f"{total} starts, {len(wrong)} with another spec than the client sent")
-    record.write("result", starts=total, wrong=len(wrong))
-    return BROKEN if wrong else HELD
-
-
-def main() -> int:
-    """Play the case and write its record."""
-    record = Record(str(HERE / "record.txt"))
-    try:
-        return asyncio.run(play(record))
-    finally:
-        record.close()
+async def disturb(deployment: Deployment, record: Record) -> set[str]:
+    """Take a machine's runner away and restart its agent; return the runs there."""
+    runner = max(deployment.runners, key=lambda one: len(one.runs))
+    lost = set(runner.runs)
+    record.write("machine", node=runner.name, runs=sorted(lost))
+    if not TROUBLE:
+        return lost
+    agent = next(one for one in deployment.programs if one.node == runner.name)
+    agent.kill()
+    record.write("agent.kill", node=agent.node)
+    await runner.crash()
+    await asyncio.sleep(RESTART_S)
+    agent.start()
+    record.write("agent.start", node=agent.node)
+    return lost
+
+
+async def judge(
+    deployment: Deployment, jobs: list[SentJob], lost: set[str], record: Record
+) -> int:
+    """Check that each task that was on the machine runs again, or has ended."""
+    broken = 0
+    at_work = {task for runner in deployment.runners for task in runner.runs}
+    used = deployment.used_share
+    for job in jobs:
+        task = f"{job.job_id}.0.0.0"
+        state = await deployment.ask_state(job)
+        idle = task not in at_work and state not in ("completed", "cancelled")
+        if idle:
+            broken += 1
+            record.write("idle", task=task, state=state, was_there=task in lost)
+    record.write("result", idle=broken, used_share=round(used, 3))
+    print(
+        f"{broken} of {len(jobs)} accepted jobs have nothing running {WATCH_S:.0f} s "
+        f"later; {used:.0%} of the capacity is in use"
+    )
+    return BROKEN if broken and used < 0.5 else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(play, HERE))
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -12,16 +12,21 @@
 import random
 import re
 import shlex
+import shutil
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import tomllib
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
-from standins import Record, Runner, SentJob, Store, call
+from standins import Record, Runner, SentJob, SlowLink, Store, call
 
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+LONGEST_S = 117.0
 ROOT = Path(__file__).resolve().parent.parent
 ZONES = ("hala-a", "hala-b", "hala-c")
 SERVICE = "huvo11a"
@@ -40,6 +45,12 @@
     "max_hold_ms": 10000,
     "interference_ms": 4000,
 }
+ENTRY_LIMITS = {
+    "memory_mb": 300,
+    "cpu_share": 0.537,
+    "cores": 2,
+    "link_mbps": 1000.0,
+}
 PORTS = {"front": 8161, "ready": 8167, "control": 8166, "app": 8165}
 PEERS = [7720, 7735]
 ROW_BYTES = 65536
@@ -113,7 +124,7 @@
         kinds: dict[int, str] | None = None,
         capacity: dict[str, int] | None = None,
         bounds: dict[str, Any] | None = None,
-        advice: str = "",
+        entry_limits: dict[str, Any] | None = None,
     ) -> None:
         bounds = {**BOUNDS, **(bounds or {})}
         self.record = record
@@ -129,13 +140,14 @@
         hosts = [f"{self._net}.{10 + number}" for number in range(len(ZONES))]
         seeds = [f"{host}:{PORTS['control']}" for host in hosts]
         self.fronts = [f"{host}:{PORTS['front']}" for host in hosts]
+        self.links: list[SlowLink] = []
         self.ready = [f"{host}:{PORTS['ready']}" for host in hosts]
         shared = {
             "port_range": PEERS,
             "seeds": seeds,
             "bounds": bounds,
             "platform": {"address": self._store_address, "row_bytes": ROW_BYTES},
-            "advice": advice,
+            "advice": "",
         }
         for zone, host in zip(ZONES, hosts, strict=True):
             fields = {
@@ -147,13 +159,18 @@
                     name: f"{host}:{PORTS[name]}"
                     for name in ("front", "ready", "control")
                 },
-                "limits": {
-                    "memory_mb": 300,
-                    "cpu_share": 0.537,
-                    "cores": 2,
-                    "link_mbps": 1000.0,
-                },
+                "limits": {**ENTRY_LIMITS, **(entry_limits or {})},
             }
+            if fields["limits"]["link_mbps"] < 1000:
+                # The machine's link to the store is played by a proxy.
+                near = f"{host.rpartition('.')[0]}.{int(host.rpartition('.')[2]) + 100}"
+                mbps = fields["limits"]["link_mbps"]
+                self.links.append(SlowLink(near, self._store_address, mbps))
+                port = self._store_address.rpartition(":")[2]
+                fields["platform"] = {
+                    "address": f"{near}:{port}",
+                    "row_bytes": ROW_BYTES,
+                }
             self.programs.append(Program("entry", fields, self._folder, deploy))
         for number in range(workers):
             zone = ZONES[number % len(ZONES)]
@@ -196,10 +213,20 @@
         """Return the folder with settings and logs."""
         return self._folder
 
+    @property
+    def used_share(self) -> float:
+        """Return the share of the processor capacity that is in use."""
+        up = [runner for runner in self.runners if runner.up]
+        runs = [run for runner in up for run in runner.runs.values()]
+        used = sum(int(run.step.document.get("cpu", 0)) for run in runs)
+        return used / max(1, len(up) * CAPACITY["cpu"])
+
     async def start(self) -> bool:
         """Start everything; return whether all entries became ready in time."""
         host, _, port = self._store_address.rpartition(":")
         await self.store.server.open(host, int(port))
+        for link in self.links:
+            await link.open()
         services = [{"name": SERVICE, "rejects_overload": True, "standby": False}]
         self.store.put(
             "op",
@@ -225,7 +252,17 @@
             program.end()
         for runner in self.runners:
             await runner.crash()
+        for link in self.links:
+            await link.close()
         await self.store.server.close()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self._folder, ignore_errors=True)
+
+    def find_leader(self) -> Program:
+        """Return the entry that last changed a row under a condition."""
+        host = self.store.last_changed_by
+        number = int(host.rpartition(".")[2]) % 100 - 10
+        return self.programs[number]
 
     def list_ended(self) -> list[str]:
         """Return the programs whose process has ended by itself."""
@@ -316,3 +353,23 @@
                 return net
         except OSError:
             continue
+
+
+def run_case(play: Callable[[Record], Awaitable[int]], folder: Path) -> int:
+    """Play a case within its time, write its record; return the exit status."""
+    record = Record(str(folder / "record.txt"))
+
+    async def run() -> int:
+        task = asyncio.ensure_future(play(record))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        try:
+            async with asyncio.timeout(LONGEST_S):
+                return await task
+        except (TimeoutError, asyncio.CancelledError):
+            print("the case was ended before it was over")
+            return NOT_RUN
+
+    try:
+        return asyncio.run(run())
+    finally:
+        record.close()
--- a/review/standins.py
+++ b/review/standins.py
@@ -23,6 +23,8 @@
 MAX_PAGE_BYTES = 1_000_000
 MAX_ENTRIES = 100
 MAX_CALL_BYTES = 1_048_576
+# Packets of this size of different connections take turns on a link.
+LINK_CHUNK = 4_096
 
 
 @dataclass
@@ -34,6 +36,7 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    peer: str = ""
 
     def document(self) -> dict[str, Any]:
         """Return the JSON object in the body."""
@@ -71,11 +74,13 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        peer = str(writer.get_extra_info("peername")[0])
         try:
             while True:
                 request = await read_request(reader)
                 if request is None:
                     return
+                request.peer = peer
                 answer = await self._handler(request)
                 if answer is None:
                     return
@@ -153,6 +158,86 @@
             writer.close()
 
 
+class SlowLink:
+    """A machine's link to the store: a proxy that passes so many bits a second.
+
+    :param mbps: rate of each direction, for all connections together.
+    """
+
+    def __init__(self, host: str, target: str, mbps: float) -> None:
+        self._host = host
+        self._target = target
+        self._byte_s = 8 / (mbps * 1_000_000)
+        self._free_at = {"up": 0.0, "down": 0.0}
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def open(self) -> None:
+        """Listen on the port of the target."""
+        port = int(self._target.rpartition(":")[2])
+        self._server = await asyncio.start_server(
+            self._serve, self._host, port, limit=LINK_CHUNK
+        )
+
+    async def close(self) -> None:
+        """End all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.sleep(0)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        host, _, port = self._target.rpartition(":")
+        other: asyncio.StreamWriter | None = None
+        try:
+            store, other = await asyncio.open_connection(
+                host, int(port), limit=LINK_CHUNK, local_addr=(self._host, 0)
+            )
+            pumps = {
+                asyncio.create_task(self._pump("up", reader, other)),
+                asyncio.create_task(self._pump("down", store, writer)),
+            }
+            try:
+                await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for pump in pumps:
+                    pump.cancel()
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
+            if other is not None:
+                other.transport.abort()
+
+    async def _pump(
+        self,
+        direction: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        with suppress(OSError):
+            while data := await reader.read(LINK_CHUNK):
+                now = time.monotonic()
+                free_at = max(now, self._free_at[direction])
+                self._free_at[direction] = free_at + len(data) * self._byte_s
+                await asyncio.sleep(self._free_at[direction] - now)
+                writer.write(data)
+                await writer.drain()
+
+
+def shorten(value: Any) -> str:
+    """Return a value as text, a long one with its length in place of its end."""
+    text = repr(value)
+    return text if len(text) <= 200 else f"{text[:60]}...({len(text)})"
+
+
 class Record:
     """Writes what was sent, answered and run, one line an event."""
 
@@ -167,7 +252,7 @@
 
     def write(self, what: str, **fields: Any) -> None:
         """Write one line."""
-        text = " ".join(f"{name}={value!r}" for name, value in fields.items())
+        text = " ".join(f"{name}={shorten(value)}" for name, value in fields.items())
         self._file.write(f"{self.now:9.3f} {what} {text}\n")
         self._file.flush()
 
@@ -213,6 +298,8 @@
         self._changed = asyncio.Event()
         self._locks: dict[str, asyncio.Lock] = {}
         self.refused_values: list[tuple[str, str, int]] = []
+        # The host that last changed a row under a condition on its version.
+        self.last_changed_by = ""
         self.server = HttpServer(self.handle)
 
     def put(self, table: str, key: str, document: Any) -> None:
@@ -257,7 +344,10 @@
         lock = self._locks.setdefault(",".join(sorted(parts)), asyncio.Lock())
         async with lock:
             await asyncio.sleep(self._txn_s * (2 if len(parts) > 1 else 1))
-            return self._apply_all(conditions, writes, removals)
+            answer = self._apply_all(conditions, writes, removals)
+        if answer[0] == 200 and any(one["schema_version"] for one in conditions):
+            self.last_changed_by = request.peer
+        return answer
 
     def _apply_all(
         self,
@@ -405,6 +495,7 @@
         self.up = False
         self.starts: list[tuple[float, str, int, str]] = []
         self.failed_ends = 0
+        self.done: set[str] = set()
         self._address = address
         self._control = control
         self._jobs = jobs
@@ -564,6 +655,8 @@
         self._closed[run.task] = max(self._closed.get(run.task, 0), run.number)
         self._number += 1
         self.failed_ends += how == "failed"
+        if how == "done":
+            self.done.add(run.task)
         self._ends.append([self._number, run.task, run.number, how, ""])
         self._record.write(
             "run.end", node=self.name, task=run.task, run=run.number, how=how
