Tasks of a worker that its restarted agent doesn't list run again

Expected in the logs, and found: after `agent.attached` for the restarted agent neither `worker.adopted` there, nor `worker.known` or `worker.lost` at the leader.

Cause: contact with an agent was taken for knowledge of its worker, in two places, each of which keeps the tasks waiting by itself. (1) A place counted as present while the agent of its node was attached and no newer incarnation was known. (2) Each directive granted time for leases, also in answer to a report without a listing, and moved the time on at which the leases on that node have expired.

Change: a leader grants time only in answer to a report with a listing, and a worker is present only while its agent lists it. An agent that was granted time renews the leases at once, as its first listing now comes before the grant. A report without a listing says nothing of the leader's store, so it doesn't send agents to look for a successor. `agent.unlisted` shows the case in the log.

Why no run is taken for lost too early: an agent extends leases only up to a grant, it holds none for an incarnation that the leader hasn't seen listed, and the leader counts from the latest grant that it or a predecessor may have given.

--- a/pistachiodeal/jobagent/leader_link.py
+++ b/pistachiodeal/jobagent/leader_link.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import curio
 from logbook import Logger
 
@@ -37,6 +39,18 @@
 SUCCESSOR_POLL_S = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class _SentReport:
+    """A report that the leader may still answer.
+
+    :param at: when it was sent, seconds of the boot clock.
+    :param listed: whether it had a listing of the worker.
+    """
+
+    at: float
+    listed: bool
+
+
 class LeaderLink:
     """Keeps the agent attached to the leader."""
 
@@ -54,11 +68,12 @@
         self._ledger = ledger
         self._executor = executor
         self._events = peers.events
+        self._refresh = signals.refresh
         self._report = signals.report
         self._fenced = signals.fenced
         self._ends_acked = signals.ends_acked
         self._beat = 0
-        self._sent: dict[int, float] = {}
+        self._sent: dict[int, _SentReport] = {}
         self._leader_read_at = 0.0
         self._unreachable = ""
         self._unreachable_until = 0.0
@@ -133,8 +148,9 @@
         while True:
             self._report.clear()
             self._beat += 1
-            self._sent[self._beat] = read_boot_clock()
-            await link.send(self._ledger.build_report(self._beat))
+            report = self._ledger.build_report(self._beat)
+            self._sent[self._beat] = _SentReport(read_boot_clock(), report.listed)
+            await link.send(report)
             await curio.sleep(REPORT_PAUSE_S)
             await curio.ignore_after(REPORT_S, self._report.wait)
 
@@ -149,16 +165,31 @@
                     return
             if not isinstance(message, Directive):
                 continue
-            sent_at = self._sent.get(message.beat)
-            if not self._ledger.apply_directive(message, sent_at):
+            if not await self._apply_directive(message):
                 self._events.emit("leader.outdated", epoch=message.epoch)
                 return
-            self._grant_ms = message.grant_ms
             for beat in [beat for beat in self._sent if beat < message.beat]:
                 del self._sent[beat]
             await self._ends_acked.set()
             await self._executor.carry_out(message)
 
+    async def _apply_directive(self, directive: Directive) -> bool:
+        """Apply a directive; return False if its leader has been replaced."""
+        authority = self._ledger.authority
+        report = self._sent.get(directive.beat)
+        lapsed = authority.granted_until <= read_boot_clock()
+        if not self._ledger.apply_directive(directive, report.at if report else None):
+            return False
+        if report is not None and report.listed:
+            # Without a listing nothing is granted, whether the leader is confirmed or
+            # not.
+            self._grant_ms = directive.grant_ms
+        if lapsed and authority.granted_until > read_boot_clock():
+            # The next renewal may be a long poll away, and the leases of runs that an
+            # earlier process of this agent started may end before.
+            await self._refresh.set()
+        return True
+
     async def _watch_successor(self) -> None:
         """Return when another entry is known to lead.
 
--- a/pistachiodeal/leader/sessions.py
+++ b/pistachiodeal/leader/sessions.py
@@ -87,9 +87,12 @@
         :param place: node and worker.
         """
         worker = self._fleet.get(place.partition("/")[0])
-        until = max(worker.granted_until, acquired_by + GRANT_S) + LOST_MARGIN_S
-        present = worker.attachment is not None and worker.place == place
-        return not present and read_boot_clock() > until
+        # Nothing is granted without a listing of the incarnation, so an agent that is
+        # merely attached can't have extended its leases.
+        listed = worker.listed and worker.place == place
+        extended = listed and worker.attachment is not None
+        expired = read_boot_clock() > _find_expiry(worker, acquired_by)
+        return not extended and expired
 
     async def _handle_report(
         self,
@@ -100,7 +103,10 @@
     ) -> None:
         if worker.attachment is not attachment:
             return
+        first = not attachment.beat
         self._reconciler.apply(attachment, report)
+        if first and not worker.listed:
+            self._log_unlisted(worker, report)
         await self._send(link, worker, attachment)
         await self._changed.set()
 
@@ -109,11 +115,7 @@
     ) -> None:
         if worker.closed:
             attachment.withdraw_starts()
-        # The grant must not outlast the last confirmation of this leader plus GRANT_S:
-        # a successor waits for old grants only from the time of its own election.
-        until = min(attachment.last_report_at, self._writer.confirmed_at) + GRANT_S
-        grant_ms = _compute_ms_after_report(attachment, until)
-        worker.granted_until = max(worker.granted_until, until)
+        grant_ms = self._grant(worker, attachment) if worker.listed else 0
         directive = attachment.build_directive(
             self._writer.epoch,
             worker.worker,
@@ -123,6 +125,37 @@
         )
         await link.send(directive)
 
+    def _log_unlisted(self, worker: WorkerState, report: WorkerReport) -> None:
+        granted_s = max(0.0, worker.granted_until - read_boot_clock())
+        self._events.emit(
+            "agent.unlisted",
+            node=worker.node,
+            reported=report.worker,
+            known=worker.worker,
+            granted_ms=int(granted_s * 1000),
+        )
+
+    def _grant(self, worker: WorkerState, attachment: Attachment) -> int:
+        """Return for how long after its newest report an agent may extend leases, ms.
+
+        Only an agent whose newest report has a listing may be granted time: leases that
+        were extended on an earlier grant, before the report that names their worker
+        has arrived, would outlast the time at which the worker counts as lost.
+        """
+        # The grant must not outlast the last confirmation of this leader plus GRANT_S:
+        # a successor waits for old grants only from the time of its own election.
+        until = min(attachment.last_report_at, self._writer.confirmed_at) + GRANT_S
+        worker.granted_until = max(worker.granted_until, until)
+        return _compute_ms_after_report(attachment, until)
+
+
+def _find_expiry(worker: WorkerState, acquired_by: float) -> float:
+    """Return when all leases on a node have expired without a further grant.
+
+    :param acquired_by: when this process became the leader, boot clock.
+    """
+    return max(worker.granted_until, acquired_by + GRANT_S) + LOST_MARGIN_S
+
 
 def _compute_ms_after_report(attachment: Attachment, until: float) -> int:
     """Return the time from an agent's newest report until a time, milliseconds."""
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -194,7 +194,8 @@
     """Leader to agent: the answer to a report, or new orders.
 
     :param beat: sequence number of the answered report.
-    :param grant_ms: leases are valid until this long after that report was sent.
+    :param grant_ms: leases may last until this long after that report was sent; 0 if
+        the report had no listing.
     :param token: the lowest of the fencing tokens for calls to the runner.
     :param worker: the incarnation that the orders are for.
     :param ends_noted: ends up to this number are stored durably.
--- a/tests/standins/restarting_jobs.py
+++ b/tests/standins/restarting_jobs.py
@@ -86,6 +86,11 @@
         self.silent_until = 0.0
         self.reader = 0
 
+    @property
+    def lease_left_s(self) -> float:
+        """Return for how long its runs still have a lease, seconds."""
+        return (self._until_ms - self._read_clock_ms()) / 1000
+
     async def watch(self) -> None:
         """Let runs end in time, also while nobody calls."""
         while True:
@@ -216,16 +221,21 @@
     delay_s: float = 0.0
     _changing: curio.Lock = field(default_factory=curio.Lock)
 
-    async def start(self, agents: int, jobs: list[Job]) -> None:
-        """Start everything with some jobs in the store."""
+    async def start(
+        self, agents: int, jobs: list[Job], *, work_s: float | None = None
+    ) -> None:
+        """Start everything with some jobs in the store.
+
+        :param work_s: seconds for which a task runs; by default it differs by runner.
+        """
         self.state.rng.seed(self.rng.random())
         writes = [RowWrite(JOBS_TABLE, job.job_id, encode_job(job)) for job in jobs]
         self.state.apply(Transaction((), tuple(writes)))
         await self.change_leader()
         for number in range(agents):
-            work_s = self.rng.choice((0.5, 2.0, 6.0))
+            usual_s = self.rng.choice((0.5, 2.0, 6.0))
             seed = self.rng.randrange(1_000)
-            runner = SilentRunner(f"w{number}", self.checker, work_s, seed)
+            runner = SilentRunner(f"w{number}", self.checker, work_s or usual_s, seed)
             runner.same_id_share = 0.5
             self.runners.append(runner)
             await curio.spawn(runner.watch, daemon=True)
--- a/tests/unit/test_leader_sessions.py
+++ b/tests/unit/test_leader_sessions.py
@@ -50,15 +50,22 @@
     async def send(self, message: Directive) -> None:
         self.sent.append(message)
 
-    async def report(self, beat: int, *, draining: bool = False) -> None:
+    async def report(
+        self,
+        beat: int,
+        *,
+        worker: str = "w",
+        listed: bool = True,
+        draining: bool = False,
+    ) -> None:
         """Send a report of the worker, and wait for the leader's answer."""
         report = WorkerReport(
             beat,
             3,
-            "w",
+            worker,
             (),
             "svc",
-            True,
+            listed and bool(worker),
             draining,
             0,
             16_000,
@@ -177,3 +184,39 @@
         return harness.sessions.is_lost(0.0, f"{NODE}/w")
 
     assert not curio.run(main)
+
+
+def test_a_report_without_a_listing_extends_no_lease():
+    """Guards against runs that wait for ever beside a restarted agent.
+
+    Each answer to the agent granted leases for the worker that it didn't know, so they
+    never counted as expired.
+    """
+
+    async def main() -> tuple[int, float]:
+        harness = SessionsHarness()
+        link = await harness.attach()
+        await link.report(1, worker="")
+        await link.report(2, listed=False)
+        assert len(link.sent) == 2
+        grants = sum(directive.grant_ms for directive in link.sent)
+        return grants, harness.fleet.get(NODE).granted_until
+
+    assert curio.run(main) == (0, 0.0)
+
+
+def test_a_worker_is_lost_though_its_agent_is_attached_again():
+    """Guards against a worker that counts as present because its agent is there."""
+
+    async def main() -> list[bool]:
+        harness = SessionsHarness()
+        harness.writer.confirmed_at = read_boot_clock() - GRANT_S - 1.0
+        link = await harness.attach()
+        await link.report(1)
+        found = [harness.sessions.is_lost(0.0, f"{NODE}/w")]
+        link = await harness.attach()
+        await link.report(1, worker="")
+        found.append(harness.sessions.is_lost(0.0, f"{NODE}/w"))
+        return found
+
+    assert curio.run(main) == [False, True]
--- a/tests/unit/test_run_uniqueness.py
+++ b/tests/unit/test_run_uniqueness.py
@@ -26,16 +26,17 @@
 # that was taken for lost (18, 46, 74), or of a runner that crashed before the end was
 # stored.
 FAILED_SEEDS = (18, 46, 74, 440)
+KINDS = ("agent", "leader", "overlap", "silence", "crash", "store", "delay")
+# VMs restart as a whole, and some come back without a runner that answers.
+VM_KINDS = (*KINDS, "restart", "runner_away", "runner_silent")
 
 
-async def disturb(world: RestartingJobs) -> None:
+async def disturb(world: RestartingJobs, kinds: tuple[str, ...]) -> None:
     """Inject one random fault."""
     rng = world.rng
     number = rng.randrange(AGENTS)
     runner = world.runners[number]
-    kind = rng.choice(
-        ("agent", "leader", "overlap", "silence", "crash", "store", "delay")
-    )
+    kind = rng.choice(kinds)
     if kind == "agent":
         await world.restart_agent(number, rng.choice((0.0, 0.5, 3.0)))
     elif kind == "leader":
@@ -47,6 +48,12 @@
     elif kind == "crash":
         runner.faults.down_s = rng.choice((0.0, 0.5, 3.0))
         runner.crash()
+    elif kind in VM_KINDS[-3:]:
+        runner.faults.down_s = 20.0 if kind == "runner_away" else 1.0
+        runner.crash()
+        if kind == "runner_silent":
+            runner.silent_until = time.monotonic() + 20.0
+        await world.restart_agent(number, rng.choice((0.0, 0.5, 3.0)))
     elif kind == "store":
         faults = world.state.faults
         faults.lost, faults.late = rng.choice(((0.0, 0.0), (0.4, 0.0), (0.2, 0.3)))
@@ -56,7 +63,7 @@
         world.delay_s = rng.choice((0.0, 0.2, 1.5))
 
 
-def play(seed: int) -> tuple[list[str], int]:
+def play(seed: int, kinds: tuple[str, ...] = KINDS) -> tuple[list[str], int]:
     """Play one day; return what was violated, and how many jobs stayed open."""
 
     async def main(clock: SimulatedClock) -> tuple[list[str], int]:
@@ -70,7 +77,7 @@
             until = clock.now + FAULTS_S
             while clock.now < until:
                 await curio.sleep(world.rng.expovariate(0.8))
-                await curio.spawn(disturb, world, daemon=True)
+                await curio.spawn(disturb, world, kinds, daemon=True)
             world.state.faults, world.delay_s = StoreFaults(), 0.0
             await curio.sleep(LONGEST_S)
             await world.change_leader()
@@ -87,3 +94,9 @@
 def test_nothing_starts_after_its_listed_end(seed):
     """Guards against tasks that run twice, and against jobs that never end."""
     assert play(seed) == ([], 0)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_vms_that_restart_without_their_runner_violate_nothing(seed):
+    """Guards against runs of a lost worker that wait for ever, or run twice."""
+    assert play(seed, VM_KINDS) == ([], 0)
