Starts take their text from the directive that orders them

Cause: the agent kept the texts of 400 jobs in the order in which they first came. A text that came again kept its old place, so a directive with old and new jobs had the texts of the old ones dropped while it was applied, and find_text answered "" for them.

Change: a start takes the text from its directive; agents keep none. If the directive has no text of the job, the start is refused and the leader orders the run again: a text that is missing is never taken for an empty one. A larger or better ordered store would have moved the fault to a larger number of jobs.

Tests: two in test_jobagent_executor failed before: 20 of 70 starts without their text, and a start where there was nothing to start it with. The runners of the random restarts and of the soak now compare the text of each start with what was submitted; before, all jobs had the same. The directives of three older tests got the texts that leaders send.

Related: the other stores with a limit were read. They hold estimates whose misses fall back to a default or are asked for again.

--- a/pistachiodeal/jobagent/executor.py
+++ b/pistachiodeal/jobagent/executor.py
@@ -58,15 +58,21 @@
             ledger.run_specs[known.task, known.run] = known
         for ref in directive.stops:
             await curio.spawn(self._stop, ref.task, ref.run, daemon=True)
+        texts = {one.job: one.text for one in directive.texts}
         for order in directive.starts:
             key = (order.task, order.run)
             if key in ledger.orders or key in ledger.running:
                 continue
             ledger.run_specs[key] = order
             ledger.orders[key] = Order(order.task, order.run)
-            await curio.spawn(self._start, order, directive.worker, daemon=True)
+            text = texts.get(order.task.partition(".")[0])
+            await curio.spawn(self._start, order, directive.worker, text, daemon=True)
 
-    async def _start(self, order: RunOrder, worker: str) -> None:
+    async def _start(self, order: RunOrder, worker: str, text: str | None) -> None:
+        """Start a run.
+
+        :param text: of its job, None if the directive didn't have it.
+        """
         ledger = self._ledger
         entry = ledger.orders.get((order.task, order.run))
         if entry is None:
@@ -75,6 +81,9 @@
         if refusal:
             await self._refuse(entry, refusal)
             return
+        if text is None:
+            await self._refuse(entry, "the directive has no text of the job")
+            return
         now = read_boot_clock()
         lease_end_ms = ledger.lease.extend(now, ledger.authority.granted_until)
         if not lease_end_ms:
@@ -88,7 +97,7 @@
                 ledger.authority.token,
                 order.task,
                 order.run,
-                ledger.find_text(order.task),
+                text,
                 lease_end_ms,
                 order.checkpoint,
                 order.ticket,
--- a/pistachiodeal/jobagent/ledger.py
+++ b/pistachiodeal/jobagent/ledger.py
@@ -30,7 +30,6 @@
 SILENT_S = 1.5
 # A runner lists this many ends in one answer, those with the lowest numbers first.
 MAX_LISTED_ENDS = 500
-MAX_TEXTS = 400
 # Ended incarnations that are remembered. A sender that names an older one is adopted,
 # and dropped as soon as the runner answers for another incarnation.
 MAX_ENDED = 64
@@ -70,7 +69,6 @@
         self._listing_ms = 0
         self._other_service = ""
         self._adopted = False
-        self._texts: dict[str, str] = {}
         self._gone: deque[str] = deque(maxlen=MAX_ENDED)
 
     @property
@@ -260,10 +258,6 @@
             self.presses[pair.filling, pair.serving] = pair.press_milli / 1000
         while len(self.presses) > MAX_PRESSES:
             del self.presses[next(iter(self.presses))]
-        for text in directive.texts:
-            self._texts[text.job] = text.text
-        while len(self._texts) > MAX_TEXTS:
-            del self._texts[next(iter(self._texts))]
         return True
 
     def reset_reports(self) -> None:
@@ -272,10 +266,6 @@
             order.reported_in = 0
         self.loss_history.reset_reports()
 
-    def find_text(self, task: str) -> str:
-        """Return the text of a task's job, empty if it is unknown."""
-        return self._texts.get(task.partition(".")[0], "")
-
     def build_report(self, beat: int) -> WorkerReport:
         """Return a report of the worker's present state."""
         known = self.beat
--- a/pistachiodeal/wire/job_messages.py
+++ b/pistachiodeal/wire/job_messages.py
@@ -179,7 +179,10 @@
 
 @dataclass(frozen=True, slots=True)
 class JobText:
-    """The text of a job, which the runner needs; sent once for all tasks of the job."""
+    """The text of a job, which the runner needs to start each of its tasks.
+
+    Sent once in a directive for all tasks of the job that it starts.
+    """
 
     job: str
     text: str
@@ -199,7 +202,7 @@
     :param token: the lowest of the fencing tokens for calls to the runner.
     :param worker: the incarnation that the orders are for.
     :param ends_noted: ends up to this number are stored durably.
-    :param texts: texts of the jobs that the runs to start belong to.
+    :param texts: texts of all jobs that the runs to start belong to.
     :param known: descriptions of runs that are active already, for an agent that lacks
         them.
     :param presses: new estimates of how much images on this worker interfere.
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -64,7 +64,8 @@
         cancels = self.rng.random() < CANCELLED_SHARE
         step = {"count": 3, "cpu": 1000, "mem_mb": 500, "estimated_ms": 400}
         steps = [step, {**step, "count": 2, "start_after": [0]}]
-        body = json.dumps({"spec": "soak", "steps": steps}).encode()
+        spec = self.checker.texts[job.job_id] = f"soak {number}"
+        body = json.dumps({"spec": spec, "steps": steps}).encode()
         unknown = False
         while not job.accepted_at and not job.refused:
             status, _ = await self._call("POST", job.job_id, body)
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -58,7 +58,7 @@
     built = tuple(
         Step(count, size, 0.2, (index - 1,) if index else ()) for index in range(steps)
     )
-    return Job(f"{number:016x}", QUEUE, "text", built, time.time())
+    return Job(f"{number:016x}", QUEUE, f"text {number}", built, time.time())
 
 
 @dataclass
--- a/tests/standins/job_runner.py
+++ b/tests/standins/job_runner.py
@@ -42,14 +42,16 @@
 class InvariantChecker:
     """Records what all runners do, and checks the invariants of task execution.
 
-    No task runs twice at once or again after its acknowledged end, and a task that
-    crashes runners isn't started too often.
+    No task runs twice at once or again after its acknowledged end, each start has the
+    text of its job, and a task that crashes runners isn't started too often.
 
+    :ivar texts: texts of jobs, by id; other jobs may have any text.
     :ivar started_tasks: names of the tasks started by each runner, by incarnation.
     :ivar violations: one line for each violated invariant.
     """
 
     tasks: dict[str, TaskHistory] = field(default_factory=dict)
+    texts: dict[str, str] = field(default_factory=dict)
     started_tasks: dict[str, list[str]] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
 
@@ -75,6 +77,11 @@
                 f"started too often: {task} run {run}, {history.crashes} crashes"
             )
 
+    def check_text(self, call: StartCall) -> None:
+        """Check the text that a runner was sent with a start."""
+        if call.text != self.texts.get(call.task.partition(".")[0], call.text):
+            self.violations.append(f"wrong text: {call.task} run {call.run}")
+
     def record_crash(self, task: str) -> None:
         """Record that a run has crashed its runner."""
         self.tasks[task].crashes += 1
@@ -310,6 +317,7 @@
         self._running[call.task] = ActiveRun(
             call.task, call.run, now + self._work_s, now
         )
+        self._checker.check_text(call)
         self._checker.record_start(call.task, call.run, self.worker)
         self._check_capacity(call.task, now)
         return CallResult.DONE
--- a/tests/standins/restarting_jobs.py
+++ b/tests/standins/restarting_jobs.py
@@ -229,6 +229,7 @@
         :param work_s: seconds for which a task runs; by default it differs by runner.
         """
         self.state.rng.seed(self.rng.random())
+        self.checker.texts = {job.job_id: job.text for job in jobs}
         writes = [RowWrite(JOBS_TABLE, job.job_id, encode_job(job)) for job in jobs]
         self.state.apply(Transaction((), tuple(writes)))
         await self.change_leader()
--- a/tests/unit/test_jobagent_executor.py
+++ b/tests/unit/test_jobagent_executor.py
@@ -14,7 +14,7 @@
 from pistachiodeal.jobagent.signals import AgentSignals
 from pistachiodeal.jobs.model import OrderState
 from pistachiodeal.jobs.runtime import CallResult, Listing, StartCall
-from pistachiodeal.wire.job_messages import Directive, RunOrder, RunRef
+from pistachiodeal.wire.job_messages import Directive, JobText, RunOrder, RunRef
 from tests.standins.job_cluster import create_quiet_log
 from tests.unit.test_jobagent_ledger import build_beat
 
@@ -39,6 +39,20 @@
         return self.result
 
 
+def build_directive(
+    starts: tuple[RunOrder, ...], stops: tuple[RunRef, ...] = (), worker: str = "w"
+) -> Directive:
+    """Return a directive with the text of the job of each start."""
+    jobs = dict.fromkeys(start.task.partition(".")[0] for start in starts)
+    texts = tuple(JobText(job, build_text(job)) for job in jobs)
+    return Directive(1, 1, 10_000, 7, worker, 0, texts, starts, stops, ())
+
+
+def build_text(job_id: str) -> str:
+    """Return the text of a job."""
+    return f"text of {job_id}"
+
+
 @dataclass
 class AgentHarness:
     """An agent that has adopted worker ``w`` and holds a grant of its leader."""
@@ -59,8 +73,7 @@
     async def _take(
         self, starts: tuple[RunOrder, ...], stops: tuple[RunRef, ...], worker: str
     ) -> None:
-        directive = Directive(1, 1, 10_000, 7, worker, 0, (), starts, stops, ())
-        await self.executor.carry_out(directive)
+        await self.executor.carry_out(build_directive(starts, stops, worker))
         await curio.sleep(SETTLE_S)
 
 
@@ -106,6 +119,53 @@
     curio.run(main)
 
 
+def build_starts(jobs: range, run: int = 1) -> tuple[RunOrder, ...]:
+    """Return the start of one task of each job."""
+    return tuple(RunOrder(f"{job:016x}.0.0.0", run, "", "", False, 0) for job in jobs)
+
+
+def test_each_start_has_the_text_of_its_job_however_many_jobs_came_before():
+    """Guards against tasks that are started with an empty text.
+
+    A worker restarts after its agent has seen hundreds of jobs, and the tasks of an old
+    job are started again by a directive that has new jobs as well.
+    """
+
+    async def main() -> list[str]:
+        async with build_harness() as harness:
+            again = (*build_starts(range(1, 21), run=2), *build_starts(range(401, 451)))
+            for starts in (build_starts(range(1, 401)), again):
+                directive = build_directive(starts)
+                harness.ledger.apply_directive(directive, read_boot_clock())
+                await harness.executor.carry_out(directive)
+                await curio.sleep(SETTLE_S)
+            calls = harness.runtime.starts
+            assert len(calls) == 470
+            return [
+                call.task
+                for call in calls
+                if call.text != build_text(call.task.partition(".")[0])
+            ]
+
+    assert curio.run(main) == []
+
+
+def test_a_start_without_the_text_of_its_job_is_refused():
+    """Guards against a task that is started with less than its client sent."""
+
+    async def main() -> None:
+        async with build_harness() as harness:
+            start = RunOrder(TASK, 1, "", "", False, 0)
+            await harness.executor.carry_out(
+                replace(build_directive((start,)), texts=())
+            )
+            await curio.sleep(SETTLE_S)
+            assert harness.runtime.starts == []
+            assert harness.ledger.orders[TASK, 1].state is OrderState.REFUSED
+
+    curio.run(main)
+
+
 def test_a_draining_worker_starts_nothing():
     """Guards against a task that is started on a worker about to end.
 
@@ -153,8 +213,7 @@
     async def main() -> None:
         async with build_harness() as harness:
             start = RunOrder(TASK, 1, "", "", False, 0)
-            directive = Directive(1, 1, 10_000, 7, "w", 0, (), (start,), (), ())
-            await harness.executor.carry_out(directive)
+            await harness.executor.carry_out(build_directive((start,)))
             restarted = replace(build_beat("w"), worker="restarted")
             harness.ledger.beat = restarted
             await curio.sleep(SETTLE_S)
--- a/tests/unit/test_shrinking_workers.py
+++ b/tests/unit/test_shrinking_workers.py
@@ -11,11 +11,11 @@
 from pistachiodeal.jobs.model import JobState, Step
 from pistachiodeal.jobs.runtime import CallResult, Listing
 from pistachiodeal.model.resources import Resources
-from pistachiodeal.wire.job_messages import Directive, RunningTask, RunOrder
+from pistachiodeal.wire.job_messages import RunningTask, RunOrder
 from tests.standins.job_cluster import build_job, run_cluster
 from tests.standins.job_runner import CAPACITY, CAPACITY_REPORT_S
 from tests.unit.test_job_cluster import check_invariants, wait_for_starts
-from tests.unit.test_jobagent_executor import SETTLE_S, build_harness
+from tests.unit.test_jobagent_executor import SETTLE_S, build_directive, build_harness
 from tests.unit.test_jobagent_ledger import build_beat, create_ledger
 from tests.unit.test_leader_crashes import LeaderHarness, place
 
@@ -46,8 +46,7 @@
             smaller = replace(build_beat("w", sequence=2), capacity=SMALL)
             harness.ledger.update(smaller)
             orders = tuple(build_order(index) for index in range(3))
-            directive = Directive(1, 1, 10_000, 7, "w", 0, (), orders, (), ())
-            await harness.executor.carry_out(directive)
+            await harness.executor.carry_out(build_directive(orders))
             await curio.sleep(SETTLE_S)
             started = [call.task for call in harness.runtime.starts]
             assert started == [order.task for order in orders[:2]]
@@ -79,8 +78,7 @@
                 Listing(CallResult.DONE, 2_000, (running,)), now, now
             )
             filling = replace(build_order(1), fills=True)
-            directive = Directive(1, 1, 10_000, 7, "w", 0, (), (filling,), (), ())
-            await harness.executor.carry_out(directive)
+            await harness.executor.carry_out(build_directive((filling,)))
             await curio.sleep(SETTLE_S)
             assert [call.task for call in harness.runtime.starts] == [filling.task]
 
