The soak restarts VMs whose runner comes back later, or never

Change: with `--vms` an agent is killed together with its runner, which is away for 1 s, 5 s or for good, at most one of them for good. A runner that is away sends no heartbeat and answers no call. Without the option all seeds inject the faults that they injected before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,12 +21,22 @@
         "--seconds", type=float, default=12.0, help="duration of the faults"
     )
     parser.add_argument("--folder", default="target/soak", help="for logs")
+    parser.add_argument(
+        "--vms", action="store_true", help="VMs restart without their runner as well"
+    )
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
         folder = Path(options.folder) / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        result = curio.run(lambda: run_seed(seed, folder, faults_s=options.seconds))  # noqa: B023
+        result = curio.run(
+            lambda: run_seed(
+                seed,  # noqa: B023
+                folder,  # noqa: B023
+                faults_s=options.seconds,
+                with_vms=options.vms,
+            )
+        )
         # The ports of many seeds would leave none for other test runs.
         release_ports()
         print(
--- a/tests/soak/driver.py
+++ b/tests/soak/driver.py
@@ -34,17 +34,24 @@
 
 
 async def run_seed(
-    seed: int, folder: Path, *, faults_s: float, entries: int = 3, agents: int = 4
+    seed: int,
+    folder: Path,
+    *,
+    faults_s: float,
+    entries: int = 3,
+    agents: int = 4,
+    with_vms: bool = False,
 ) -> Result:
     """Run a seed.
 
     :param folder: for settings and logs of the processes.
     :param faults_s: for how many seconds faults are injected.
+    :param with_vms: whether VMs restart without their runner as well.
     """
     rng = random.Random(seed)
     deployment = Deployment(entries, agents, folder, seed)
     callers = Callers(deployment.list_caller_addresses(), deployment.checker, rng)
-    injector = FaultInjector(deployment, random.Random(seed + 1))
+    injector = FaultInjector(deployment, random.Random(seed + 1), with_vms=with_vms)
     try:
         await deployment.start()
         await curio.sleep(START_S)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,6 +16,10 @@
 MAX_FAULT_S = 4.0
 RESTART_S = 0.6
 STORE_MODES = ("silent", "cut", "refuse")
+# For how long the runner of a restarted VM is away; the longest is for good.
+RUNNER_AWAY_S = (1.0, 5.0, 1_000.0)
+# How often a VM restarts, compared with any other fault.
+VM_WEIGHT = 4
 # A runner listens on its agent's own VM, so connections are refused only after it has
 # ended. A running runner that refuses them would be taken for gone, and its tasks would
 # run twice.
@@ -23,11 +27,17 @@
 
 
 class FaultInjector:
-    """Injects random faults of all kinds, some of them at the same time."""
+    """Injects random faults of all kinds, some of them at the same time.
 
-    def __init__(self, deployment: Deployment, rng: random.Random) -> None:
+    :param with_vms: whether VMs restart without their runner as well.
+    """
+
+    def __init__(
+        self, deployment: Deployment, rng: random.Random, *, with_vms: bool = False
+    ) -> None:
         self._deployment = deployment
         self._rng = rng
+        self._with_vms = with_vms
         self._busy: set[str] = set()
         self.log: list[str] = []
 
@@ -52,7 +62,7 @@
                 node.start()
 
     def _list_kinds(self) -> list[Fault]:
-        return [
+        kinds = [
             self._kill,
             self._freeze,
             self._terminate,
@@ -62,6 +72,7 @@
             self._crash_runner,
             self._change_configuration,
         ]
+        return kinds + [self._restart_vm] * VM_WEIGHT * self._with_vms
 
     def _pick_node(self) -> Node | None:
         free = [
@@ -159,6 +170,28 @@
         self.log.append(f"crash {runner.worker}")
         runner.crash()
 
+    async def _restart_vm(self) -> None:
+        """Restart a VM; its agent is back before its runner, or without it."""
+        agents = self._deployment.agents
+        number = self._rng.randrange(len(agents))
+        node, runner = agents[number], self._deployment.runners[number]
+        if "vm" in self._busy or node.name in self._busy or node.process is None:
+            return
+        self._busy |= {"vm", node.name}
+        away_s = self._rng.choice(RUNNER_AWAY_S)
+        self.log.append(f"restart the VM of {node.name}, runner away {away_s:.0f} s")
+        runner.faults = RunnerFaults(down_s=away_s)
+        runner.crash()
+        runner.faults = RunnerFaults()
+        node.process.kill()
+        await curio.sleep(self._rng.uniform(0.1, RESTART_S))
+        node.start()
+        self._busy.discard(node.name)
+        # At most one runner is lost for good.
+        if away_s < max(RUNNER_AWAY_S):
+            await curio.sleep(away_s)
+            self._busy.discard("vm")
+
     async def _change_configuration(self) -> None:
         self.log.append("configure")
         self._deployment.configure()
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -140,6 +140,8 @@
 
     async def handle(self, operation: str, call: base.Call) -> base.Answer:
         """Carry a call out."""
+        if self.runner.down:
+            raise base.AnswerLostError
         document = call.document()
         # The header identifies the runner, but not its incarnation.
         runner_id = call.headers.get("expect-instance", "")
@@ -163,6 +165,9 @@
     async def send_heartbeats(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
+            if self.runner.down:
+                await curio.sleep(HEARTBEAT_S)
+                continue
             beat = self.runner.build_heartbeat()
             runner_id = get_runner(beat.worker)
             document = {
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import curio
 import pytest
 
@@ -30,3 +32,16 @@
     result = curio.run(lambda: run_seed(seed, tmp_path, faults_s=FAULTS_S))
     assert result.violations == (), (result.violations, result.faults)
     assert result.completed > 0
+
+
+# A runner is away for five seconds, and for good.
+VM_SEEDS = (2, 4, 6)
+
+
+@pytest.mark.parametrize("seed", VM_SEEDS)
+def test_vms_that_restart_without_their_runner_break_no_guarantee(seed, tmp_path):
+    """Guards against jobs that wait for a runner that is gone, and tasks run twice."""
+    run = partial(run_seed, seed, tmp_path, faults_s=FAULTS_S, with_vms=True)
+    result = curio.run(run)
+    assert result.violations == (), (result.violations, result.faults)
+    assert result.completed > 0
