Leader sessions: names for the grant and the look at a listing

Cause: `extended`, `expired` and `_grant` had to be read together with the docstring of a third function to see what a grant without a listing would do.

Change: the reason stands where the grant is withheld, `_extend_grant` says what it changes, and `is_lost` reads as one condition. No behaviour is changed.

--- a/pistachiodeal/jobagent/leader_link.py
+++ b/pistachiodeal/jobagent/leader_link.py
@@ -181,8 +181,7 @@
         if not self._ledger.apply_directive(directive, report.at if report else None):
             return False
         if report is not None and report.listed:
-            # Without a listing nothing is granted, whether the leader is confirmed or
-            # not.
+            # A report without a listing gets no grant, whatever the leader's state.
             self._grant_ms = directive.grant_ms
         if lapsed and authority.granted_until > read_boot_clock():
             # The next renewal may be a long poll away, and the leases of runs that an
--- a/pistachiodeal/leader/sessions.py
+++ b/pistachiodeal/leader/sessions.py
@@ -87,12 +87,10 @@
         :param place: node and worker.
         """
         worker = self._fleet.get(place.partition("/")[0])
-        # Nothing is granted without a listing of the incarnation, so an agent that is
-        # merely attached can't have extended its leases.
-        listed = worker.listed and worker.place == place
-        extended = listed and worker.attachment is not None
-        expired = read_boot_clock() > _find_expiry(worker, acquired_by)
-        return not extended and expired
+        # Only an agent that lists the incarnation can have extended its leases.
+        attached = worker.attachment is not None
+        listed = attached and worker.listed and worker.place == place
+        return not listed and read_boot_clock() > _find_expiry(worker, acquired_by)
 
     async def _handle_report(
         self,
@@ -103,9 +101,9 @@
     ) -> None:
         if worker.attachment is not attachment:
             return
-        first = not attachment.beat
+        is_first = not attachment.beat
         self._reconciler.apply(attachment, report)
-        if first and not worker.listed:
+        if is_first and not worker.listed:
             self._log_unlisted(worker, report)
         await self._send(link, worker, attachment)
         await self._changed.set()
@@ -115,7 +113,9 @@
     ) -> None:
         if worker.closed:
             attachment.withdraw_starts()
-        grant_ms = self._grant(worker, attachment) if worker.listed else 0
+        # With a grant in advance, an agent could extend leases as soon as its worker
+        # answers, while the leader, which hears of that later, takes them for expired.
+        grant_ms = self._extend_grant(worker, attachment) if worker.listed else 0
         directive = attachment.build_directive(
             self._writer.epoch,
             worker.worker,
@@ -135,13 +135,8 @@
             granted_ms=int(granted_s * 1000),
         )
 
-    def _grant(self, worker: WorkerState, attachment: Attachment) -> int:
-        """Return for how long after its newest report an agent may extend leases, ms.
-
-        Only an agent whose newest report has a listing may be granted time: leases that
-        were extended on an earlier grant, before the report that names their worker
-        has arrived, would outlast the time at which the worker counts as lost.
-        """
+    def _extend_grant(self, worker: WorkerState, attachment: Attachment) -> int:
+        """Extend an agent's grant; return how long after its report it ends, ms."""
         # The grant must not outlast the last confirmation of this leader plus GRANT_S:
         # a successor waits for old grants only from the time of its own election.
         until = min(attachment.last_report_at, self._writer.confirmed_at) + GRANT_S
