Test: a runner comes back under its old id after its tasks were given up

Change: a seventh case of test_lost_workers, with a runner that names no start. It held before the fault was fixed as well, since its agent lists the old place again; it is there for the time after that.

--- a/tests/unit/test_lost_workers.py
+++ b/tests/unit/test_lost_workers.py
@@ -107,6 +107,15 @@
     await world.restart_agent(number, 1.0)
 
 
+async def return_late_under_same_id(world: RestartingJobs, number: int) -> None:
+    """The runner comes back after its tasks were given up, and names no start."""
+    runner = world.runners[number]
+    runner.same_id_share, runner.reports_start = 1.0, False
+    runner.faults.down_s = 14.0
+    runner.crash()
+    await world.restart_agent(number, 1.0)
+
+
 @pytest.mark.parametrize(
     "disrupt",
     [
@@ -116,6 +125,7 @@
         outlast_reports,
         restart_beside_silent_runner,
         return_silent,
+        return_late_under_same_id,
     ],
 )
 def test_runs_of_a_worker_that_its_agent_does_not_list_run_again(
