Test: agents without a listing look for no other leader

Cause: such an agent gets no grant since its tasks can be lost, and a low grant usually means that the store rejects the leader. The condition that keeps the two apart had no test.

Change: a test with an agent that has no runner and knows another entry.

--- a/tests/unit/test_lost_workers.py
+++ b/tests/unit/test_lost_workers.py
@@ -185,3 +185,21 @@
     left_s: list[float] = []
     play(restart_and_wait)
     assert left_s[0] > 7.5
+
+
+def test_an_agent_without_a_listing_looks_for_no_other_leader() -> None:
+    """Guards against agents without a runner that query all entries twice a second."""
+
+    async def restart_and_count(world: RestartingJobs, number: int) -> None:
+        lose_runner(world, number)
+        world.agents[number].addresses = ["other"]
+        await world.restart_agent(number, 1.0)
+        with mock.patch.object(
+            leader_link, "query_leader", return_value=None
+        ) as query_leader:
+            await curio.sleep(5.0)
+        queries.append(query_leader.call_count)
+
+    queries: list[int] = []
+    play(restart_and_count)
+    assert queries == [0]
