--- a/review/world_2.py
+++ b/review/world_2.py
@@ -13,6 +13,7 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -578,6 +579,18 @@
             self.process.wait()
 
 
+def find_subnet() -> int:
+    """Return the second number of loopback addresses that no other case uses now."""
+    for number in random.sample(range(20, 250), 50):
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.{number}.3.1", STORE))
+            except OSError:
+                continue
+            return number
+    raise CannotRunError("no loopback addresses are free")
+
+
 def render(template: str, fields: dict[str, Any]) -> str:
     """Return a template with its placeholders filled in, as the platform does."""
 
@@ -613,7 +626,7 @@
         self._began = time.monotonic()
         self._out = (self.folder / "record.txt").open("w")
         self._saved: dict[str, float] = {}
-        self._subnet = random.randrange(20, 250)
+        self._subnet = find_subnet()
         self.temporary = tempfile.TemporaryDirectory(prefix="review-2-")
         self.store = Store(self.record)
         self.entries: list[Daemon] = []
