--- a/review/test_cases_3.py
+++ b/review/test_cases_3.py
@@ -36,8 +36,8 @@
     run_script(8)
 
 
-def test_jobs_that_last_outlive_crashes_of_their_runners() -> None:
-    """Crashes that its tasks didn't cause must not fail a job that lasts."""
+def test_a_poisoned_job_leaves_its_runner_to_more_than_one_task() -> None:
+    """A suspect worker must not hold up jobs that no other worker may run."""
     run_script(9)
 
 
--- a/review/world_3.py
+++ b/review/world_3.py
@@ -419,6 +419,7 @@
     """All machines, and what happened on the runners.
 
     :ivar specs: what clients have submitted, by job.
+    :ivar poisoned: jobs that can never be done: their tasks end ``failed``.
     :ivar lives: the runs that have ended.
     """
 
@@ -430,6 +431,7 @@
         self.runners: list[Runner] = []
         self.entries: list[Machine] = []
         self.specs: dict[str, dict[str, Any]] = {}
+        self.poisoned: set[str] = set()
         self.lives: list[Life] = []
         self._folder = Path(tempfile.mkdtemp(prefix="review-3-"))
         self._subnet = f"127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
@@ -445,8 +447,12 @@
         with_advice: bool = False,
         queues: list[dict[str, Any]] | None = None,
         guards: bool = True,
+        kinds: dict[int, str] | None = None,
     ) -> None:
-        """Start all stand-ins and programs, and wait until the entries are ready."""
+        """Start all stand-ins and programs, and wait until the entries are ready.
+
+        :param kinds: kinds of runners, by number, if they aren't the usual one.
+        """
         address = ""
         if with_advice:
             self.advice = AdviceService(self)
@@ -463,6 +469,8 @@
             host = f"{self._subnet}.{101 + number}"
             control = f"{host}:{self._ports[2]}"
             runner = Runner(self, number, control, capacity or {}, guards=guards)
+            if kinds and number in kinds:
+                runner.labels[0] = kinds[number]
             where = await runner.reserve()
             settings = await self._render("agent", f"side-{number}", host, hosts, where)
             settings["advice"] = address
@@ -528,7 +536,8 @@
                 if self.find_step(run.step).get("gang"):
                     gangs.setdefault((run.step, run.run), []).append(run)
                 elif run.done_at and now >= run.done_at:
-                    run.runner.end(run, "done")
+                    failed = run.task.partition(".")[0] in self.poisoned
+                    run.runner.end(run, "failed" if failed else "done")
             for (step, _), members in gangs.items():
                 self._advance_gang(self.find_step(step), members, now)
             for runner in self.runners:
