Names that are no job ids are no jobs

Callers saw: GET on a job's address with "/cancel" behind it, after the job was cancelled, was answered 200 "queued", and DELETE on it wrote a row more, for good.

Cause: only submissions checked that the name is a job id. Queries and cancellations looked the name up as a key of the jobs table, where a cancellation has the key of its job with "/cancel" appended.

Evidence: test_a_name_that_is_no_job_id_is_no_job, red before for "ID/cancel" (200 for 410, a new row), green for the other three names, which had no row.

Now: both answer 410 without asking the store. No job can be submitted under such a name, so this holds with the store away, too.

--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -16,6 +16,7 @@
 from pistachiodeal.platform.callers import (
     build_pending_response,
     build_state_response,
+    is_job_id,
     parse_job,
     read_budget_s,
     read_host,
@@ -117,6 +118,8 @@
             )
         if not job_id:
             return build_pending_response(await self._states.count_pending(queue))
+        if not is_job_id(job_id):
+            return self._build_unknown(job_id, "state")
         state = await self._states.find_state(job_id)
         if state is None:
             return self._build_unknown(job_id, "state")
@@ -149,6 +152,8 @@
         return build_json(200, {})
 
     async def _cancel(self, job_id: str, request: WebRequest) -> WebResponse:
+        if not is_job_id(job_id):
+            return self._build_unknown(job_id, "cancel")
         try:
             if not await self._states.exists(job_id):
                 return self._build_unknown(job_id, "cancel")
--- a/pistachiodeal/platform/callers.py
+++ b/pistachiodeal/platform/callers.py
@@ -32,12 +32,17 @@
     return request.header("host").partition(":")[0]
 
 
+def is_job_id(text: str) -> bool:
+    """Tell whether a job can be submitted under this id."""
+    return JOB_ID.match(text) is not None
+
+
 def parse_job(queue: Queue, job_id: str, body: bytes) -> Job:
     """Decode and check a submitted job.
 
     :raises RequestError: the id or the body is malformed.
     """
-    if not JOB_ID.match(job_id):
+    if not is_job_id(job_id):
         raise _refuse("the job id is not 16 hexadecimal digits")
     try:
         document = orjson.loads(body)
--- a/tests/unit/test_jobentry_api.py
+++ b/tests/unit/test_jobentry_api.py
@@ -104,6 +104,34 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize("name", [JOB_ID + "/cancel", "x" * 16, "", JOB_ID + "0"])
+def test_a_name_that_is_no_job_id_is_no_job(name: str):
+    """Guards against a cancellation's row that is shown, or cancelled, as a job."""
+
+    async def main():
+        async with run_cluster(entries=1) as cluster:
+            entry, events = cluster.entries[0], create_quiet_log()
+            write_configuration(cluster.state, build_configuration(3, [ROUTE]))
+            api = CallerApi(
+                await watch_alone(entry.store, events),
+                entry.acceptance,
+                entry.states,
+                events,
+                row_bytes=2_000,
+                limits=LimitSettings(),
+            )
+            while await ask(api, "POST", f"/q/{JOB_ID}", BODY) != 200:
+                await curio.sleep(0.01)
+            assert await ask(api, "DELETE", f"/q/{JOB_ID}") == 200
+            rows = {key for table, key in cluster.state.rows if table == "jobs"}
+            assert await ask(api, "DELETE", f"/q/{name}") == 410
+            if name:
+                assert await ask(api, "GET", f"/q/{name}") == 410
+            assert {key for table, key in cluster.state.rows if table == "jobs"} == rows
+
+    curio.run(main)
+
+
 def test_an_older_or_unreadable_configuration_changes_nothing():
     """A removed queue reappeared: a delayed read returned an older version.
 
