--- a/pistachiodeal/commands/job.py
+++ b/pistachiodeal/commands/job.py
@@ -37,6 +37,7 @@
     split_key,
 )
 from pistachiodeal.jobs.tables import read_submission, read_tables
+from pistachiodeal.jobs.tombstones import is_tombstone
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
 from pistachiodeal.platform.closures import ClosedDataCentres, read_closed
 from pistachiodeal.platform.rows import create_rows
@@ -186,7 +187,7 @@
     job_id = args.job_id
     page = await read_submission(store, job_id)
     rows = {row.key: row for row in page.rows}
-    if job_id not in rows:
+    if job_id not in rows or is_tombstone(rows[job_id].value):
         raise CommandError(f"no job {job_id}", exit_codes.NOT_FOUND, code="unknown_job")
     progress = await read_row(store, PROGRESS_TABLE, job_id)
     newest = progress.rows[0] if progress.rows else None
@@ -200,7 +201,7 @@
     return [
         _build(row, progress.get(row.key), cancelled=build_cancel_key(row.key) in keys)
         for row in jobs.rows
-        if not split_key(row.key)[1]
+        if not split_key(row.key)[1] and not is_tombstone(row.value)
     ]
 
 
--- a/pistachiodeal/exceptions.py
+++ b/pistachiodeal/exceptions.py
@@ -79,6 +79,12 @@
     code = "link_silent"
 
 
+class JobWithdrawnError(PistachiodealError):
+    """A job was cancelled before its submission was stored: it never exists."""
+
+    code = "job_cancelled"
+
+
 class AdviceError(PistachiodealError):
     """The service that chooses workers gave no usable answer."""
 
--- a/pistachiodeal/jobentry/acceptance.py
+++ b/pistachiodeal/jobentry/acceptance.py
@@ -9,6 +9,7 @@
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import (
+    JobWithdrawnError,
     Outcome,
     RequestError,
     StoreError,
@@ -17,6 +18,7 @@
 from pistachiodeal.jobentry.insert_queue import Insert, InsertQueue
 from pistachiodeal.jobentry.probe import probe_store
 from pistachiodeal.jobs.rows import JOBS_TABLE, SUBMISSION_PARTITIONS
+from pistachiodeal.jobs.tombstones import MAX_INSERT_S, is_tombstone
 from pistachiodeal.scheduling.retry_after import choose_retry_after_s
 from pistachiodeal.store.row_store import (
     ABSENT,
@@ -63,25 +65,46 @@
     async def insert(self, key: str, value: bytes, budget_s: float) -> None:
         """Insert a row unless it exists; return when it is durable.
 
+        :raises RequestError: see :meth:`find_or_insert`; or the row is a submission
+            that was cancelled before, which has no effect.
+        """
+        found = await self.find_or_insert(key, value, budget_s)
+        if found is not None and is_tombstone(found):
+            raise RequestError(
+                "the job was cancelled before it was stored",
+                code=JobWithdrawnError.code,
+                status=409,
+                step="jobs.accept",
+            )
+
+    async def find_or_insert(
+        self, key: str, value: bytes, budget_s: float
+    ) -> bytes | None:
+        """Insert a row unless it exists; return when it is durable.
+
+        :return: value of the row that existed already, None if it was inserted.
         :raises RequestError: with outcome ``not_run`` if this insert certainly has no
             effect, now or later; otherwise ``unknown``.
         """
         if self._unavailable_since:
             raise self._build_refusal("the store is unavailable")
-        wait_s = budget_s - min(ANSWER_MARGIN_S, budget_s / 2)
+        wait_s = min(budget_s - min(ANSWER_MARGIN_S, budget_s / 2), MAX_INSERT_S)
         if wait_s < MIN_WRITE_TIME_S:
             raise self._build_refusal("the deadline leaves no time for a write")
-        insert = Insert(key, value)
-        await self._queue.put(insert)
-        async with curio.ignore_after(wait_s):
-            await insert.done.wait()
-        if not insert.done.is_set():
-            insert.abandoned = True
+        insert = Insert(key, value, read_boot_clock() + wait_s)
+        try:
+            await self._queue.put(insert)
+            async with curio.ignore_after(wait_s):
+                await insert.done.wait()
+        finally:
+            insert.abandoned = not insert.done.is_set()
+        if insert.abandoned:
             insert.error = self._build_failure(
                 insert, "the store did not answer in time"
             )
         if insert.error is not None:
             raise insert.error
+        return insert.found
 
     async def run(self) -> None:
         """Run the writers and the probe for ever."""
@@ -94,9 +117,7 @@
         while True:
             partition, batch = await self._queue.take()
             while batch:
-                batch = await self._write(
-                    [insert for insert in batch if not insert.abandoned]
-                )
+                batch = await self._write(_drop_expired(batch))
             await self._queue.finish(partition)
 
     async def _write(self, batch: list[Insert]) -> list[Insert]:
@@ -136,6 +157,7 @@
         for insert in batch:
             row = result.found.get((JOBS_TABLE, insert.key))
             if row is not None and row.version:
+                insert.found = row.value
                 await insert.done.set()
             else:
                 again.append(insert)
@@ -202,6 +224,18 @@
         )
 
 
+def _drop_expired(batch: list[Insert]) -> list[Insert]:
+    """Return the inserts whose callers wait.
+
+    A process that was suspended sends nothing that was due before: the timers of its
+    callers may fire later than its writers run.
+    """
+    now = read_boot_clock()
+    return [
+        insert for insert in batch if not insert.abandoned and now < insert.expires_at
+    ]
+
+
 def _build(batch: list[Insert]) -> Transaction:
     conditions = tuple(RowCondition(JOBS_TABLE, insert.key, ABSENT) for insert in batch)
     writes = tuple(RowWrite(JOBS_TABLE, insert.key, insert.value) for insert in batch)
--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -6,13 +6,19 @@
 
 from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.events import EventLog
-from pistachiodeal.exceptions import Outcome, RequestError, StoreError
+from pistachiodeal.exceptions import (
+    JobWithdrawnError,
+    Outcome,
+    RequestError,
+    StoreError,
+)
 from pistachiodeal.jobentry.acceptance import Acceptance
 from pistachiodeal.jobentry.admission import AdmissionGate
+from pistachiodeal.jobentry.cancelling import JobCanceller
 from pistachiodeal.jobentry.configuration_copy import ConfigurationCopy
 from pistachiodeal.jobentry.states import JobStates
 from pistachiodeal.jobs.model import Queue
-from pistachiodeal.jobs.rows import CANCEL_VALUE, build_cancel_key, encode_job
+from pistachiodeal.jobs.rows import encode_job
 from pistachiodeal.platform.callers import (
     build_pending_response,
     build_state_response,
@@ -52,6 +58,7 @@
         self._configuration = configuration
         self._acceptance = acceptance
         self._states = states
+        self._canceller = JobCanceller(acceptance, states, events)
         self._row_bytes = row_bytes
         self._limits = limits
         self._admission = admission
@@ -118,9 +125,15 @@
             )
         if not job_id:
             return build_pending_response(await self._states.count_pending(queue))
+        return await self._answer_state(job_id)
+
+    async def _answer_state(self, job_id: str) -> WebResponse:
         if not is_job_id(job_id):
             return self._build_unknown(job_id, "state")
-        state = await self._states.find_state(job_id)
+        try:
+            state = await self._states.find_state(job_id)
+        except JobWithdrawnError:
+            state = None
         if state is None:
             return self._build_unknown(job_id, "state")
         return build_state_response(state)
@@ -155,8 +168,7 @@
         if not is_job_id(job_id):
             return self._build_unknown(job_id, "cancel")
         try:
-            if not await self._states.exists(job_id):
-                return self._build_unknown(job_id, "cancel")
+            known = await self._canceller.cancel(job_id, read_budget_s(request))
         except StoreError as error:
             raise RequestError(
                 str(error),
@@ -166,9 +178,8 @@
                 retry_after=RETRY_AFTER_S,
                 step="jobs.cancel",
             ) from None
-        key = build_cancel_key(job_id)
-        await self._acceptance.insert(key, CANCEL_VALUE, read_budget_s(request))
-        await self._states.announce(key)
+        if not known:
+            return self._build_unknown(job_id, "cancel")
         self._events.emit(
             "job.cancel_accepted", job=job_id, **self._describe_configuration()
         )
--- a/pistachiodeal/jobentry/insert_queue.py
+++ b/pistachiodeal/jobentry/insert_queue.py
@@ -23,14 +23,18 @@
 class Insert:
     """One row to be inserted.
 
+    :param expires_at: no try is sent after this time, seconds of the boot clock.
     :param tries: number of tries sent; one without an answer may still take effect.
     :param abandoned: its caller has been answered, so it must not be sent any more.
+    :param found: value of the row that was there already, None if it was inserted.
     """
 
     key: str
     value: bytes
+    expires_at: float
     tries: int = 0
     abandoned: bool = False
+    found: bytes | None = None
     error: RequestError | None = None
     done: curio.Event = field(default_factory=curio.Event)
 
--- a/pistachiodeal/jobentry/states.py
+++ b/pistachiodeal/jobentry/states.py
@@ -6,12 +6,18 @@
 from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.exceptions import LinkClosedError, RequestError, StoreError
+from pistachiodeal.exceptions import (
+    JobWithdrawnError,
+    LinkClosedError,
+    RequestError,
+    StoreError,
+)
 from pistachiodeal.jobentry.peer_server import PeerServer
 from pistachiodeal.jobs.model import JobState, Queue
 from pistachiodeal.jobs.progress import read_state
 from pistachiodeal.jobs.rows import PROGRESS_TABLE, build_cancel_key
 from pistachiodeal.jobs.tables import read_submission
+from pistachiodeal.jobs.tombstones import is_tombstone
 from pistachiodeal.leader.election import Election
 from pistachiodeal.store.row_store import RowStore, read_row
 from pistachiodeal.wire.job_messages import JobAnswer, JobNotice, JobQuery
@@ -61,6 +67,10 @@
     async def find_state(self, job_id: str) -> JobState | None:
         """Return a job's state, or None if the job certainly doesn't exist.
 
+        None describes the moment of the read: a submission without an answer may still
+        be stored, and a query doesn't prevent it.
+
+        :raises JobWithdrawnError: it was cancelled before it was stored.
         :raises RequestError: neither the leader nor the store answers.
         """
         leadership = self._peer_server.leadership
@@ -79,7 +89,9 @@
         :raises StoreError: the store doesn't answer.
         """
         page = await read_submission(self._store, job_id)
-        return any(row.key == job_id for row in page.rows)
+        return any(
+            row.key == job_id and not is_tombstone(row.value) for row in page.rows
+        )
 
     async def count_pending(self, queue: Queue) -> int:
         """Return the number of jobs of a queue that have not begun.
@@ -121,16 +133,18 @@
     async def _read_state(self, job_id: str) -> JobState | None:
         try:
             page = await read_submission(self._store, job_id)
-            keys = {row.key for row in page.rows}
-            if job_id not in keys:
+            values = {row.key: row.value for row in page.rows}
+            if job_id not in values:
                 return None
+            if is_tombstone(values[job_id]):
+                raise JobWithdrawnError(job_id, step="jobs.state")
             progress = await read_row(self._store, PROGRESS_TABLE, job_id)
         except StoreError as error:
             raise _build_refusal(str(error)) from None
         state = JobState.QUEUED
         if progress.rows:
             state = read_state(progress.rows[0].value)
-        if build_cancel_key(job_id) in keys and not state.final:
+        if build_cancel_key(job_id) in values and not state.final:
             return JobState.CANCELLED
         return state
 
--- a/pistachiodeal/leader/feed.py
+++ b/pistachiodeal/leader/feed.py
@@ -18,6 +18,7 @@
 from pistachiodeal.exceptions import ProtocolError, StoreError
 from pistachiodeal.jobs.rows import JOBS_TABLE, decode_job, is_ended, split_key
 from pistachiodeal.jobs.tables import list_sources
+from pistachiodeal.jobs.tombstones import is_tombstone
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.store.row_store import (
     HistoryLostError,
@@ -64,6 +65,7 @@
         self._events = events
         self._cancel = cancel
         self._on_changed = changed
+        self._tombstones = registry.tombstones
         self._feed_version = 0
         self._announced: dict[str, float] = {}
         self._cancelled_early: dict[str, None] = {}
@@ -106,7 +108,7 @@
                 continue
             self._apply_rows(page.rows)
             self._feed_version = max(self._feed_version, page.version)
-            if any(not is_ended(row.value) for row in page.rows):
+            if any(_is_open(row.value) for row in page.rows):
                 await self._on_changed()
 
     async def check_announced(self) -> None:
@@ -123,6 +125,8 @@
                 await self._read_row(key)
 
     def _is_known(self, key: str) -> bool:
+        if key in self._tombstones:
+            return True
         job_id, cancels = split_key(key)
         record = self._registry.records.get(job_id)
         return record is not None and (not cancels or record.state.final)
@@ -167,11 +171,19 @@
 
     def _apply_rows(self, rows: Sequence[StoredRow]) -> None:
         for row in rows:
-            if row.removed or is_ended(row.value):
+            if row.removed:
+                self._tombstones.forget(row.key)
+                continue
+            if is_ended(row.value):
+                continue
+            if is_tombstone(row.value):
+                self._tombstones.observe(row)
                 continue
             job_id, cancels = split_key(row.key)
             if cancels:
                 self._cancel_job(job_id)
+                if job_id not in self._registry.records:
+                    self._tombstones.observe(row)
                 continue
             try:
                 job = decode_job(row.key, row.value)
@@ -195,3 +207,8 @@
         self._cancelled_early[job_id] = None
         while len(self._cancelled_early) > MAX_EARLY_CANCELLATIONS:
             del self._cancelled_early[next(iter(self._cancelled_early))]
+
+
+def _is_open(value: bytes) -> bool:
+    """Tell whether a row may give a leader anything to plan."""
+    return not is_ended(value) and not is_tombstone(value)
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -36,6 +36,7 @@
 from pistachiodeal.leader.speed_monitor import SpeedMonitor
 from pistachiodeal.leader.startup_wait import StartupWait
 from pistachiodeal.leader.takeover import Takeover
+from pistachiodeal.leader.tombstone_collector import TombstoneCollector
 from pistachiodeal.leader.workers import Fleet, split_place
 from pistachiodeal.scheduling.interference import InterferenceModel
 from pistachiodeal.store.row_store import RowStore
@@ -104,6 +105,9 @@
         self._writer = FencedWriter(store, term, events)
         self._takeover = Takeover(loader, self._closures, self._writer, term, events)
         self._compactor = EndedJobCompactor(store, self._registry, self._writer, events)
+        self._tombstones = TombstoneCollector(
+            store, self._registry, self._writer, events
+        )
         interference = InterferenceModel()
         filling = create_filling_work(features, interference, events)
         self._advice = None
@@ -282,6 +286,7 @@
             self._learned_state.run,
             self._closures.run,
             self._compactor.run,
+            self._tombstones.run,
         ]
         if self._advice is not None:
             loops.append(self._advice.run)
--- a/pistachiodeal/leader/load_summary.py
+++ b/pistachiodeal/leader/load_summary.py
@@ -129,6 +129,7 @@
         rows = summarize_backlog(jobs, self._drains.estimate(now))
         loads = {(row.queue, row.demand): row for row in rows}
         self._returning.forget(self._registry.records, now)
+        self._returning.forget(self._registry.tombstones, now)
         invited, loads = self._returning.invite(loads, now)
         self._current = LoadSummary(self._epoch, now, loads, frozenset(invited))
         return self._current
--- a/pistachiodeal/leader/loader.py
+++ b/pistachiodeal/leader/loader.py
@@ -22,6 +22,7 @@
     split_key,
 )
 from pistachiodeal.jobs.tables import list_sources
+from pistachiodeal.jobs.tombstones import is_tombstone
 from pistachiodeal.leader.feed import JobFeed
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.store.row_store import RowStore, StoredRow
@@ -54,6 +55,7 @@
         self._registry = registry
         self._feed = feed
         self._cancel = cancel
+        self._tombstones = registry.tombstones
         self._events = events
         sources = list_sources(PROGRESS_TABLE, JOBS_TABLE)
         self._decoded_at = 0.0
@@ -86,11 +88,16 @@
                 await curio.sleep(0)
             job_id, cancels = split_key(row.key)
             if cancels:
-                cancelled.append(job_id)
+                cancelled.append(row)
+            elif is_tombstone(row.value):
+                self._tombstones.observe(row)
             else:
                 self._restore(row, values.get(job_id))
-        for job_id in cancelled:
+        for row in cancelled:
+            job_id, _ = split_key(row.key)
             self._cancel(job_id)
+            if job_id not in self._registry.records:
+                self._tombstones.observe(row)
         self._feed.apply_early_cancellations()
         self._feed.start_after(jobs.version or 0)
 
--- a/pistachiodeal/leader/registry.py
+++ b/pistachiodeal/leader/registry.py
@@ -16,6 +16,7 @@
 from pistachiodeal.jobs.names import parse_task_name
 from pistachiodeal.jobs.record import JobRecord, StepRecord, Task, build_record
 from pistachiodeal.leader.estimator import JobEstimator
+from pistachiodeal.leader.tombstones import TombstoneBook
 from pistachiodeal.scheduling.ordering import compute_objective_s
 
 Callback = Callable[[], None]
@@ -31,6 +32,7 @@
         self._unsaved: dict[str, list[Callback]] = {}
         self._writing: set[str] = set()
         self._estimator = JobEstimator()
+        self._tombstones = TombstoneBook()
         self._runs: dict[str, dict[str, Task]] = {}
         self._generations: dict[str, int] = {}
 
@@ -49,6 +51,11 @@
         """Return the estimates of task times and of the work of jobs."""
         return self._estimator
 
+    @property
+    def tombstones(self) -> TombstoneBook:
+        """Return the cancellations to which no job belongs."""
+        return self._tombstones
+
     @property
     def has_unsaved(self) -> bool:
         """Tell whether any job has changes whose write has not begun."""
--- a/pistachiodeal/scheduling/returning_callers.py
+++ b/pistachiodeal/scheduling/returning_callers.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Container
 from dataclasses import dataclass, replace
 
 from pistachiodeal.scheduling.admission import has_room
@@ -64,8 +64,8 @@
         while len(self._jobs) > MAX_JOBS:
             del self._jobs[next(iter(self._jobs))]
 
-    def forget(self, known: Mapping[str, object], now: float) -> None:
-        """Drop the jobs that are accepted and those whose callers are gone."""
+    def forget(self, known: Container[str], now: float) -> None:
+        """Drop the jobs that are known, and those whose callers are gone."""
         for job_id, entry in list(self._jobs.items()):
             if job_id in known or now - entry.since > KEPT_S:
                 del self._jobs[job_id]
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -14,6 +14,7 @@
 
 from pistachiodeal.config.deployment import FeatureSettings
 from pistachiodeal.exceptions import (
+    JobWithdrawnError,
     LinkClosedError,
     Outcome,
     ProtocolError,
@@ -22,6 +23,7 @@
 from pistachiodeal.jobentry.admission import AdmissionGate
 from pistachiodeal.jobs.model import Job, JobState, Step
 from pistachiodeal.jobs.rows import encode_job
+from pistachiodeal.jobs.tombstones import TOMBSTONE_VALUE
 from pistachiodeal.leader.directory import Directory
 from pistachiodeal.leader.load_messages import (
     RESEND_S,
@@ -50,6 +52,7 @@
     predict_completion_s,
 )
 from pistachiodeal.scheduling.returning_callers import ReturningCallers
+from pistachiodeal.store.row_store import StoredRow
 from pistachiodeal.wire.codec import (
     _SCHEMA,
     LENGTH_BYTES,
@@ -337,6 +340,10 @@
     raise ProtocolError("not a progress row", step="jobs.decode_progress")
 
 
+def say_withdrawn(entry: FakeEntry) -> None:
+    raise JobWithdrawnError(JOB.job_id)
+
+
 def answer_unknown_state(entry: FakeEntry) -> None:
     JobState("a state of a later version")
 
@@ -349,6 +356,7 @@
         (None, hide_state),
         (None, fail_to_decode),
         (None, answer_unknown_state),
+        (None, say_withdrawn),
         (None, lose_leader),
     ],
 )
@@ -356,7 +364,8 @@
     """Guards against "has not run" for a repeat, or by what may be wrong meanwhile.
 
     Neither the leader nor the store may answer the check, the answer may be of another
-    version, or the leader may be lost between its summary and the rejection.
+    version, or the leader may be lost between its summary and the rejection. A job that
+    was cancelled is refused by its insert, for good and not for a time.
     """
     entry = FakeEntry()
     entry.state, entry.on_check = state, on_check
@@ -379,6 +388,19 @@
     assert leader.refresh(1.0, 1.0).invited == {JOB.job_id}
 
 
+def test_no_room_is_kept_for_a_cancelled_job():
+    """Guards against callers who are rejected for a job that never comes back."""
+    leader = create_summarizer()
+    uncertain = f"{9:016x}"
+    leader.record(encode_rejection(JOB.job_id, NEW, 1.0), 1.0)
+    leader.record(JobNotice(uncertain, uncertain=True), 1.0)
+    assert leader.refresh(1.5, 1.5).invited == {uncertain}
+    for job_id in (JOB.job_id, uncertain):
+        leader._registry.tombstones.observe(StoredRow(job_id, TOMBSTONE_VALUE, 5))
+    assert leader.refresh(1.6, 1.6).invited == set()
+    assert len(leader._returning) == 0
+
+
 @pytest.mark.parametrize(
     "job",
     [
--- a/tests/unit/test_commands_job.py
+++ b/tests/unit/test_commands_job.py
@@ -13,6 +13,7 @@
 from pistachiodeal.jobs.progress import encode_progress
 from pistachiodeal.jobs.record import build_record
 from pistachiodeal.jobs.rows import CANCEL_VALUE, build_cancel_key, encode_job
+from pistachiodeal.jobs.tombstones import TOMBSTONE_VALUE
 from pistachiodeal.store.row_store import StoredRow
 from tests.standins.job_cluster import build_job, close_data_centre
 from tests.standins.rows import MemoryRows, RowsState
@@ -78,6 +79,13 @@
     assert "queue" in capsys.readouterr().out
 
 
+def test_a_tombstone_is_no_job(state, capsys):
+    """Guards against commands that fail at the id of a cancelled submission."""
+    put(state, "jobs", f"{3:016x}", TOMBSTONE_VALUE)
+    assert len(run_json(capsys, "job", "list")) == 2
+    assert main(["job", "show", f"{3:016x}", *STORE]) == exit_codes.NOT_FOUND
+
+
 def test_closed_data_centres_are_listed(state, capsys):
     assert run_json(capsys, "job", "closed") == []
     close_data_centre(state, "b")
--- a/tests/unit/test_jobentry_api.py
+++ b/tests/unit/test_jobentry_api.py
@@ -28,6 +28,7 @@
 from tests.standins.rows import MemoryRows, RowsState
 
 JOB_ID = "00000000000000aa"
+OTHER_ID = "00000000000000bb"
 HEADERS = (("host", "host"), ("deadline-ms", "3000"))
 BODY = orjson.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 100, "mem_mb": 10}]})
 ROUTE = {
@@ -94,12 +95,17 @@
             assert await ask(api, "POST", f"/q/{JOB_ID}", large) == 413
             assert await ask(api, "PUT", f"/q/{JOB_ID}", BODY) == 405
             assert await ask(api, "GET", f"/q/{JOB_ID}") == 410
-            assert await ask(api, "DELETE", f"/q/{JOB_ID}") == 410
+            assert await ask(api, "DELETE", "/q/short") == 410
             assert ("jobs", JOB_ID) not in cluster.state.rows
             assert await ask(api, "POST", f"/q/{JOB_ID}", BODY) == 200
             assert await ask(api, "POST", f"/q/{JOB_ID}", BODY) == 200
             assert await ask(api, "GET", f"/q/{JOB_ID}") == 200
             assert await ask(api, "GET", "/q/") == 200
+            assert await ask(api, "GET", f"/q/{OTHER_ID}") == 410
+            assert await ask(api, "DELETE", f"/q/{OTHER_ID}") == 410
+            assert await ask(api, "DELETE", f"/q/{OTHER_ID}") == 410
+            assert await ask(api, "POST", f"/q/{OTHER_ID}", BODY) == 409
+            assert await ask(api, "GET", f"/q/{OTHER_ID}") == 410
 
     curio.run(main)
 
