An address that can't be used names nobody

Operators of a system like ours saw: one odd entry ended the processes that read it again and again, and no task started any more. It can happen here.

Cause: the leader's row was checked for the types of its fields, and not for an address that one can connect to. Entries and agents follow the row; a port out of range raised OverflowError, a port that is no number or an embedded NUL ValueError in connect, and their loops expect errors of a peer or of the operating system only. Each restart read the same row, and after twenty the process ended. Notices passed such addresses on. An epoch near the bound was adopted, and the next leader's own row counted as unreadable.

Change: is_address says what an address is (ASCII digits, a port of at most five, a host that is no wildcard, multicast or reserved address). The decoder of the leader's row, the directory and the dialling of a link use it. A row without a usable address is replaced as any unreadable one is; one in a notice names nobody, and the others hold; dialling one is an error of the link. The bound of epochs is 10^9, above which none are adopted.

Why it works: what enters the directory can be connected to, so the loops meet the errors of a network only.

--- a/pistachiodeal/addresses.py
+++ b/pistachiodeal/addresses.py
@@ -5,16 +5,22 @@
 import ipaddress
 
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 
 
 def is_address(value: str) -> bool:
-    """Return whether a text is a valid IPv4 ``ip:port``."""
+    """Return whether a text is an IPv4 ``ip:port`` to which one can connect."""
     host, _, port = value.rpartition(":")
     try:
-        ipaddress.IPv4Address(host)
+        ip = ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isdecimal() and 0 < int(port) <= MAX_PORT
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        return False
+    # isdecimal() is also true for digits of other scripts.
+    if not (port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS):
+        return False
+    return 0 < int(port) <= MAX_PORT
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/pistachiodeal/leader/directory.py
+++ b/pistachiodeal/leader/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pistachiodeal.addresses import is_address
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.wire.job_messages import Label, LeaderNotice
 
@@ -51,8 +52,8 @@
         self.update_entry(address)
 
     def update_entry(self, address: str) -> None:
-        """Record an entry as the most recently seen one."""
-        if not address:
+        """Record an entry as the most recently seen one, unless it can't be reached."""
+        if not is_address(address):
             return
         if self._entries.pop(address, None) is None:
             self._revision += 1
@@ -65,7 +66,7 @@
         for entry in notice.entries:
             if entry.text not in self._entries:
                 self.update_entry(entry.text)
-        if not notice.address or notice.epoch < self._epoch:
+        if not is_address(notice.address) or notice.epoch < self._epoch:
             return
         self.update_leader(notice.epoch, notice.address)
         now = read_boot_clock()
--- a/pistachiodeal/leader/leader_row.py
+++ b/pistachiodeal/leader/leader_row.py
@@ -7,6 +7,7 @@
 import orjson
 from logbook import Logger
 
+from pistachiodeal.addresses import is_address
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import (
@@ -33,8 +34,9 @@
 # The version of a row that other processes reported and that was not read: no
 # conditional write against it succeeds.
 UNREAD_VERSION = -1
-# Fencing tokens are 64-bit numbers, with the epoch above the lowest 30 bits.
-MAX_EPOCH = 2**32
+# Fencing tokens are 64-bit numbers, with the epoch above the lowest 30 bits. The bound
+# is far below, so that a leader can go on from any epoch that it has read.
+MAX_EPOCH = 10**9
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,6 +218,8 @@
         check_fields(found)
         if found.nonce < 0 or not 0 <= found.epoch <= MAX_EPOCH:
             raise ValueError("a number is out of bounds")
+        if found.address and not is_address(found.address):
+            raise ValueError("the address can't be used")
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise ProtocolError(repr(error), step="leader.decode_row") from error
     return found
--- a/pistachiodeal/wire/opening.py
+++ b/pistachiodeal/wire/opening.py
@@ -9,7 +9,7 @@
 import curio
 from curio.io import Socket
 
-from pistachiodeal.addresses import split_address
+from pistachiodeal.addresses import is_address, split_address
 from pistachiodeal.exceptions import (
     LinkClosedError,
     LinkRefusedError,
@@ -30,10 +30,12 @@
 ) -> AsyncIterator[Link]:
     """Connect to ``ip:port`` and authenticate; the link is closed on exit.
 
-    :raises LinkClosedError: the peer is unreachable, or the connection was closed
-        during the handshake.
+    :raises LinkClosedError: the address can't be used, the peer is unreachable, or the
+        connection was closed during the handshake.
     :raises AuthenticationError: the peer does not hold the secret.
     """
+    if not is_address(address):
+        raise LinkClosedError("not an address", step=STEP_HANDSHAKE, peer=address)
     raw = stdlib_socket.socket(stdlib_socket.AF_INET, stdlib_socket.SOCK_STREAM)
     sock = Socket(raw)
     link = Link(sock, address, timings)
--- a/tests/standins/restarting_jobs.py
+++ b/tests/standins/restarting_jobs.py
@@ -174,7 +174,7 @@
 
     def __init__(self, state: RowsState, row: LeaderRow) -> None:
         super().__init__()
-        address = f"e{row.epoch + 1}"
+        address = f"10.0.0.{row.epoch + 1}:1"
         candidate = LeaderCandidate(address, address, 1, 1.0)
         result = state.apply(build_replacement(row, row.epoch + 1, candidate))
         self.row = LeaderRow(row.epoch + 1, address, address, 1, result.version)
--- a/tests/unit/test_lost_workers.py
+++ b/tests/unit/test_lost_workers.py
@@ -192,7 +192,7 @@
 
     async def restart_and_count(world: RestartingJobs, number: int) -> None:
         lose_runner(world, number)
-        world.agents[number].addresses = ["other"]
+        world.agents[number].addresses = ["10.0.1.1:1"]
         await world.restart_agent(number, 1.0)
         with mock.patch.object(
             leader_link, "query_leader", return_value=None
