Values of other writers are refused at the border, or can be used

Operators of a system like ours saw: one odd entry, very deeply nested or with a number too large, ended the processes that read it again and again. It can happen here: a heartbeat with a deeply nested field got a 500 with a traceback, and a job with a latency limit of 2^64-1, which was accepted, could not be sent to any worker that it was placed on; the link to its agent broke at each directive, so all tasks there waited.

Cause: decoders checked types and signs, and not whether the value can be used. Printing what was rejected exceeded the recursion limit (RecursionError was caught by nobody); numbers of 64 bits without a sign, long names, checkpoints and tickets don't fit messages or make them too large; rows of learned figures overflowed in squares and exponentials; a configuration's version could be negative; errors quoted rejected values in full. The tests of foreign values were too tame, and stopped at the decoder.

Numbers are bounded by 2^53 (accelerators by 2^31), names, checkpoints and tickets by 1,000 characters, labels of a worker by 64. A job beyond them is answered 400, a heartbeat refused, a learned row not adopted. A figure or checkpoint of a run that can't be used counts as none, so that the worker's other runs are still reported; a list with a run that has no valid name or number stays unreadable as a whole, since nothing may be concluded from what is missing in it.

Why it works: the bounds are those of the messages and rows that carry the values on.

--- a/pistachiodeal/jobs/checks.py
+++ b/pistachiodeal/jobs/checks.py
@@ -23,6 +23,11 @@
 # are infinite, and raise when they are converted to integers. The bound is above the
 # largest 32-bit float, by which a caller may say that it has no estimate.
 MAX_ESTIMATE_S = 1e100
+# Messages carry numbers in 64 bits, and accelerators in 32; sums of them fit as well.
+MAX_NUMBER = 2**53
+MAX_ACCELERATORS = 2**31 - 1
+# Each order for a task carries these texts.
+MAX_NAME_BYTES = 1_000
 SCALAR_TYPES = (int, float, str, bool)
 
 
@@ -71,6 +76,11 @@
     others = (step.estimate_s, step.spread, step.serves_ms, step.may_be_away)
     if min(*sizes, *others) < 0:
         raise ValueError(f"step {number} has a negative value")
+    if max(*sizes, *others[1:]) > MAX_NUMBER or sizes[2] > MAX_ACCELERATORS:
+        raise ValueError(f"step {number} has a number that is out of bounds")
+    names = (step.label, step.data_rack, step.image)
+    if any(len(name.encode()) > MAX_NAME_BYTES for name in names):
+        raise ValueError(f"step {number} has a name of over {MAX_NAME_BYTES} bytes")
     if step.estimate_s > MAX_ESTIMATE_S:
         raise ValueError(f"step {number} has an estimate that is out of bounds")
     for earlier in step.after:
--- a/pistachiodeal/jobs/progress.py
+++ b/pistachiodeal/jobs/progress.py
@@ -11,6 +11,7 @@
 from pistachiodeal.jobs.checks import check_fields
 from pistachiodeal.jobs.model import Job, JobState
 from pistachiodeal.jobs.record import JobRecord, Task
+from pistachiodeal.malformed import MALFORMED, describe
 
 # Messages carry the number of a run in 32 bits; half of them are left for new runs.
 MAX_COUNT = 2**31
@@ -66,8 +67,8 @@
             task = _find_task(record, key)
             task.crashes, task.blames = counts
             _check_counts(task)
-    except (ValueError, KeyError, TypeError, IndexError, AttributeError) as error:
-        raise ProtocolError(repr(error), step="jobs.decode_progress") from error
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="jobs.decode_progress") from error
 
 
 def read_state(value: bytes) -> JobState:
@@ -77,8 +78,8 @@
     """
     try:
         return JobState(orjson.loads(value)["state"])
-    except (ValueError, KeyError, TypeError) as error:
-        raise ProtocolError(repr(error), step="jobs.decode_progress") from error
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="jobs.decode_progress") from error
 
 
 def _build_key(task: Task) -> str:
--- a/pistachiodeal/jobs/rows.py
+++ b/pistachiodeal/jobs/rows.py
@@ -15,6 +15,7 @@
 from pistachiodeal.exceptions import ProtocolError
 from pistachiodeal.jobs.checks import check_job
 from pistachiodeal.jobs.model import Job, Queue, Step
+from pistachiodeal.malformed import MALFORMED, describe
 from pistachiodeal.model.resources import Resources
 
 JOBS_TABLE = "jobs"
@@ -119,8 +120,8 @@
         accepted_s, repeats = document["accepted_s"], document["repeats"]
         job = Job(key, queue, "", NO_STEPS, accepted_s, repeats)
         check_job(job)
-    except (ValueError, KeyError, TypeError) as error:
-        raise ProtocolError(repr(error), step="jobs.decode_row") from error
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="jobs.decode_row") from error
     return job
 
 
@@ -138,8 +139,8 @@
         check_job(job)
         if job.job_id != key:
             raise ValueError("the row's key is the id of another job")
-    except (ValueError, KeyError, TypeError) as error:
-        raise ProtocolError(repr(error), step="jobs.decode_row") from error
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="jobs.decode_row") from error
     return job
 
 
--- a/pistachiodeal/leader/leader_row.py
+++ b/pistachiodeal/leader/leader_row.py
@@ -18,6 +18,7 @@
 from pistachiodeal.jobs.checks import check_fields
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
 from pistachiodeal.leader.directory import Directory
+from pistachiodeal.malformed import MALFORMED, describe
 from pistachiodeal.store.row_store import (
     ABSENT,
     RowCondition,
@@ -220,6 +221,6 @@
             raise ValueError("a number is out of bounds")
         if found.address and not is_address(found.address):
             raise ValueError("the address can't be used")
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise ProtocolError(repr(error), step="leader.decode_row") from error
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="leader.decode_row") from error
     return found
--- a/pistachiodeal/leader/learned_periods.py
+++ b/pistachiodeal/leader/learned_periods.py
@@ -6,9 +6,12 @@
 
 from pistachiodeal.exceptions import ProtocolError
 from pistachiodeal.jobs.checks import check_fields
+from pistachiodeal.malformed import MALFORMED, describe
 from pistachiodeal.scheduling.load_forecast import PeriodEstimate
 
 MAX_PERIODS = 100
+MIN_PERIOD_S = 0.01
+MAX_PERIOD_S = 1e6
 
 
 def encode_periods(periods: list[PeriodEstimate]) -> list[list[str | float]]:
@@ -28,6 +31,8 @@
         periods = [PeriodEstimate(*fields) for fields in found]
         for one in periods:
             check_fields(one)
-    except (ValueError, TypeError, AttributeError) as error:
-        raise ProtocolError(repr(error), step="lessons.decode") from error
+            if one.period_s and not MIN_PERIOD_S <= one.period_s <= MAX_PERIOD_S:
+                raise ValueError("a period is out of bounds")
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="lessons.decode") from error
     return periods
--- a/pistachiodeal/leader/learned_state.py
+++ b/pistachiodeal/leader/learned_state.py
@@ -26,6 +26,7 @@
 )
 from pistachiodeal.leader.speed_monitor import SpeedMonitor
 from pistachiodeal.leader.speed_row import decode_speeds, encode_speeds
+from pistachiodeal.malformed import MALFORMED, describe
 from pistachiodeal.scheduling.durations import DurationFit, DurationModel
 from pistachiodeal.scheduling.interference import InterferenceModel, PairEstimate
 from pistachiodeal.scheduling.load_forecast import PeriodEstimate, SlackForecaster
@@ -44,6 +45,11 @@
 # At 40 bytes for a pair and 80 for a queue, the row stays far below the size limit.
 MAX_PAIRS = 500
 MAX_QUEUES = 100
+# Estimates stay far below these, and messages and squares of them don't overflow.
+MAX_INTERFERENCE = 1e5
+MAX_FIGURE = 1e9
+# Figures are rounded to three digits.
+MIN_FIT_TASKS = 0.001
 FIT_FIELD_COUNT = len(fields(DurationFit))
 
 
@@ -202,6 +208,24 @@
             raise ValueError("a queue has too few or too many figures")
         for item in (*pairs, *durations.values()):
             check_fields(item)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise ProtocolError(repr(error), step="lessons.decode") from error
+        _check_bounds(pairs, durations)
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="lessons.decode") from error
     return LearnedState(pairs, durations)
+
+
+def _check_bounds(pairs: list[PairEstimate], durations: dict[str, DurationFit]) -> None:
+    """Check that estimates can be computed with.
+
+    :raises ValueError: a figure is out of bounds.
+    """
+    for pair in pairs:
+        if abs(pair.interference) > MAX_INTERFERENCE or not (
+            0 <= pair.variance <= MAX_FIGURE
+        ):
+            raise ValueError("a figure of a pair is out of bounds")
+    for fit in durations.values():
+        if max(abs(figure) for figure in astuple(fit)) > MAX_FIGURE or not (
+            fit.tasks == 0 or fit.tasks >= MIN_FIT_TASKS
+        ):
+            raise ValueError("a figure of a queue is out of bounds")
--- a/pistachiodeal/leader/speed_row.py
+++ b/pistachiodeal/leader/speed_row.py
@@ -9,6 +9,7 @@
 import orjson
 
 from pistachiodeal.exceptions import ProtocolError
+from pistachiodeal.malformed import MALFORMED, describe
 
 FIELD = "speeds"
 MAX_WORKERS = 1_000
@@ -39,8 +40,8 @@
         document = orjson.loads(value)
         items = document.get(FIELD, {})
         speeds = {place: _check_speed(speed) for place, speed in items.items()}
-    except (ValueError, AttributeError) as error:
-        raise ProtocolError(repr(error), step="speeds.decode") from error
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="speeds.decode") from error
     return dict(list(speeds.items())[:MAX_WORKERS])
 
 
--- a/pistachiodeal/platform/advice.py
+++ b/pistachiodeal/platform/advice.py
@@ -9,6 +9,7 @@
 from pistachiodeal.exceptions import AdviceError
 from pistachiodeal.jobs.advice import Advice
 from pistachiodeal.jobs.incarnations import get_runner
+from pistachiodeal.malformed import MALFORMED, describe
 from pistachiodeal.web.client import CallError, WebClient, create_client
 
 OK = 200
@@ -17,6 +18,8 @@
 # second on known deployments. Calls of one VM are processed one after another.
 CALL_TIMEOUT_S = 5.0
 CONNECTIONS = 2
+# Each start of a task carries the ticket.
+MAX_TICKET_LENGTH = 1_000
 
 
 class PlatformAdviser:
@@ -44,8 +47,10 @@
             raise AdviceError(detail, step="advice.ask", peer=peer)
         try:
             return _decode(orjson.loads(response.body), workers_by_runner)
-        except (ValueError, KeyError, TypeError) as error:
-            raise AdviceError(repr(error), step="advice.decode", peer=peer) from None
+        except MALFORMED as error:
+            raise AdviceError(
+                describe(error), step="advice.decode", peer=peer
+            ) from None
 
 
 def create_adviser(address: str) -> PlatformAdviser:
@@ -59,4 +64,6 @@
         for runner, ticket in document["approved"]
         if runner in workers_by_runner
     }
+    if any(len(ticket) > MAX_TICKET_LENGTH for ticket in tickets.values()):
+        raise ValueError("a ticket is too long")
     return Advice(tickets, float(document["valid_ms"]) / 1000)
--- a/pistachiodeal/platform/callers.py
+++ b/pistachiodeal/platform/callers.py
@@ -11,6 +11,7 @@
 from pistachiodeal.exceptions import RequestError
 from pistachiodeal.jobs.checks import check_job
 from pistachiodeal.jobs.model import Job, JobState, Queue, Step
+from pistachiodeal.malformed import MALFORMED, describe
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.web.messages import WebRequest, WebResponse, build_json
 
@@ -58,8 +59,8 @@
             float(document.get("interval_ms", 0)) / 1000,
         )
         check_job(job)
-    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
-        raise _refuse(repr(error)) from None
+    except MALFORMED as error:
+        raise _refuse(describe(error)) from None
     return job
 
 
--- a/pistachiodeal/platform/configuration.py
+++ b/pistachiodeal/platform/configuration.py
@@ -8,8 +8,9 @@
 import orjson
 
 from pistachiodeal.exceptions import ProtocolError
-from pistachiodeal.jobs.checks import check_fields
+from pistachiodeal.jobs.checks import MAX_NUMBER, check_fields
 from pistachiodeal.jobs.model import Queue
+from pistachiodeal.malformed import MALFORMED, describe
 
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
@@ -52,9 +53,11 @@
     try:
         document = orjson.loads(value)
         version = int(document["version"])
+        if not 0 <= version <= MAX_NUMBER:
+            raise ValueError("the version is out of bounds")
         decoded = [_decode_queue(route) for route in document["routes"]]
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise ProtocolError(repr(error), step="configuration.decode") from None
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="configuration.decode") from None
     queues = tuple(queue for queue in decoded if isinstance(queue, Queue))
     unreadable = tuple(queue for queue in decoded if isinstance(queue, UnreadableQueue))
     if unreadable and not queues:
@@ -67,9 +70,9 @@
         queue = _build_queue(route)
         check_fields(queue)
         return queue
-    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
+    except MALFORMED as error:
         name = route.get("name") if isinstance(route, dict) else ""
-        return UnreadableQueue(name if isinstance(name, str) else "", repr(error))
+        return UnreadableQueue(name if isinstance(name, str) else "", describe(error))
 
 
 def _build_queue(route: dict[str, Any]) -> Queue:
--- a/pistachiodeal/platform/rows.py
+++ b/pistachiodeal/platform/rows.py
@@ -17,6 +17,7 @@
     StoreUnavailableError,
     StoreUncertainError,
 )
+from pistachiodeal.malformed import MALFORMED, describe
 from pistachiodeal.store.adaptive_timeout import AdaptiveTimeout
 from pistachiodeal.store.row_store import (
     FindPartition,
@@ -245,9 +246,9 @@
     ) -> Decoded:
         try:
             return decode(orjson.loads(response.body))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except MALFORMED as error:
             raise StoreUncertainError(
-                repr(error), step=step, peer=self._client.address
+                describe(error), step=step, peer=self._client.address
             ) from None
 
 
--- a/pistachiodeal/platform/runner.py
+++ b/pistachiodeal/platform/runner.py
@@ -10,8 +10,9 @@
 from logbook import Logger
 
 from pistachiodeal.exceptions import Outcome, ProtocolError
-from pistachiodeal.jobs.checks import check_fields
+from pistachiodeal.jobs.checks import MAX_ACCELERATORS, MAX_NUMBER, check_fields
 from pistachiodeal.jobs.incarnations import build_incarnation, get_runner
+from pistachiodeal.jobs.progress import MAX_COUNT
 from pistachiodeal.jobs.runtime import (
     CallResult,
     Goodbye,
@@ -19,6 +20,7 @@
     StartCall,
     WorkerHeartbeat,
 )
+from pistachiodeal.malformed import MALFORMED, describe, shorten
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.web.client import (
     CallError,
@@ -53,6 +55,11 @@
 # its answer was lost or the connection is dead.
 CALL_TIMEOUT_S = 0.6
 CONNECTIONS = 16
+# Bounds of what reports to the leader and its rows carry.
+MAX_LABELS = 64
+MAX_NAME_LENGTH = 1_000
+MAX_CHECKPOINT_LENGTH = 1_000
+MAX_PERCENT = 100
 
 
 class PlatformRunner:
@@ -224,14 +231,10 @@
             raise ValueError("unknown state, or missing sender")
         if any(type(label) is not str for label in labels):
             raise ValueError("a label is not a string")
-        if (
-            min(heartbeat.leaving_ms, heartbeat.sequence, *astuple(heartbeat.capacity))
-            < 0
-        ):
-            raise ValueError("a number is negative")
+        _check_size(heartbeat)
         return heartbeat
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise ProtocolError(repr(error), step="heartbeat.decode") from None
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="heartbeat.decode") from None
 
 
 def decode_goodbye(path: str, body: bytes) -> Goodbye:
@@ -245,8 +248,8 @@
         if not runner or not isinstance(document, dict):
             raise ValueError("missing sender, or not an object")
         return Goodbye(runner, _read_incarnation(runner, document))
-    except ValueError as error:
-        raise ProtocolError(repr(error), step="goodbye.decode") from None
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="goodbye.decode") from None
 
 
 def decode_listing(worker: str, answer: dict[str, Any]) -> Listing:
@@ -262,12 +265,14 @@
             CallResult.DONE,
             answer["clock_ms"],
             tuple(_decode_running(row) for row in answer.get("running", ())),
-            tuple(EndedTask(*row[:5]) for row in answer.get("ended_at", ())),
+            tuple(_decode_ended(row) for row in answer.get("ended_at", ())),
         )
         check_fields(listing)
+        if not 0 <= listing.clock_ms <= MAX_NUMBER:
+            raise ValueError("the clock is out of bounds")
         return listing
-    except (ValueError, KeyError, TypeError, IndexError) as error:
-        return Listing(CallResult.UNREADABLE, detail=repr(error))
+    except MALFORMED as error:
+        return Listing(CallResult.UNREADABLE, detail=describe(error))
 
 
 def _read_introduction(worker: str, response: WebResponse) -> str:
@@ -279,8 +284,8 @@
         return ""
     try:
         return _read_responder(worker, _parse(response.body))
-    except ValueError as error:
-        raise ProtocolError(str(error), step="runner.introduce") from None
+    except MALFORMED as error:
+        raise ProtocolError(describe(error), step="runner.introduce") from None
 
 
 def _read_responder(worker: str, answer: dict[str, Any]) -> str:
@@ -309,14 +314,70 @@
     born = document[START_TIME_FIELD]
     if type(born) is not int or born < 0:
         raise ValueError(
-            f"{START_TIME_FIELD} is {born!r}, and no whole number of milliseconds"
+            f"{START_TIME_FIELD} is {shorten(repr(born))}, and no whole number of "
+            "milliseconds"
         )
     return build_incarnation(runner, born)
 
 
+def _check_size(heartbeat: WorkerHeartbeat) -> None:
+    """Check that reports can carry what a heartbeat says.
+
+    :raises ValueError: a number is out of bounds, or a text is too long.
+    """
+    capacity = heartbeat.capacity
+    numbers = (heartbeat.leaving_ms, heartbeat.sequence, *astuple(capacity))
+    if not 0 <= min(numbers) <= max(numbers) <= MAX_NUMBER:
+        raise ValueError("a number is out of bounds")
+    if capacity.accelerators > MAX_ACCELERATORS or len(heartbeat.labels) > MAX_LABELS:
+        raise ValueError("too many accelerators or labels")
+    names = (heartbeat.worker, heartbeat.service, *heartbeat.labels)
+    if max(len(name) for name in names) > MAX_NAME_LENGTH:
+        raise ValueError("a name is too long")
+
+
 def _decode_running(row: list[Any]) -> RunningTask:
-    figure = int(row[4]) if len(row) > 4 and row[4] is not None else 0
-    return RunningTask(row[0], row[1], row[2], int(row[3]), figure)
+    task, run, checkpoint, percent = row[:4]
+    _check_run(task, run)
+    figure = row[4] if len(row) > 4 else 0
+    return RunningTask(
+        task,
+        run,
+        _read_checkpoint(checkpoint),
+        _read_figure(percent, MAX_PERCENT),
+        _read_figure(figure, MAX_COUNT),
+    )
+
+
+def _decode_ended(row: list[Any]) -> EndedTask:
+    number, task, run, how, checkpoint = row[:5]
+    _check_run(task, run)
+    if type(number) is not int or not 0 < number <= MAX_NUMBER:
+        raise ValueError("the number of an end is out of bounds")
+    kind = how if type(how) is str and len(how) <= MAX_NAME_LENGTH else ""
+    return EndedTask(number, task, run, kind, _read_checkpoint(checkpoint))
+
+
+def _check_run(task: Any, run: Any) -> None:
+    """Check what identifies a run; nothing may be concluded from a list without it.
+
+    :raises ValueError: it is no valid name and number.
+    """
+    if type(task) is not str or len(task) > MAX_NAME_LENGTH:
+        raise ValueError("a run has no valid task")
+    if type(run) is not int or not 0 <= run <= MAX_COUNT:
+        raise ValueError("a run has no valid number")
+
+
+def _read_checkpoint(value: Any) -> str:
+    """Return a checkpoint; without a usable one a task starts from the beginning."""
+    usable = type(value) is str and len(value) <= MAX_CHECKPOINT_LENGTH
+    return value if usable else ""
+
+
+def _read_figure(value: Any, limit: int) -> int:
+    """Return a figure within bounds, 0 for one that is no number."""
+    return int(max(0, min(value, limit))) if type(value) in (int, float) else 0
 
 
 def _map_failure(error: CallError) -> CallResult:
--- a/pistachiodeal/scheduling/durations.py
+++ b/pistachiodeal/scheduling/durations.py
@@ -106,4 +106,6 @@
         fit = self._fits.get(queue)
         if fit is None or declared_s <= 0:
             return declared_s
-        return declared_s * exp(fit.estimate(log(max(declared_s, MIN_DURATION_S))))
+        error = fit.estimate(log(max(declared_s, MIN_DURATION_S)))
+        limit = log(MAX_FACTOR)
+        return declared_s * exp(min(max(error, -limit), limit))
--- a/pistachiodeal/wire/codec.py
+++ b/pistachiodeal/wire/codec.py
@@ -148,7 +148,7 @@
     frame = _SCHEMA.Frame.new_message()
     try:
         _get_converter(cls).write(frame.init(_TAGS[cls]), message)
-    except (capnp.KjException, OverflowError, TypeError) as error:
+    except (capnp.KjException, OverflowError, TypeError, ValueError) as error:
         name = cls.__name__
         raise ProtocolError(
             f"{name} cannot be encoded: {type(error).__name__}", step="wire.encode"
