An end whose handling fails is handled again, and no measurement fails it

Cause: the leader notes the number of an end before it applies the end.

Change: a window that was dropped needs no closing. An error in the statistics of an end no longer keeps the end from being applied. An end whose handling fails otherwise is looked at again in the next report, and costs no other end. EventLog.confine logs such an error as an event with its cause and the line that raised it, and counts it; typed errors pass, as they have handlers.

Why it works: the end is applied before another look at its number can be skipped, and what it is applied by depends on no measurement.

--- a/pistachiodeal/events.py
+++ b/pistachiodeal/events.py
@@ -14,10 +14,15 @@
 import sys
 import time
 from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
 from typing import Any
 
 import orjson
 
+from pistachiodeal.exceptions import PistachiodealError
+from pistachiodeal.malformed import describe
 from pistachiodeal.stats import Stats
 
 # About four thousand lines, as many as a leader of 160 workers writes in the second in
@@ -72,6 +77,24 @@
             line = orjson.dumps({name: str(value) for name, value in document.items()})
         self._write(line + b"\n")
 
+    @contextmanager
+    def confine(self, event: str, **fields: Any) -> Iterator[None]:
+        """Confine an unforeseen error to the handling of one entry, message or peer.
+
+        It is logged and counted as an event with its cause and where it was raised.
+        Typed errors have handlers of their own, and pass.
+
+        :param event: name of the event.
+        :param fields: what was handled.
+        """
+        try:
+            yield
+        except PistachiodealError:
+            raise
+        except Exception as error:
+            origin = _find_origin(error)
+            self.emit(event, cause=describe(error), origin=origin, **fields)
+
     def _measure(self, event: str, fields: dict[str, Any]) -> None:
         name = event.replace(".", "_")
         self._stats.count(name)
@@ -123,3 +146,13 @@
     descriptor = sys.stdout.fileno()
     os.set_blocking(descriptor, False)
     return EventLog(descriptor, process)
+
+
+def _find_origin(error: Exception) -> str:
+    """Return file and line where an error was raised."""
+    trace = error.__traceback__
+    if trace is None:
+        return ""
+    while trace.tb_next is not None:
+        trace = trace.tb_next
+    return f"{Path(trace.tb_frame.f_code.co_filename).name}:{trace.tb_lineno}"
--- a/pistachiodeal/leader/run_ends.py
+++ b/pistachiodeal/leader/run_ends.py
@@ -50,11 +50,13 @@
             if end.number in worker.ends_applied:
                 continue
             worker.ends_applied.add(end.number)
-            task = self._registry.find_task(end.task)
-            if task is None or task.run != end.run or task.place != worker.place:
-                self._apply_other_end(worker, task, end)
+            with self._events.confine(
+                "end.failed", task=end.task, run=end.run, place=worker.place
+            ):
+                self._apply_one(worker, end)
                 continue
-            self._apply_end(worker, task, end)
+            # Looked at again in the next report.
+            worker.ends_applied.discard(end.number)
         worker.advance_ends_noted(report.ends)
 
     def apply_lost(self, worker: WorkerState, loss: WorkerLoss) -> None:
@@ -75,10 +77,29 @@
             elif kind is EndKind.DONE and self._may_complete(task):
                 self._complete_task(place, task, end)
 
+    def _apply_one(self, worker: WorkerState, end: EndedTask) -> None:
+        task = self._registry.find_task(end.task)
+        if task is None or task.run != end.run or task.place != worker.place:
+            self._apply_other_end(worker, task, end)
+        else:
+            self._apply_end(worker, task, end)
+
     def _apply_end(self, worker: WorkerState, task: Task, end: EndedTask) -> None:
         kind = parse_end_kind(end.how)
         now = read_boot_clock()
         self._emit_end(task, end, now)
+        # An end counts whatever becomes of the statistics.
+        with self._events.confine("statistics.failed", task=end.task, run=end.run):
+            self._observe_end(worker, task, kind, now)
+        if kind is EndKind.FAILED and not task.step.lasts:
+            task.avoid |= {worker.node}
+        acknowledge = _build_acknowledgement(worker, end)
+        for other in self._registry.end_run(task, kind, end.checkpoint, acknowledge):
+            self._stop(other, "the job has failed")
+
+    def _observe_end(
+        self, worker: WorkerState, task: Task, kind: EndKind, now: float
+    ) -> None:
         if self._filling is not None:
             self._filling.record_end(task, done=kind is EndKind.DONE, now=now)
         if kind is EndKind.DONE:
@@ -89,15 +110,10 @@
                 if self._speeds is not None:
                     self._speeds.observe_done(worker, task, now)
                 self._registry.estimator.observe_duration(record, task, task.work_s)
-        elif kind is EndKind.FAILED and not task.step.lasts:
-            # Only a task's first failure counts against its worker, since a task that
-            # fails everywhere says nothing about the worker.
-            if not task.failures:
-                worker.health.record_failure(now)
-            task.avoid |= {worker.node}
-        acknowledge = _build_acknowledgement(worker, end)
-        for other in self._registry.end_run(task, kind, end.checkpoint, acknowledge):
-            self._stop(other, "the job has failed")
+        # Only a task's first failure counts against its worker, since a task that fails
+        # everywhere says nothing about the worker.
+        elif kind is EndKind.FAILED and not task.step.lasts and not task.failures:
+            worker.health.record_failure(now)
 
     def _emit_end(self, task: Task, end: EndedTask, now: float) -> None:
         self._events.emit(
--- a/pistachiodeal/leader/speed_monitor.py
+++ b/pistachiodeal/leader/speed_monitor.py
@@ -227,7 +227,8 @@
         return self._remote_factor if away else 1.0
 
     def _settle(self, place: str, track: _Track, name: str, now: float) -> None:
-        key = track.windows.pop(name).key
+        window = track.windows.pop(name, None)
+        key = window.key if window is not None else None
         if key is None or any(other.key == key for other in track.windows.values()):
             return
         self._model.settle(place, key, now)
