An unforeseen error costs one entry, message or peer, and no loop

Operators of a system like ours saw: machines that read one odd entry ended again and again, or stopped following the list. It can happen here: an error that no decoder foresees ended the loop that met it. The supervisor restarted the loop, which met the same row again, and ended the process after twenty times.

Cause: rows of a page were applied in one go, and links, listings and learned rows were handled without a border between what they bring and the loop that follows them.

Change: such an error is confined to one row of the feed, of a load, of the configuration or of the learned figures, to one listing, or to one link (EventLog.confine: row.failed, listing.failed, leader.failed, link.failed, counted and with the line that raised it). The feed reads a row that failed again, three times at most; a peer that fails is dialled again after the others.

Why it works: what follows goes on behind the border, and what failed is tried again later without holding up the rest.

--- a/pistachiodeal/jobagent/leader_link.py
+++ b/pistachiodeal/jobagent/leader_link.py
@@ -110,6 +110,11 @@
 
     async def _attach(self, address: str) -> bool:
         """Try one address; return whether it leads, or the leader is known by now."""
+        with self._events.confine("leader.failed", peer=address):
+            return await self._attach_to(address)
+        return False
+
+    async def _attach_to(self, address: str) -> bool:
         try:
             async with dial_peer(self._peers, address) as link:
                 notice = await link.receive()
--- a/pistachiodeal/jobagent/renewal.py
+++ b/pistachiodeal/jobagent/renewal.py
@@ -108,8 +108,10 @@
             # A later call of this agent, under a higher token, has overtaken this one.
             return False
         if listing.result is CallResult.DONE:
-            await self._apply_listing(listing, now)
-            return True
+            with self._events.confine("listing.failed", worker=worker):
+                await self._apply_listing(listing, now)
+                return True
+            return False
         if listing.result is CallResult.UNREADABLE:
             self._events.emit("listing.unreadable", worker=worker, cause=listing.detail)
         await self._process_failure(listing.result)
--- a/pistachiodeal/jobentry/configuration.py
+++ b/pistachiodeal/jobentry/configuration.py
@@ -236,7 +236,10 @@
         for row in rows:
             self._known_version = max(self._known_version, row.version)
             if row.key == CONFIG_KEY and not row.removed:
-                self._copy.apply(row.value, STORE)
+                with self._events.confine(
+                    "row.failed", table=CONFIG_TABLE, key=row.key
+                ):
+                    self._copy.apply(row.value, STORE)
 
     def _report_failure(self, call: str, error: StoreError) -> None:
         self._events.emit(
--- a/pistachiodeal/jobentry/peer_server.py
+++ b/pistachiodeal/jobentry/peer_server.py
@@ -170,10 +170,12 @@
             async with accept_link(
                 sock, self._peers.identity, self._peers.secret, self._peers.timings
             ) as link:
-                if link.peer.role == AGENT_ROLE:
-                    await self._serve_agent(link)
-                else:
-                    await self._serve_entry(link)
+                # Ends this link; its peer dials again.
+                with self._events.confine("link.failed", peer=link.peer.node):
+                    if link.peer.role == AGENT_ROLE:
+                        await self._serve_agent(link)
+                    else:
+                        await self._serve_entry(link)
         except (PistachiodealError, OSError) as error:
             log.debug("seat: a link ended: {}", error)
 
--- a/pistachiodeal/leader/election.py
+++ b/pistachiodeal/leader/election.py
@@ -201,6 +201,11 @@
 
         :return: whether the leader's address refuses connections.
         """
+        with self._events.confine("leader.failed", peer=row.address):
+            return await self._follow_link(row)
+        return False
+
+    async def _follow_link(self, row: LeaderRow) -> bool:
         refused = False
         try:
             async with dial_peer(self._peers, row.address) as link:
--- a/pistachiodeal/leader/feed.py
+++ b/pistachiodeal/leader/feed.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 
 import curio
@@ -39,6 +40,9 @@
 # Cancellations that are kept for jobs that aren't known yet; the oldest are dropped,
 # since most are of jobs that were removed.
 MAX_EARLY_CANCELLATIONS = 10_000
+# Rows whose handling has failed, and how often each is read again.
+MAX_FAILED_ROWS = 1_000
+FAILED_ROW_RETRIES = 3
 
 
 class JobFeed:
@@ -69,6 +73,7 @@
         self._feed_version = 0
         self._announced: dict[str, float] = {}
         self._cancelled_early: dict[str, None] = {}
+        self._failed: Counter[str] = Counter()
         self._history_lost = curio.Event()
 
     def start_after(self, version: int) -> None:
@@ -169,30 +174,44 @@
             self._apply_rows(scan.tables[JOBS_TABLE].rows)
             await self._on_changed()
 
+    def retry(self, key: str) -> None:
+        """Read a row again later whose handling has failed; a few times at most."""
+        if len(self._failed) >= MAX_FAILED_ROWS and key not in self._failed:
+            return
+        self._failed[key] += 1
+        if self._failed[key] <= FAILED_ROW_RETRIES:
+            self._announced.setdefault(key, read_boot_clock())
+
     def _apply_rows(self, rows: Sequence[StoredRow]) -> None:
         for row in rows:
-            if row.removed:
-                self._tombstones.forget(row.key)
+            with self._events.confine("row.failed", table=JOBS_TABLE, key=row.key):
+                self._apply_row(row)
                 continue
-            if is_ended(row.value):
-                continue
-            if is_tombstone(row.value):
+            self.retry(row.key)
+
+    def _apply_row(self, row: StoredRow) -> None:
+        if row.removed:
+            self._tombstones.forget(row.key)
+            return
+        if is_ended(row.value):
+            return
+        if is_tombstone(row.value):
+            self._tombstones.observe(row)
+            return
+        job_id, cancels = split_key(row.key)
+        if cancels:
+            self._cancel_job(job_id)
+            if job_id not in self._registry.records:
                 self._tombstones.observe(row)
-                continue
-            job_id, cancels = split_key(row.key)
-            if cancels:
-                self._cancel_job(job_id)
-                if job_id not in self._registry.records:
-                    self._tombstones.observe(row)
-                continue
-            try:
-                job = decode_job(row.key, row.value)
-                self._registry.add(job, time.time(), row.version)
-                self._apply_early_cancellation(job_id)
-            except ProtocolError as error:
-                self._events.emit(
-                    "row.unreadable", table=JOBS_TABLE, key=row.key, cause=str(error)
-                )
+            return
+        try:
+            job = decode_job(row.key, row.value)
+            self._registry.add(job, time.time(), row.version)
+            self._apply_early_cancellation(job_id)
+        except ProtocolError as error:
+            self._events.emit(
+                "row.unreadable", table=JOBS_TABLE, key=row.key, cause=str(error)
+            )
 
     def _apply_early_cancellation(self, job_id: str) -> None:
         if job_id in self._cancelled_early and job_id in self._registry.records:
--- a/pistachiodeal/leader/learned_state.py
+++ b/pistachiodeal/leader/learned_state.py
@@ -30,7 +30,7 @@
 from pistachiodeal.scheduling.durations import DurationFit, DurationModel
 from pistachiodeal.scheduling.interference import InterferenceModel, PairEstimate
 from pistachiodeal.scheduling.load_forecast import PeriodEstimate, SlackForecaster
-from pistachiodeal.store.row_store import RowStore, RowWrite, read_row
+from pistachiodeal.store.row_store import RowStore, RowWrite, StoredRow, read_row
 
 log = Logger("lessons")
 
@@ -129,22 +129,26 @@
             log.debug("lessons: cannot read the learned state yet: {}", error)
             return False
         for row in page.rows:
-            self._adopt_features(row.key, row.value)
-            try:
-                learned = decode_learned_state(row.value)
-            except ProtocolError as error:
-                self._report_unreadable(row.key, error)
-                continue
-            self._model.adopt(learned.pairs)
-            for queue, fit in learned.durations.items():
-                self._durations.adopt(queue, fit)
-            self._events.emit(
-                "lessons.adopted",
-                pairs=len(learned.pairs),
-                queues=len(learned.durations),
-            )
+            with self._events.confine("row.failed", table=CONTROL_TABLE, key=row.key):
+                self._adopt_features(row.key, row.value)
+                self._adopt(row)
         return True
 
+    def _adopt(self, row: StoredRow) -> None:
+        try:
+            learned = decode_learned_state(row.value)
+        except ProtocolError as error:
+            self._report_unreadable(row.key, error)
+            return
+        self._model.adopt(learned.pairs)
+        for queue, fit in learned.durations.items():
+            self._durations.adopt(queue, fit)
+        self._events.emit(
+            "lessons.adopted",
+            pairs=len(learned.pairs),
+            queues=len(learned.durations),
+        )
+
     def _adopt_features(self, key: str, value: bytes) -> None:
         """Adopt what optional features have learned, each by itself."""
         try:
--- a/pistachiodeal/leader/loader.py
+++ b/pistachiodeal/leader/loader.py
@@ -92,10 +92,12 @@
             elif is_tombstone(row.value):
                 self._tombstones.observe(row)
             else:
-                self._restore(row, values.get(job_id))
+                with self._events.confine("row.failed", table=JOBS_TABLE, key=row.key):
+                    self._restore(row, values.get(job_id))
         for row in cancelled:
             job_id, _ = split_key(row.key)
-            self._cancel(job_id)
+            with self._events.confine("row.failed", table=JOBS_TABLE, key=row.key):
+                self._cancel(job_id)
             if job_id not in self._registry.records:
                 self._tombstones.observe(row)
         self._feed.apply_early_cancellations()
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -110,6 +110,11 @@
         """Return the addresses at which callers reach the entries."""
         return [f"{host}:{self._ports['front']}" for host in self._hosts]
 
+    def list_agent_addresses(self) -> list[str]:
+        """Return the addresses at which agents accept heartbeats."""
+        beat = self._ports["beat"]
+        return [f"127.{self._subnet}.1.{1 + n}:{beat}" for n in range(len(self.agents))]
+
     def configure(self) -> None:
         """Publish the next version of the configuration."""
         self._version += 1
