A job whose progress can't be read is not run again from its submission

Callers would see: tasks that were done, or still run, are started once more (TWICE).

Cause: a load that could not read a job's progress left the job out, but the feed, after a loss of the history, reads the submission again, took the job for a new one and placed all its tasks.

Change: the feed passes over the version of a submission whose job a load has found and could not restore. A row of another version is a new submission.

Why it works: only a load knows that there is progress, and it tells the feed.

Found by reading, while errors of a load were confined.

--- a/pistachiodeal/leader/feed.py
+++ b/pistachiodeal/leader/feed.py
@@ -74,6 +74,7 @@
         self._announced: dict[str, float] = {}
         self._cancelled_early: dict[str, None] = {}
         self._failed: Counter[str] = Counter()
+        self._excluded: dict[str, int] = {}
         self._history_lost = curio.Event()
 
     def start_after(self, version: int) -> None:
@@ -92,6 +93,13 @@
             self._cancel_job(job_id)
         self._announced.setdefault(key, read_boot_clock())
 
+    def exclude(self, row: StoredRow) -> None:
+        """Pass over a submission whose job a load could not restore.
+
+        Its tasks may have run, which the submission doesn't tell.
+        """
+        self._excluded[row.key] = row.version
+
     def apply_early_cancellations(self) -> None:
         """Cancel the jobs that were cancelled before this leader knew them."""
         for job_id in list(self._cancelled_early):
@@ -204,6 +212,8 @@
             if job_id not in self._registry.records:
                 self._tombstones.observe(row)
             return
+        if self._excluded.get(row.key) == row.version:
+            return
         try:
             job = decode_job(row.key, row.value)
             self._registry.add(job, time.time(), row.version)
--- a/pistachiodeal/leader/loader.py
+++ b/pistachiodeal/leader/loader.py
@@ -94,6 +94,8 @@
             else:
                 with self._events.confine("row.failed", table=JOBS_TABLE, key=row.key):
                     self._restore(row, values.get(job_id))
+                if job_id not in self._registry.records:
+                    self._feed.exclude(row)
         for row in cancelled:
             job_id, _ = split_key(row.key)
             with self._events.confine("row.failed", table=JOBS_TABLE, key=row.key):
--- a/tests/unit/test_confined_errors.py
+++ b/tests/unit/test_confined_errors.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from unittest import mock
 
 import curio
+import pytest
 
 from pistachiodeal.jobagent import leader_link
 from pistachiodeal.jobagent.executor import Executor
 from pistachiodeal.jobagent.leader_link import LeaderLink
 from pistachiodeal.jobagent.ledger import AgentLedger
 from pistachiodeal.jobagent.signals import AgentSignals
-from pistachiodeal.jobs.rows import JOBS_TABLE, encode_job
+from pistachiodeal.jobs.progress import encode_progress
+from pistachiodeal.jobs.record import build_record
+from pistachiodeal.jobs.rows import JOBS_TABLE, PROGRESS_TABLE, encode_job
 from pistachiodeal.leader.feed import (
     ANNOUNCED_READ_DELAY_S,
     FAILED_ROW_RETRIES,
     JobFeed,
 )
+from pistachiodeal.leader.loader import JobLoader
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.peers import PeerContext
 from pistachiodeal.store.row_store import RowWrite, Transaction
@@ -70,6 +75,44 @@
     run_simulated(main)
 
 
+@pytest.mark.parametrize("unforeseen", [False, True])
+def test_a_job_that_could_not_be_restored_is_not_run_from_its_submission(
+    unforeseen: bool,
+):
+    """Guards against tasks that run twice after their progress could not be read.
+
+    The feed reads the submission again after a loss of the history.
+    """
+
+    async def main(clock) -> None:
+        state, events = RowsState(), create_quiet_log()
+        broken, sound = build_job(1), build_job(2)
+        for job in (broken, sound):
+            write(state, JOBS_TABLE, job.job_id, encode_job(job))
+        value = encode_progress(build_record(broken)) if unforeseen else b"\xff"
+        write(state, PROGRESS_TABLE, broken.job_id, value)
+        registry = JobRegistry(events)
+        feed = JobFeed(MemoryRows(state), registry, events, registry.cancel, ignore)
+        loader = JobLoader(
+            MemoryRows(state), registry, feed, registry.cancel, events, link_mbps=1e3
+        )
+        error = RuntimeError("unforeseen") if unforeseen else None
+        target = "pistachiodeal.leader.loader.apply_progress"
+        if error is not None:
+            with mock.patch(target, side_effect=error):
+                await loader.load()
+        else:
+            await loader.load()
+        rows = [state.rows[JOBS_TABLE, job.job_id] for job in (broken, sound)]
+        feed._apply_rows(rows)
+        assert set(registry.records) == {sound.job_id}
+        # Its id may be used again once its rows are gone.
+        feed._apply_rows([replace(rows[0], version=99)])
+        assert broken.job_id in registry.records
+
+    run_simulated(main)
+
+
 def test_an_agent_survives_an_unforeseen_error_of_a_peer():
     """Guards against an agent that ends since one entry makes it fail."""
     dialled = []
