A batch task that is cancelled while its submission is appended never runs

Callers saw: DELETE of a task whose POST had no answer yet was answered 404 "no task"; the append then took effect, and the task ran.

Cause: the owner of a partition knows a task once its append is durable. A cancel looked only at those, and not at the submissions under way.

Change: a cancel waits for the outcome of a submission under way, and then cancels the task; if the append is withdrawn or unknown, it says so.

Measured: test_a_cancel_before_the_outcome_of_the_submission_is_known_counts was red on (unknown_task), green now.

--- a/pistachiodeal/batch/admission.py
+++ b/pistachiodeal/batch/admission.py
@@ -60,6 +60,10 @@
         :raises RequestError: the task is unknown, or the cancellation failed, with
             the outcome as far as it is known.
         """
+        under_way = self._admitting.get(task_id)
+        if under_way is not None:
+            # Its caller may have given up, but the append may still take effect.
+            await self._wait_until_settled(server, under_way[1], task_id)
         record = find_task(server, task_id)
         if not record.state.final and not record.cancel_asked:
             await self._request_cancel(server, record)
--- a/tests/unit/test_batch_service.py
+++ b/tests/unit/test_batch_service.py
@@ -166,6 +166,29 @@
     curio.run(main)
 
 
+def test_a_cancel_before_the_outcome_of_the_submission_is_known_counts():
+    """Guards against a task that runs although its cancel was answered "no task"."""
+
+    async def main():
+        harness = BatchHarness()
+        entry, session = await harness.open("a")
+        entry.gate.freeze()
+        task_id = build_task_id("hall", "k1", 2)
+        submission = await curio.spawn(entry.service.handle, post("k1"))
+        await settle()
+        cancelling = await curio.spawn(call, entry, "DELETE", task_id)
+        await settle()
+        await entry.gate.thaw()
+        answer = await cancelling.join()
+        assert (answer["status"], answer["state"]) == (200, "cancelled")
+        assert (await submission.join()).status == 201
+        await harness.place(entry, session)
+        assert not session.agent.runs
+        assert (await call(entry, "GET", task_id))["state"] == "cancelled"
+
+    curio.run(main)
+
+
 def test_store_outage_means_not_run_immediately():
     async def main():
         harness = BatchHarness()
