A cancelled job is shown as cancelled before its progress is written

Callers saw: "active" or "queued" for a job whose cancellation had just been answered with 200, for as long as the leader's write took.

Cause: the leader shows states that its progress row has. The cancellation is a row of its own, which is durable before the leader hears of it.

Change: a job that the leader has cancelled is shown so at once. A successor finds the same row, so the state doesn't go back.

Measured: test_a_cancelled_job_is_shown_as_cancelled_before_its_progress_is_written was red on (active), green now. Left: between the answer and the leader's message, a query at another entry may still get the earlier state.

--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -221,7 +221,11 @@
     def find_state(self, job_id: str) -> JobState | None:
         """Return the durable state of a job, None if it is unknown or not loaded."""
         record = self._registry.records.get(job_id) if self._loaded else None
-        return record.durable_state if record is not None else None
+        if record is None:
+            return None
+        # The cancellation itself is durable before the leader hears of it.
+        cancelled = record.state is JobState.CANCELLED
+        return record.state if cancelled else record.durable_state
 
     def handle_notice(self, notice: JobNotice) -> None:
         """Expect the row that a notice names, or note that it doesn't exist."""
--- a/tests/unit/test_job_cluster.py
+++ b/tests/unit/test_job_cluster.py
@@ -105,6 +105,23 @@
     curio.run(main)
 
 
+def test_a_cancelled_job_is_shown_as_cancelled_before_its_progress_is_written():
+    """Guards against "active" from the leader after a cancellation was acknowledged."""
+
+    async def main():
+        async with run_cluster(work_s=5.0) as cluster:
+            job = build_job(1)
+            await cluster.entries[0].submit(job)
+            await wait_for_starts(cluster)
+            leader = await wait_for(cluster.find_leader)
+            leadership = leader.seat.leadership
+            cluster.state.faults.slow_s = 0.5
+            leadership.announce(build_cancel_key(job.job_id))
+            assert leadership.find_state(job.job_id) is JobState.CANCELLED
+
+    curio.run(main)
+
+
 def test_a_dead_leader_is_replaced_and_no_task_runs_twice():
     """Guards against a task that runs in two places, or never again.
 
