A row that can't be read hides no job from the job commands

Operators saw: "job list" and "job queues" failed as a whole, and "job why" with a traceback, since another writer had left one row that can't be read.

Cause: the rows of all jobs were decoded in one go, and the leader's row without a decoder.

Change: such a row is named on standard error and left out; an unreadable leader's row counts as nobody leading, as entries replace it.

--- a/pistachiodeal/commands/job.py
+++ b/pistachiodeal/commands/job.py
@@ -8,6 +8,7 @@
 
 import argparse
 import os
+import sys
 import time
 from dataclasses import asdict, dataclass
 from typing import Any
@@ -39,6 +40,7 @@
 from pistachiodeal.jobs.tables import read_submission, read_tables
 from pistachiodeal.jobs.tombstones import is_tombstone
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
+from pistachiodeal.malformed import MALFORMED, shorten
 from pistachiodeal.platform.closures import ClosedDataCentres, read_closed
 from pistachiodeal.platform.rows import create_rows
 from pistachiodeal.store.row_store import RowStore, StoredRow, read_row
@@ -198,11 +200,16 @@
     jobs, pages = await read_tables(store)
     progress = {row.key: row for row in pages.rows}
     keys = {row.key for row in jobs.rows}
-    return [
-        _build(row, progress.get(row.key), cancelled=build_cancel_key(row.key) in keys)
-        for row in jobs.rows
-        if not split_key(row.key)[1] and not is_tombstone(row.value)
-    ]
+    found = []
+    for row in jobs.rows:
+        if split_key(row.key)[1] or is_tombstone(row.value):
+            continue
+        cancelled = build_cancel_key(row.key) in keys
+        try:
+            found.append(_build(row, progress.get(row.key), cancelled=cancelled))
+        except ProtocolError as error:
+            print(f"left out {shorten(row.key)}: {error}", file=sys.stderr)
+    return found
 
 
 async def _read_closed(store: RowStore, _: argparse.Namespace) -> ClosedDataCentres:
@@ -211,7 +218,11 @@
 
 async def _find_leader(store: RowStore, _: argparse.Namespace) -> str:
     page = await read_row(store, CONTROL_TABLE, LEADER_KEY)
-    return str(orjson.loads(page.rows[0].value)["node"]) if page.rows else ""
+    try:
+        return str(orjson.loads(page.rows[0].value)["node"]) if page.rows else ""
+    except MALFORMED:
+        # Entries replace a row that they can't read.
+        return ""
 
 
 def _build(row: StoredRow, progress: StoredRow | None, *, cancelled: bool) -> FoundJob:
--- a/tests/unit/test_commands_job.py
+++ b/tests/unit/test_commands_job.py
@@ -86,6 +86,19 @@
     assert main(["job", "show", f"{3:016x}", *STORE]) == exit_codes.NOT_FOUND
 
 
+@pytest.mark.parametrize("value", [b"\xff", b"[]", encode_job(build_job(4))])
+def test_a_row_that_cannot_be_read_hides_no_job(state, capsys, value):
+    """Guards against commands that show nothing since another writer left one row."""
+    put(state, "jobs", f"{3:016x}", value)
+    put(state, "progress", SECOND, b"[]")
+    put(state, "control", "leader", b"[]")
+    assert main(["job", "list", *STORE, "--json"]) == exit_codes.OK
+    printed = capsys.readouterr()
+    assert [row["job"] for row in json.loads(printed.out)] == [FIRST]
+    assert f"left out {3:016x}" in printed.err and f"left out {SECOND}" in printed.err
+    assert "nobody leads" in run_json(capsys, "job", "why", FIRST)["why"]
+
+
 def test_closed_data_centres_are_listed(state, capsys):
     assert run_json(capsys, "job", "closed") == []
     close_data_centre(state, "b")
