The soak cancels jobs that got no answer

Change: three of ten callers without an answer cancel the job instead of sending it again. A job whose cancelling was answered 410 may neither start nor be shown, at the end of the run.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -23,6 +23,8 @@
 LOST, REFUSED, GONE = 0, (429, 503), 410
 UNKNOWN = (LOST, 502, 504)
 CANCELLED_SHARE = 0.15
+# Share of the callers without an answer that cancel the job instead of repeating it.
+WITHDRAWN_SHARE = 0.3
 PAUSE_S = 0.15
 
 
@@ -32,12 +34,14 @@
 
     :param accepted_at: when its submission succeeded, 0 before.
     :param refused: whether the answer said that the job never runs.
+    :param withdrawn: whether a cancellation was answered that there is no such job.
     """
 
     job_id: str
     accepted_at: float = 0.0
     refused: bool = False
     cancelled_at: float = 0.0
+    withdrawn: bool = False
     state: str = ""
     state_at: float = 0.0
 
@@ -53,6 +57,8 @@
     violations: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
+        # Of their own, so that the seeds go on to play the same faults.
+        self._draws = random.Random(self.rng.getstate()[1][0])
         self._clients = [
             create_client(address, connections=8) for address in self.addresses
         ]
@@ -70,6 +76,9 @@
         while not job.accepted_at and not job.refused:
             status, _ = await self._call("POST", job.job_id, body)
             unknown |= status in UNKNOWN
+            if status in UNKNOWN and self._draws.random() < WITHDRAWN_SHARE:
+                await self._cancel(job)
+                return
             if status == 200:
                 job.accepted_at = time.monotonic()
             elif status in REFUSED:
@@ -87,7 +96,11 @@
         """Query a job's state; return whether it is final."""
         asked_at = time.monotonic()
         status, body = await self._call("GET", job.job_id, b"")
-        if status == GONE and asked_at - job.accepted_at > VISIBLE_S + MARGIN_S:
+        if (
+            status == GONE
+            and job.accepted_at
+            and asked_at - job.accepted_at > VISIBLE_S + MARGIN_S
+        ):
             self.violations.append(f"lost: {job.job_id} is answered 410")
         if status != 200:
             return False
@@ -105,8 +118,12 @@
                 self.violations.append(f"refused and ran: {job.job_id}")
             if job.accepted_at and job.state not in FINAL:
                 self.violations.append(f"not finished: {job.job_id} is {job.state!r}")
+            if job.withdrawn and job.state:
+                self.violations.append(f"no job, and {job.state}: {job.job_id}")
             if job.state == "failed":
                 self.violations.append(f"failed without a cause: {job.job_id}")
+            if job.withdrawn and starts:
+                self.violations.append(f"no job, and started: {job.job_id}")
             limit = job.cancelled_at + CANCEL_S + MARGIN_S
             if job.cancelled_at and max(starts, default=0.0) > limit:
                 self.violations.append(f"started after its cancellation: {job.job_id}")
@@ -132,7 +149,8 @@
     async def _cancel(self, job: CalledJob) -> None:
         for _ in range(20):
             status, _ = await self._call("DELETE", job.job_id, b"")
-            if status == 200:
+            if status in (200, GONE):
+                job.withdrawn = status == GONE
                 job.cancelled_at = time.monotonic()
                 return
             await curio.sleep(PAUSE_S)
--- a/tests/soak/driver.py
+++ b/tests/soak/driver.py
@@ -67,6 +67,9 @@
         await calling.join()
         await _wait_finished(callers)
         await watching.cancel()
+        for job in callers.jobs.values():
+            if job.withdrawn:
+                await callers.poll_state(job)
         callers.check_end()
     finally:
         deployment.stop()
