Tombstones are removed from a store that is always slow

Cause: like the compaction of ended jobs, the removal of tombstones waited while writes took over 0.25 s. Compaction can wait; a store that is always slow would have filled up.

Change: on a slow store a batch of each partition is removed every 10 s, one transaction after the other.

Measured: test_tombstones_are_removed_from_a_store_that_is_always_slow was red before this commit, green now. Found by reading the change.

--- a/pistachiodeal/leader/tombstone_collector.py
+++ b/pistachiodeal/leader/tombstone_collector.py
@@ -25,6 +25,8 @@
 log = Logger("leader")
 
 INTERVAL_S = 1.0
+# A slow store has little room beside decisions, and may be slow for ever.
+SLOW_INTERVAL_S = 10.0
 # A removal takes up to two conditions and a write; a transaction is limited to 100.
 MAX_BATCH = 30
 
@@ -54,9 +56,8 @@
     async def run(self) -> None:
         """Remove rows without end."""
         while True:
-            await curio.sleep(INTERVAL_S)
-            if self._writer.last_write_s > SLOW_WRITE_S:
-                continue
+            slow = self._writer.last_write_s > SLOW_WRITE_S
+            await curio.sleep(SLOW_INTERVAL_S if slow else INTERVAL_S)
             for batch in self._list_batches(read_boot_clock()):
                 await self._remove(batch)
 
--- a/tests/unit/test_cancelled_submissions.py
+++ b/tests/unit/test_cancelled_submissions.py
@@ -310,7 +310,7 @@
 class Leader:
     """The parts of a leader that read and remove rows of cancellations."""
 
-    def __init__(self, state: RowsState) -> None:
+    def __init__(self, state: RowsState, last_write_s: float = 0.0) -> None:
         store, events = MemoryRows(state), create_quiet_log()
         self.registry = JobRegistry(events)
         cancel = self.registry.cancel
@@ -318,7 +318,7 @@
         self.loader = JobLoader(
             store, self.registry, self.feed, cancel, events, link_mbps=1_000.0
         )
-        writer = SimpleNamespace(last_write_s=0.0)
+        writer = SimpleNamespace(last_write_s=last_write_s)
         self.collector = TombstoneCollector(store, self.registry, writer, events)
 
     async def ignore(self) -> None:
@@ -372,6 +372,18 @@
     play(main)
 
 
+def test_tombstones_are_removed_from_a_store_that_is_always_slow():
+    """Guards against a distant store that fills up, since its writes take long."""
+
+    async def main() -> None:
+        state = RowsState()
+        write(state, JOB_ID, TOMBSTONE_VALUE)
+        await Leader(state, last_write_s=1.0).lead(TOMBSTONE_KEPT_S + 15.0)
+        assert list_keys(state) == set()
+
+    play(main)
+
+
 def test_a_cancellation_of_a_job_that_cannot_be_read_is_kept():
     """Guards against a job that another version runs on after its cancellation."""
 
