Tests: change the store's fault once the insert has reached it, not after 30 ms

Cause: the test lets the store lose the answer to an insert, waits 30 ms and has it refuse writes from then on. The insert was expected to have reached the store by then. If the process stands still for about 30 ms before the stand-in draws the fault, the timer of the test fires first, the first try is refused, and "not run" is right: nothing was sent that could take effect. The product isn't at fault.

The test now waits until the store has applied the insert, and then changes the fault. All assertions are as before; with the same stall it passes.

--- a/tests/unit/test_jobentry_acceptance.py
+++ b/tests/unit/test_jobentry_acceptance.py
@@ -139,7 +139,8 @@
         async with run_acceptance() as (state, callers):
             state.faults.lost = 1.0
             call = await curio.spawn(callers.call, "0001")
-            await curio.sleep(0.03)
+            while not state.transactions:
+                await curio.sleep(0.001)
             state.faults.lost, state.faults.busy = 0.0, True
             await call.join()
             return state.commits, callers.outcomes
