Advice: request tickets for workers without one, as many as a step needs at a time

Cause: a request for tickets named only workers that had been approved before, if any of those could take a task. That serves a step that needs one worker. A gang that needs four and has three valid tickets had the three renewed without end, and the service was never asked about the new runner.

Now a request names workers without a valid ticket only: expired ones first, and others where valid and expired ones are too few for the step. A step that could start with its valid tickets makes no request, so renewing a valid one never helped. Related path: a suspect asked only if no worker had a ticket; it now asks if none with a ticket can take it.

--- a/pistachiodeal/leader/advice.py
+++ b/pistachiodeal/leader/advice.py
@@ -72,14 +72,26 @@
             # The entry stays, so that the next request is for this worker again.
             known.tickets[worker] = (ticket, 0.0)
 
-    def request_tickets(self, key: StepKey, workers: Iterable[str]) -> None:
-        """Queue a request for a ticket on any of some workers, best first."""
+    def request_tickets(
+        self, key: StepKey, workers: Iterable[str], count: int = 1
+    ) -> None:
+        """Queue a request for tickets on some workers, best first.
+
+        :param workers: workers that could take a task of the step now.
+        :param count: number of workers that need a ticket at the same time.
+        """
         known = self._steps.get(key) or _StepAdvice()
-        asked = [worker for worker in workers if worker not in known.refused]
-        # Workers that were approved before will be approved again, so only they are
-        # asked about.
-        again = [worker for worker in asked if worker in known.tickets]
-        self._wanted[key] = tuple((again or asked)[:MAX_WORKERS_PER_CALL])
+        allowed = [worker for worker in workers if worker not in known.refused]
+        # A worker with a valid ticket isn't asked about: if the step could start with
+        # the valid tickets alone, there would be no request.
+        lacking = [worker for worker in allowed if not self.find_ticket(key, worker)]
+        # Workers that were approved before will be approved again, so the others are
+        # asked about only where those are too few.
+        asked = [worker for worker in lacking if worker in known.tickets]
+        valid = len(allowed) - len(lacking)
+        if not asked or valid + len(asked) < count:
+            asked += [worker for worker in lacking if worker not in known.tickets]
+        self._wanted[key] = tuple(asked[:MAX_WORKERS_PER_CALL])
 
     async def run(self) -> None:
         """Make the queued calls, one after the other, without end."""
--- a/pistachiodeal/leader/planner.py
+++ b/pistachiodeal/leader/planner.py
@@ -229,8 +229,10 @@
         )
         allowed = self._list_allowed(request, queue, views)
         suspects = [task for task in waiting if is_suspect(task)]
-        if suspects and not allowed:
-            self._request_advice(request, queue, views)
+        if suspects and queue.advised:
+            model = self._interference
+            if all(find_obstacle(request, view, model) for view in allowed):
+                self._request_advice(request, queue, views)
         self._place_suspects(request, allowed, suspects)
         waiting = [task for task in waiting if not is_suspect(task)]
         full_check = queue.advised or self._failed_placements.needs_full_check(
@@ -293,7 +295,7 @@
         for _ in waiting:
             view = choose_worker(request, trial, self._interference)
             if view is None:
-                self._request_advice(request, queue, views)
+                self._request_advice(request, queue, views, len(waiting))
                 return
             view.reserve(request.key, step.step)
             request = replace(request, racks=request.racks | {view.rack})
@@ -317,15 +319,23 @@
         return [view for view in views if find(key, split_place(view.place)[1])]
 
     def _request_advice(
-        self, request: PlacementRequest, queue: Queue, views: list[WorkerView]
+        self,
+        request: PlacementRequest,
+        queue: Queue,
+        views: list[WorkerView],
+        count: int = 1,
     ) -> None:
+        """Request tickets for a step that found no place.
+
+        :param count: number of workers that need a ticket at the same time.
+        """
         if not queue.advised or self._advice is None:
             return
         model = self._interference
         feasible = [view for view in views if not find_obstacle(request, view, model)]
         feasible.sort(key=lambda view: compute_cost(request, view, model))
         self._advice.request_tickets(
-            request.key, (split_place(view.place)[1] for view in feasible)
+            request.key, (split_place(view.place)[1] for view in feasible), count
         )
 
     def _explain_wait(
--- a/tests/unit/test_leader_advice.py
+++ b/tests/unit/test_leader_advice.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
+from typing import Any
 
 import curio
 import pytest
@@ -13,6 +14,7 @@
 from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.exceptions import AdviceError
 from pistachiodeal.jobs.advice import Advice
+from pistachiodeal.jobs.model import Resources
 from pistachiodeal.leader.advice import MAX_WORKERS_PER_CALL, AdviceCache
 from pistachiodeal.leader.planner import Planner
 from pistachiodeal.leader.reconcile import Reconciler
@@ -50,7 +52,11 @@
     """A leader with one advised job, and workers on nodes n0, n1, ..."""
 
     def __init__(
-        self, adviser: FakeAdviser, workers: int, slow: Sequence[str] = ()
+        self,
+        adviser: FakeAdviser,
+        workers: int,
+        slow: Sequence[str] = (),
+        **fields: Any,
     ) -> None:
         events = create_quiet_log()
         self.registry = JobRegistry(events)
@@ -78,11 +84,20 @@
             events=events,
             advice=self.advice,
         )
-        self.registry.add(build_job(1, count=2, steps=1), 0.0)
-        self.attachments = [Attachment(f"n{n}", n + 1) for n in range(workers)]
-        for number, attachment in enumerate(self.attachments):
-            fleet.get(f"n{number}").attachment = attachment
-            self.report(number)
+        job = build_job(1, count=2, steps=1)
+        steps = (replace(job.steps[0], **fields),)
+        self.registry.add(replace(job, steps=steps), 0.0)
+        self.fleet = fleet
+        self.attachments: list[Attachment] = []
+        for _ in range(workers):
+            self.add_worker()
+
+    def add_worker(self) -> None:
+        """Add a worker, with an agent that is attached to the leader."""
+        number = len(self.attachments)
+        self.attachments.append(Attachment(f"n{number}", number + 1))
+        self.fleet.get(f"n{number}").attachment = self.attachments[number]
+        self.report(number)
 
     def report(self, number: int, outcomes: Iterable[OrderOutcome] = ()) -> None:
         """Apply a report of an agent."""
@@ -163,6 +178,63 @@
     assert harness.list_tickets() == {("n1/w1", "t-w1")}
 
 
+def test_a_suspect_of_an_advised_queue_gets_a_ticket_elsewhere():
+    """Guards against a suspect that waits as long as its one approved worker is full.
+
+    Suspects requested tickets only if no worker had a valid one.
+    """
+    adviser = FakeAdviser({"w0"})
+    harness = AdviceHarness(adviser, 1, size=Resources(16_000, 1_000, 0))
+    curio.run(harness.run, 0.1)
+    assert harness.list_tickets() == {("n0/w0", "t-w0")}
+    adviser.approved.add("w1")
+    for task in harness.registry.records[KEY[0]].iterate_tasks():
+        task.crashes = task.blames = 0 if task.place else 1
+    harness.add_worker()
+    curio.run(harness.run, 0.1)
+    assert harness.list_tickets() == {("n0/w0", "t-w0"), ("n1/w1", "t-w1")}
+
+
+def test_a_gang_starts_once_another_worker_can_be_approved():
+    """Guards against a gang that never starts again after one of its workers crashed.
+
+    The service was asked again about the workers that it had approved, without end, and
+    never about the worker that came later.
+    """
+    adviser = FakeAdviser({"w0", "w1"})
+    harness = AdviceHarness(adviser, 1, gang=True, spread=1)
+    curio.run(harness.run, 0.1)
+    assert harness.list_tickets() == set()
+    harness.add_worker()
+    curio.run(harness.run, 0.1)
+    assert harness.list_tickets() == {("n0/w0", "t-w0"), ("n1/w1", "t-w1")}
+
+
+def test_a_gang_collects_its_tickets_from_several_calls():
+    """Guards against a gang that waits without end if one call approves too few.
+
+    Each later call was about the approved workers only.
+    """
+    last = MAX_WORKERS_PER_CALL + 9
+    adviser = FakeAdviser({"w0", f"w{last}"})
+    harness = AdviceHarness(adviser, last + 1, gang=True, spread=1)
+    curio.run(harness.run, 0.2)
+    assert len(harness.list_tickets()) == 2
+    named = [worker for _, workers in adviser.calls for worker in workers]
+    assert len(named) == len(set(named))
+
+
+def test_expired_tickets_of_a_gang_are_requested_with_those_that_lack():
+    """Guards against tickets that take turns to expire, so that never all are valid."""
+    adviser = FakeAdviser({"w0", "w1"}, valid_s=0.6)
+    harness = AdviceHarness(adviser, 1, gang=True, spread=1)
+    curio.run(harness.run, 0.3)
+    harness.add_worker()
+    curio.run(harness.run, 0.15)
+    assert set(adviser.calls[-1][1]) == {"w0", "w1"}
+    assert len(harness.list_tickets()) == 2
+
+
 def test_a_busy_service_is_asked_again():
     """Guards against a step that never starts.
 
