Placement: a task that is larger than the unreserved part of a worker may use it whole

Cause: work that isn't urgent leaves 5% of each worker to urgent tasks, in processor time and in memory.

Now a task that exceeds what the reserved share leaves of the whole worker is set against the whole worker. Such a worker costs more than any load, so that a larger one is used first. It works since the decision depends on the worker's size alone: there is no state in which the task fits no worker of its size that is empty. All other tasks leave the reserved share as before.

--- a/pistachiodeal/scheduling/placement.py
+++ b/pistachiodeal/scheduling/placement.py
@@ -30,6 +30,9 @@
 LONG_RUNNING_WAIT_S = 2.0
 # Share of each worker that is reserved for short tasks of urgent queues.
 URGENT_SHARE = 0.05
+# Cost of a worker for a task that needs its reserved share: higher than any load, so
+# that a larger worker is used first.
+RESERVED_SHARE_COST = 1.0
 # Filling tasks share the processor time that other tasks leave over. A filling task
 # waits if that is less than this share of what it and the worker's other filling tasks
 # request.
@@ -151,6 +154,8 @@
         # Prefer the worker where the least work is lost if it crashes.
         return cost + view.load + (SERVING_AT_RISK_COST if view.serving else 0.0)
     cost += SPREAD_COST * view.steps.get(request.key, 0)
+    if not request.urgent and _needs_reserved_share(step, view):
+        cost += RESERVED_SHARE_COST
     if step.fills:
         return _add_filling_cost(cost, request, view, model)
     if step.serves_ms:
@@ -238,15 +243,29 @@
     # Filling tasks reserve no processor time, so they also fit where serving tasks have
     # reserved every core, of which they use half.
     if not step.fills:
-        free_milli = whole.cpu_milli - used.cpu_milli - int(whole.cpu_milli * kept)
-        if step.size.cpu_milli > max(0, free_milli):
+        limit = whole.cpu_milli - int(whole.cpu_milli * kept)
+        # A task that is larger than the limit would never fit, however long it waits.
+        if step.size.cpu_milli > limit:
+            limit = whole.cpu_milli
+        if step.size.cpu_milli > max(0, limit - used.cpu_milli):
             return False
-    free_mib = whole.memory_mib - used.memory_mib - int(whole.memory_mib * kept)
-    if step.size.memory_mib > max(0, free_mib):
+    limit = whole.memory_mib - int(whole.memory_mib * kept)
+    if step.size.memory_mib > limit:
+        limit = whole.memory_mib
+    if step.size.memory_mib > max(0, limit - used.memory_mib):
         return False
     return step.size.accelerators <= max(0, whole.accelerators - used.accelerators)
 
 
+def _needs_reserved_share(step: Step, view: WorkerView) -> bool:
+    """Tell whether a task would take part of the capacity reserved for urgent tasks."""
+    size, whole = step.size, view.capacity
+    if size.memory_mib > whole.memory_mib - int(whole.memory_mib * URGENT_SHARE):
+        return True
+    limit = whole.cpu_milli - int(whole.cpu_milli * URGENT_SHARE)
+    return not step.fills and size.cpu_milli > limit
+
+
 def _add_filling_cost(
     cost: float, request: PlacementRequest, view: WorkerView, model: InterferenceModel
 ) -> float:
--- a/tests/unit/test_scheduling_load.py
+++ b/tests/unit/test_scheduling_load.py
@@ -7,6 +7,8 @@
 import random
 from dataclasses import dataclass, replace
 
+import pytest
+
 from pistachiodeal.jobs.model import Step
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling.durations import DurationModel
@@ -276,6 +278,52 @@
     assert choose(LONG_RUNNING_WAIT_S + 0.1) is not None
 
 
+@pytest.mark.parametrize(
+    "size",
+    [
+        Resources(15_500, 1_000, 0),
+        Resources(16_000, 1_000, 0),
+        Resources(1_000, 62_000, 0),
+        Resources(16_000, 64_000, 0),
+    ],
+)
+@pytest.mark.parametrize("lasts", [False, True])
+def test_a_task_of_almost_a_whole_worker_starts_on_an_idle_one(size, lasts):
+    """Guards against a task that waits for ever beside idle workers.
+
+    It is larger than what the share reserved for urgent tasks leaves of any worker.
+    """
+    step = Step(1, size, 4.0, lasts=lasts)
+    request = PlacementRequest(step, KEY, is_urgent(2, step, 0.0))
+    model = InterferenceModel()
+    idle, busy = build_view("idle"), build_view("busy")
+    # With this, no task of these sizes fits.
+    busy.reserve(("other", 0, 0), Step(1, Resources(600, 2_100, 0), 1.0))
+    chosen = choose_worker(request, [busy, idle], model)
+    assert chosen is idle
+    idle.reserve(KEY, step)
+    assert choose_worker(request, [busy, idle], model) is None
+
+
+def test_a_task_of_almost_a_whole_worker_prefers_a_larger_one():
+    """Guards against urgent tasks that find no reserved share without need."""
+    step = Step(1, Resources(15_500, 1_000, 0), 4.0)
+    large = build_view("large", Resources(24_000, 96_000, 0))
+    large.reserve(("other", 0, 0), Step(1, Resources(6_000, 1_000, 0), 1.0))
+    views = [build_view("usual"), large, build_view("usual-2")]
+    model = InterferenceModel()
+    assert place(step, views, model) == "large"
+    assert place(step, views, model) == "usual"
+
+
+def test_other_tasks_leave_the_reserved_share_to_urgent_ones():
+    """Guards against large tasks that take the share which they don't need."""
+    model = InterferenceModel()
+    view = build_view("n")
+    step = Step(1, Resources(7_800, 31_000, 0), 4.0)
+    assert [place(step, [view], model) for _ in range(2)] == ["n", None]
+
+
 def test_a_worker_that_fails_every_task_gets_one_task_at_a_time():
     """Guards against a failing worker that uses up the attempts of many jobs.
 
