Worker health: a probe that has run for a second doesn't keep the next one waiting

Cause: a worker that failed two tasks gets one task at a time until one succeeds, and a task of 70 s was that one. Nothing bounds how long a probe takes.

A probe now keeps the next one waiting only until it has run for 1 s. A worker that fails everything at once still gets one task at a time, and none for 1 to 4 s after a failure; one that fails later gets one a second at most until one succeeds. The test of WorkerHealth calls the argument "starting" now, since it no longer counts all tasks at work; what it asserts is the same.

--- a/pistachiodeal/leader/fleet_views.py
+++ b/pistachiodeal/leader/fleet_views.py
@@ -6,7 +6,7 @@
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.leader.workers import Fleet, WorkerState
 from pistachiodeal.scheduling.crash_attribution import STARTUP_S, is_suspect
-from pistachiodeal.scheduling.health import MAX_SUSPECT_SHARE
+from pistachiodeal.scheduling.health import MAX_SUSPECT_SHARE, PROBE_S
 from pistachiodeal.scheduling.views import WorkerView
 
 ViewsByService = dict[str, list[WorkerView]]
@@ -72,7 +72,8 @@
     ) -> tuple[ViewVersion, WorkerView]:
         version = self._build_version(worker)
         known = self._views.get(worker.node)
-        # A worker's suspicion ends by time alone, without a change of generation.
+        # A worker's suspicion ends by time alone, without a change of generation, and
+        # so does the time for which a probe keeps the next one waiting.
         time_dependent = worker.health.suspect or worker.health.suspect_until > 0
         if known is None or known[0] != version or time_dependent or known[1].probation:
             return version, _build(self._registry, worker, now, self._round)
@@ -107,16 +108,21 @@
         orphan = registry.find_task(text)
         if orphan is not None:
             _reserve_room(view, orphan)
-    at_work = sum(1 for task in runs if not task.step.lasts)
-    view.excluded = worker.health.is_excluded(now, at_work=at_work)
+    passing = [task for task in runs if not task.step.lasts]
+    starting = sum(1 for task in passing if _is_starting(task, now))
+    view.excluded = worker.health.is_excluded(now, starting=starting)
     view.probing = worker.health.suspect or worker.on_probation
-    view.excluded |= worker.on_probation and at_work > 0
+    view.excluded |= worker.on_probation and bool(passing)
     view.speed = worker.speed
     view.probation = any(_is_on_probation(task) for task in runs)
     view.unlisted = sum(1 for task in runs if not task.running)
     return view
 
 
+def _is_starting(task: Task, now: float) -> bool:
+    return not task.running or now - task.began_at < PROBE_S
+
+
 def _is_on_probation(task: Task) -> bool:
     if not is_suspect(task):
         return False
--- a/pistachiodeal/scheduling/health.py
+++ b/pistachiodeal/scheduling/health.py
@@ -3,7 +3,9 @@
 A worker that fails every task finishes tasks fastest, so on a full deployment it is the
 only one with free capacity, and it uses up the attempts of every job: one of 73 workers
 failed 171 runs, and 26 jobs with them, in six seconds. A suspect worker therefore gets
-no tasks for a while, and then one task at a time until one succeeds.
+no tasks for a while, and then one task at a time until one succeeds. Tasks that only
+that worker can run don't wait for the end of a long one: the next probe starts a moment
+after the one before.
 """
 
 from __future__ import annotations
@@ -18,6 +20,8 @@
 MIN_SUSPECT_S = 1.0
 # A worker often recovers within seconds.
 MAX_SUSPECT_S = 4.0
+# A probe that has run for this long doesn't keep the next one waiting.
+PROBE_S = 1.0
 # If more than this share of the workers is suspect, the jobs are at fault.
 MAX_SUSPECT_SHARE = 1 / 3
 
@@ -57,9 +61,10 @@
         """Record a task that made no progress."""
         self.suspect_until = now + MAX_SUSPECT_S
 
-    def is_excluded(self, now: float, *, at_work: int) -> bool:
+    def is_excluded(self, now: float, *, starting: int) -> bool:
         """Tell whether the worker must not get a task now.
 
-        :param at_work: tasks on it, not counting long-running ones.
+        :param starting: tasks on it that began less than ``PROBE_S`` ago or have not
+            begun yet, not counting long-running ones.
         """
-        return now < self.suspect_until or (self.suspect and at_work > 0)
+        return now < self.suspect_until or (self.suspect and starting > 0)
--- a/tests/unit/test_leader_planner.py
+++ b/tests/unit/test_leader_planner.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.config.deployment import (
     NO_FEATURES,
     FeatureSettings,
@@ -21,6 +22,7 @@
 from pistachiodeal.leader.workers import Attachment, Fleet
 from pistachiodeal.model.resources import Resources
 from pistachiodeal.scheduling import placement
+from pistachiodeal.scheduling.health import FAILURES_TO_SUSPECT, PROBE_S
 from pistachiodeal.scheduling.interference import InterferenceModel
 from tests.standins.job_cluster import create_quiet_log
 
@@ -67,9 +69,9 @@
             features=features,
         )
 
-    def add(self, number: int, count: int, cpu_milli: int) -> Job:
+    def add(self, number: int, count: int, cpu_milli: int, label: str = "") -> Job:
         """Add a job of one step."""
-        step = Step(count, Resources(cpu_milli, 1_000, 0), 2.0)
+        step = Step(count, Resources(cpu_milli, 1_000, 0), 2.0, label=label)
         job = Job(f"{number:016x}", QUEUE, "text", (step,), time.time())
         self.registry.add(job, time.time())
         return job
@@ -171,3 +173,27 @@
     assert all(cluster.count_placed(job) == 4 for job in jobs)
     # The median, because a busy machine slows down only some of the rounds.
     assert sorted(rounds)[len(rounds) // 2] < 3 * SLICE_S
+
+
+@pytest.mark.parametrize(("age", "expected"), [(0.5, [1, 1, 1]), (1.5, [1, 2, 3])])
+def test_tasks_do_not_wait_for_the_end_of_a_long_task_on_a_suspect_worker(
+    age, expected
+):
+    """Guards against tasks that wait as long as another one takes on their only worker.
+
+    The worker has failed two tasks, and got one task at a time until one ended well.
+    """
+    cluster = Cluster(4)
+    worker = cluster.fleet.get("n0")
+    worker.labels = ("only", "r0")
+    worker.health.failures = FAILURES_TO_SUSPECT
+    jobs = [cluster.add(number, 1, 500, "only") for number in range(1, 4)]
+    began = []
+    for _ in range(3):
+        cluster.planner.plan()
+        cluster.planner.plan()
+        began.append(sum(cluster.count_placed(job) for job in jobs))
+        for run in cluster.registry.get_runs(worker.place).values():
+            run.running = True
+            run.began_at = read_boot_clock() - age * PROBE_S
+    assert began == expected
--- a/tests/unit/test_scheduling_load.py
+++ b/tests/unit/test_scheduling_load.py
@@ -333,23 +333,23 @@
     """
     health = WorkerHealth()
     health.record_failure(10.0)
-    assert not health.is_excluded(10.0, at_work=0)
+    assert not health.is_excluded(10.0, starting=0)
     health.record_failure(10.1)
     small = Step(1, Resources(1_000, 1_000, 0), 1.0)
     model = InterferenceModel()
     view = build_view("hole")
-    view.excluded = health.is_excluded(10.2, at_work=0)
+    view.excluded = health.is_excluded(10.2, starting=0)
     assert place(small, [view], model) is None
     after = 10.1 + MIN_SUSPECT_S
-    assert health.is_excluded(after, at_work=1)
-    view.excluded = health.is_excluded(after, at_work=0)
+    assert health.is_excluded(after, starting=1)
+    view.excluded = health.is_excluded(after, starting=0)
     view.probing = health.suspect
     assert place(small, [view], model) == "hole"
     assert place(small, [view], model) is None
     health.record_failure(after)
-    assert health.is_excluded(after + MIN_SUSPECT_S, at_work=0)
+    assert health.is_excluded(after + MIN_SUSPECT_S, starting=0)
     health.record_success()
-    assert not health.is_excluded(after, at_work=5)
+    assert not health.is_excluded(after, starting=5)
 
 
 def test_the_cheapest_victim_is_stopped():
