Suspects: those that have waited for 3 s start in groups

Cause: tasks that began within 0.1 s of the youngest are blamed for a crash within 0.5 s of their start, and each suspect starts alone, on a quarter of the workers at most. The wait grows with their number. Twenty jobs of one task each wait as long.

Suspects that have waited for 3 s now start in groups of two, and twice as many after each further second, so the wait grows with the logarithm of the number. A crash under a group blames none of it and counts against none: its tasks wait and start alone again, and each turn clears some, so the one that crashes workers is alone in the end and is given up as before.

Tests: six cases of three tests in test_leader_crashes, three of them red before; the position cases guard innocent tasks against the groups (red without that rule).

--- a/pistachiodeal/leader/suspect_placer.py
+++ b/pistachiodeal/leader/suspect_placer.py
@@ -4,12 +4,16 @@
 moment and, where such a worker is available, that all runs ordered there earlier have
 been listed as running. Tasks that have been running there for longer stay. A job whose
 task has crashed too many workers fails.
+
+One crash may leave many suspects, of which one is the cause at most. Suspects that have
+waited for a while start together, so that the wait grows with the logarithm of their
+number.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobs.record import JobRecord, Task
@@ -17,11 +21,16 @@
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
 from pistachiodeal.scheduling.crash_attribution import (
+    compute_group_size,
     compute_isolation_limit,
     should_give_up,
 )
 from pistachiodeal.scheduling.interference import InterferenceModel
-from pistachiodeal.scheduling.placement import PlacementRequest, choose_worker
+from pistachiodeal.scheduling.placement import (
+    PlacementRequest,
+    choose_worker,
+    find_obstacle,
+)
 from pistachiodeal.scheduling.views import StepKey, WorkerView
 
 # Evaluating all workers for each of many suspects would take a whole round.
@@ -33,6 +42,17 @@
 WAIT_LOG_INTERVAL_S = 2.0
 
 
+@dataclass(slots=True)
+class _Group:
+    """Suspects that start together on one worker, in one round.
+
+    :param size: number of its suspects.
+    """
+
+    view: WorkerView
+    size: int = 1
+
+
 class SuspectPlacer:
     """Chooses workers for suspects, called by the planner within a planning round."""
 
@@ -49,6 +69,7 @@
         self._events = events
         self._remaining = 0
         self._now = 0.0
+        self._groups: list[_Group] = []
         self._logged_at: dict[StepKey, float] = {}
 
     @property
@@ -65,6 +86,7 @@
             if now - at < WAIT_LOG_INTERVAL_S
         }
         self._remaining = MAX_SUSPECTS_PER_ROUND
+        self._groups = []
 
     def fail_hopeless_job(self, record: JobRecord, tasks: Iterable[Task]) -> bool:
         """Fail the job if one of its waiting tasks has crashed too many workers."""
@@ -95,6 +117,10 @@
             # show which of the two is the cause.
             choice = others if quiet and others else views
             view = choose_worker(alone, choice, self._interference)
+        if view is not None:
+            self._groups.append(_Group(view))
+        else:
+            view = self._join_group(task, request, views)
         if view is None:
             self._explain_wait(task, request.key, exposed, limit)
             return None
@@ -102,6 +128,38 @@
         view.probation = True
         return view
 
+    def _join_group(
+        self, task: Task, request: PlacementRequest, views: list[WorkerView]
+    ) -> WorkerView | None:
+        """Return a worker on which other suspects start in this round."""
+        waited_s = self._now - task.ready_at
+        size = compute_group_size(waited_s)
+        joinable = [group for group in self._groups if group.size < size]
+        if not joinable:
+            return None
+        by_place = {view.place: view for view in views}
+        for group in sorted(joinable, key=lambda group: group.size):
+            view = by_place.get(group.view.place)
+            if view is None or not self._has_room(request, view):
+                continue
+            group.size += 1
+            self._events.emit(
+                "task.joins_suspects",
+                task=str(task.name),
+                place=view.place,
+                size=group.size,
+                waited_ms=int(waited_s * 1000),
+            )
+            return view
+        return None
+
+    def _has_room(self, request: PlacementRequest, view: WorkerView) -> bool:
+        """Tell whether a worker could take a task but for the suspects on it."""
+        view.probation = False
+        obstacle = find_obstacle(request, view, self._interference)
+        view.probation = True
+        return obstacle is None
+
     def _explain_wait(self, task: Task, key: StepKey, exposed: int, limit: int) -> None:
         """Log why a suspect waits, at most once per interval and step."""
         if key in self._logged_at:
--- a/pistachiodeal/scheduling/crash_attribution.py
+++ b/pistachiodeal/scheduling/crash_attribution.py
@@ -4,7 +4,9 @@
 worker, it is placed first again and crashes one worker after another, with all other
 tasks on it. So the runs that had just started are blamed for a crash. A blamed task is
 then started in isolation on one worker, and is given up if it crashes that one as well.
-Other tasks are cleared as soon as they have run in isolation for a moment.
+Other tasks are cleared as soon as they have run in isolation for a moment. Tasks that
+have waited long for that start in groups; a crash under a group blames none of it, and
+its tasks start in isolation again.
 
 Only crashes without another explanation count. A worker that had announced its
 departure, that only lost its connection, or that failed together with its rack does not
@@ -45,6 +47,10 @@
 CRASH_RESET_S = 10.0
 # Crashes of all workers of a rack within this time are attributed to the rack.
 RACK_FAILURE_WINDOW_S = 0.3
+# Suspects that have waited for this long start in groups of two, and in groups twice as
+# large after each further second.
+GROUP_WAIT_S = 3.0
+MAX_GROUP_DOUBLINGS = 6
 # Suspect tasks are started in isolation on at most this share of the workers, and on at
 # least one: all at once, they could crash the whole fleet.
 MAX_ISOLATION_SHARE = 1 / 4
@@ -82,11 +88,13 @@
     :param blames: added blame by task, for the likely causes.
     :param involved: all tasks that may be the cause, including the blamed ones.
     :param explained: whether a task had started so shortly before that it is the cause.
+    :param counts: whether the crash counts against the tasks involved.
     """
 
     blames: dict[str, int]
     involved: frozenset[str]
     explained: bool = False
+    counts: bool = True
 
 
 def attribute_crash(
@@ -104,8 +112,13 @@
     involved = frozenset(run.task for run in fresh)
     suspects = [run for run in fresh if run.suspect]
     blamed = suspects or _list_youngest(fresh)
+    explained = any(map(_is_immediate, blamed))
+    if len(suspects) > 1:
+        # A group of suspects: all but one of them are innocent.
+        weights = {run.task: 0 for run in suspects}
+        return CrashAttribution(weights, frozenset(weights), explained, counts=False)
     weights = {run.task: _compute_weight(run, recent_unexplained) for run in blamed}
-    return CrashAttribution(weights, involved, any(map(_is_immediate, blamed)))
+    return CrashAttribution(weights, involved, explained)
 
 
 def is_suspect(task: CrashCounts) -> bool:
@@ -123,6 +136,13 @@
     return task.crashes == CRASHES_TO_GIVE_UP - 1
 
 
+def compute_group_size(waited_s: float) -> int:
+    """Return how many suspects may start together if one of them has waited so long."""
+    if waited_s < GROUP_WAIT_S:
+        return 1
+    return 2 ** min(1 + int(waited_s - GROUP_WAIT_S), MAX_GROUP_DOUBLINGS)
+
+
 def compute_isolation_limit(workers: int) -> int:
     """Return how many workers may run, or have crashed under, suspect tasks."""
     return max(1, int(workers * MAX_ISOLATION_SHARE))
--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 
 import orjson
 import pytest
@@ -11,7 +12,7 @@
 from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.jobs.model import Job, JobState, LossCause, Queue, Step
 from pistachiodeal.jobs.progress import apply_progress, encode_progress
-from pistachiodeal.jobs.record import build_record
+from pistachiodeal.jobs.record import Task, build_record
 from pistachiodeal.leader.crashes import RACK_CHECK_DELAY_S
 from pistachiodeal.leader.planner import Planner
 from pistachiodeal.leader.reconcile import Reconciler
@@ -465,6 +466,84 @@
     )
 
 
+LASTING = Step(1, Resources(500, 200, 0), 0.5, lasts=True)
+
+
+def add_lasting(harness: LeaderHarness, jobs: int, count: int) -> list[Task]:
+    """Add jobs of tasks that last, and have all run on one worker for a moment."""
+    added = [
+        harness.add(number, replace(LASTING, count=count)) for number in range(jobs)
+    ]
+    tasks = [harness.find(job, index) for job in added for index in range(count)]
+    place(harness, 0.0)
+    for task in tasks:
+        harness.registry.requeue(task)
+        harness.registry.place(task, 1, "n0/w0-1", lambda: None)
+    harness.report(0)
+    return tasks
+
+
+def run_until_back(harness: LeaderHarness, tasks: list[Task], culprit=None) -> float:
+    """Plan and report until all tasks run and none is suspected; return the time.
+
+    :param culprit: a task that crashes each worker which starts it; its job has failed
+        by then.
+    """
+    open_records = harness.registry.open_records
+    for rounds in range(1, 200):
+        place(harness, 0.2)
+        if culprit is not None and culprit.place:
+            number = harness.find_node(culprit)
+            runs = harness.registry.get_runs(culprit.place)
+            harness.lose(number, {name: 8 for name in runs if not runs[name].running})
+        for number in range(len(harness.racks)):
+            harness.report(number)
+        over = culprit is None or culprit.name.job_id not in open_records
+        if over and all(task.running and not is_suspect(task) for task in tasks):
+            return rounds * 0.2
+    raise AssertionError("some tasks are not back")
+
+
+@pytest.mark.parametrize(("jobs", "count"), [(1, 20), (20, 1)])
+def test_many_suspects_of_one_crash_are_soon_back(harness, jobs, count):
+    """Guards against tasks that are away for 20 s after one crash beside idle workers.
+
+    Each of 20 suspects started alone, one after another.
+    """
+    tasks = add_lasting(harness, jobs, count)
+    harness.lose(0, {str(task.name): 300 for task in tasks})
+    assert all(map(is_suspect, tasks))
+    # A lasting task must be back within 6 s of its last run, beside 3 s for a crash.
+    assert run_until_back(harness, tasks) <= 9.0
+
+
+@pytest.mark.parametrize("position", [0, 10, 19])
+def test_a_group_of_suspects_that_crashes_its_worker_blames_no_innocent_task(
+    harness, position
+):
+    """Guards against jobs that fail because they started beside a crashing task."""
+    tasks = add_lasting(harness, 20, 1)
+    culprit = tasks.pop(position)
+    harness.lose(0, {str(task.name): 8 for task in [*tasks, culprit]})
+    run_until_back(harness, tasks, culprit)
+    records = harness.registry.records
+    failed = [
+        record.job_id for record in records.values() if record.state == JobState.FAILED
+    ]
+    assert failed == [culprit.name.job_id]
+    assert sum(harness.lives) - len(harness.lives) <= 5
+
+
+def test_a_crash_under_a_group_of_suspects_counts_against_none():
+    """Guards against innocent tasks that are given up after some crashes."""
+    runs = [CrashedRun("a", 0.01, True), CrashedRun("b", 0.01, True)]
+    attribution = attribute_crash([*runs, CrashedRun("c", 0.01, False)])
+    assert not attribution.counts
+    assert attribution.blames == {"a": 0, "b": 0}
+    assert attribution.explained
+    assert attribute_crash(runs[:1]).counts
+
+
 def test_two_crashes_a_moment_after_a_start_do_not_fail_the_job(harness):
     """Workers that crash in turn can hit the same task as it moves between them."""
     job = harness.add(1, Step(1, SIZE, 2.0))
