Progress: divide what is too large for one row among several

Cause: a job's progress was one row of about 64 bytes for each placed task, more with checkpoints, and the store takes 65,536 bytes a row. The leader placed the tasks, its write was refused and repeated without end, and orders leave only once their decision is durable.

Progress over the limit is now compressed and divided. The head, at the key of before, has the state, the number of the other rows and their digest. All rows are written in one transaction on condition that the head is as it was read, so a write that is carried out late changes none, and equal heads have equal rows. If all rows exceed a transaction, checkpoints are left out: tasks that are interrupted begin anew under the next leader, and the job goes on. Smaller progress is written as before.

The stand-in of the store refuses rows and transactions over the platform's limits now.

--- a/pistachiodeal/commands/job.py
+++ b/pistachiodeal/commands/job.py
@@ -27,9 +27,9 @@
 from pistachiodeal.jobs.explain import explain_job, report_steps
 from pistachiodeal.jobs.model import JobState
 from pistachiodeal.jobs.progress import apply_progress
+from pistachiodeal.jobs.progress_rows import ProgressRows, collect_progress
 from pistachiodeal.jobs.record import JobRecord, build_record
 from pistachiodeal.jobs.rows import (
-    PROGRESS_TABLE,
     build_cancel_key,
     decode_ended_job,
     decode_job,
@@ -37,7 +37,7 @@
     is_ended,
     split_key,
 )
-from pistachiodeal.jobs.tables import read_submission, read_tables
+from pistachiodeal.jobs.tables import read_progress, read_submission, read_tables
 from pistachiodeal.jobs.tombstones import is_tombstone
 from pistachiodeal.leader.commits import CONTROL_TABLE, LEADER_KEY
 from pistachiodeal.malformed import MALFORMED, shorten
@@ -191,14 +191,13 @@
     rows = {row.key: row for row in page.rows}
     if job_id not in rows or is_tombstone(rows[job_id].value):
         raise CommandError(f"no job {job_id}", exit_codes.NOT_FOUND, code="unknown_job")
-    progress = await read_row(store, PROGRESS_TABLE, job_id)
-    newest = progress.rows[0] if progress.rows else None
-    return _build(rows[job_id], newest, cancelled=build_cancel_key(job_id) in rows)
+    progress = collect_progress(await read_progress(store, job_id)).get(job_id)
+    return _build(rows[job_id], progress, cancelled=build_cancel_key(job_id) in rows)
 
 
 async def _read_jobs(store: RowStore, _: argparse.Namespace) -> list[FoundJob]:
     jobs, pages = await read_tables(store)
-    progress = {row.key: row for row in pages.rows}
+    progress = collect_progress(pages.rows)
     keys = {row.key for row in jobs.rows}
     found = []
     for row in jobs.rows:
@@ -225,11 +224,13 @@
         return ""
 
 
-def _build(row: StoredRow, progress: StoredRow | None, *, cancelled: bool) -> FoundJob:
+def _build(
+    row: StoredRow, progress: ProgressRows | None, *, cancelled: bool
+) -> FoundJob:
     decode = decode_ended_job if is_ended(row.value) else decode_job
     record = build_record(decode(row.key, row.value))
-    if progress is not None:
-        apply_progress(record, progress.value, progress.version)
+    if progress is not None and progress.head is not None:
+        apply_progress(record, progress.join(), progress.head.version)
     if not record.state.final:
         record.open_due(time.time())
     return FoundJob(record, cancelled)
--- a/pistachiodeal/config/deployment.py
+++ b/pistachiodeal/config/deployment.py
@@ -32,6 +32,9 @@
     metrics_port: int = 0
 
 
+DEFAULT_ROW_BYTES = 65_536
+
+
 @dataclass(frozen=True, slots=True)
 class StoreSettings:
     """The platform's store.
@@ -41,7 +44,7 @@
     """
 
     address: str
-    row_bytes: int = 65_536
+    row_bytes: int = DEFAULT_ROW_BYTES
 
 
 def _ranged_field(default: Any, least: float, most: float) -> Any:
--- a/pistachiodeal/jobentry/app.py
+++ b/pistachiodeal/jobentry/app.py
@@ -77,6 +77,7 @@
             answer_configuration=self._configuration.answer,
             features=settings.features,
             link_mbps=settings.link_mbps,
+            row_bytes=settings.store.row_bytes,
         )
         fitness = compute_fitness(settings.processor.cores, settings.link_mbps)
         self._election = Election(store, peers, self._peer_server.lead, fitness=fitness)
--- a/pistachiodeal/jobentry/peer_server.py
+++ b/pistachiodeal/jobentry/peer_server.py
@@ -13,6 +13,7 @@
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.config.deployment import (
     DEFAULT_LINK_MBPS,
+    DEFAULT_ROW_BYTES,
     NO_FEATURES,
     FeatureSettings,
     LimitSettings,
@@ -70,6 +71,7 @@
 
     :param answer_configuration: returns this process's copy of the configuration.
     :param link_mbps: rate of this process's network link, Mbit/s.
+    :param row_bytes: largest row that the store accepts, bytes.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         answer_configuration: Callable[[ConfigurationQuery], ConfigurationAnswer],
         features: FeatureSettings = NO_FEATURES,
         link_mbps: float = DEFAULT_LINK_MBPS,
+        row_bytes: int = DEFAULT_ROW_BYTES,
     ) -> None:
         self._store = store
         self._answer_configuration = answer_configuration
@@ -93,6 +96,7 @@
         self._limits = limits
         self._features = features
         self._link_mbps = link_mbps
+        self._row_bytes = row_bytes
         self._adviser = adviser
         self._events = peers.events
         self._leadership: Leadership | None = None
@@ -146,6 +150,7 @@
             adviser=self._adviser,
             features=self._features,
             link_mbps=self._link_mbps,
+            row_bytes=self._row_bytes,
         )
         try:
             await self._leadership.run()
--- a/pistachiodeal/jobs/progress.py
+++ b/pistachiodeal/jobs/progress.py
@@ -1,4 +1,4 @@
-"""Encodes the progress rows of jobs, and restores records from them."""
+"""Encodes the progress of jobs, and restores records from it."""
 
 from __future__ import annotations
 
@@ -17,8 +17,12 @@
 MAX_COUNT = 2**31
 
 
-def encode_progress(record: JobRecord) -> bytes:
-    """Return the value of a job's progress row."""
+def encode_progress(record: JobRecord, *, checkpoints: bool = True) -> bytes:
+    """Return a job's progress.
+
+    :param checkpoints: whether to include checkpoints; without its checkpoint a task
+        starts from the beginning under the next leader.
+    """
     tasks: dict[str, list[Any]] = {}
     crashes: dict[str, list[int]] = {}
     if not record.state.final:
@@ -31,7 +35,7 @@
                     task.place,
                     int(task.done),
                     task.failures,
-                    task.checkpoint,
+                    task.checkpoint if checkpoints else "",
                 ]
     else:
         # The next leader may still have to stop the runs of a final job.
@@ -49,9 +53,10 @@
 
 
 def apply_progress(record: JobRecord, value: bytes, version: int) -> None:
-    """Restore a new record from its progress row.
+    """Restore a new record from its progress.
 
-    :raises ProtocolError: the value is not a valid progress row.
+    :param version: of the head of its rows.
+    :raises ProtocolError: the value is not valid progress.
     """
     try:
         document = orjson.loads(value)
@@ -72,9 +77,9 @@
 
 
 def read_state(value: bytes) -> JobState:
-    """Return the state in a progress row.
+    """Return the state in the head of a job's progress rows.
 
-    :raises ProtocolError: the value is not a valid progress row.
+    :raises ProtocolError: the value is not a valid head.
     """
     try:
         return JobState(orjson.loads(value)["state"])
--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -145,7 +145,8 @@
     :param compacted: whether that row was compacted.
     :param critical_path_s: critical path by expected run times, as last computed.
     :param work: core-seconds of the whole job, as last computed.
-    :param row_version: version of its progress row, 0 if there is none.
+    :param row_version: version of the head of its progress rows, 0 if there is none.
+    :param part_rows: highest number of a progress row that may exist beside the head.
     """
 
     job: Job
@@ -161,6 +162,7 @@
     undivided: bool = False
     submission_version: int = 0
     compacted: bool = False
+    part_rows: int = 0
 
     @property
     def job_id(self) -> str:
--- a/pistachiodeal/jobs/tables.py
+++ b/pistachiodeal/jobs/tables.py
@@ -11,7 +11,7 @@
     UNDIVIDED_PARTITION,
     list_partitions,
 )
-from pistachiodeal.store.row_store import RowPage, RowStore, read_whole
+from pistachiodeal.store.row_store import RowPage, RowStore, StoredRow, read_whole
 from pistachiodeal.store.table_scan import ScanSource
 from pistachiodeal.task_groups import gather
 
@@ -43,6 +43,18 @@
     return jobs, rows
 
 
+async def read_progress(store: RowStore, job_id: str) -> tuple[StoredRow, ...]:
+    """Return the progress rows of one job; see :mod:`~.progress_rows`."""
+    rows: list[StoredRow] = []
+    start, truncated = job_id, True
+    while truncated:
+        page = await store.read(PROGRESS_TABLE, start, job_id + RANGE_END)
+        rows += page.rows
+        truncated = page.truncated and bool(page.rows)
+        start = page.rows[-1].key + "\0" if page.rows else ""
+    return tuple(rows)
+
+
 async def read_submission(store: RowStore, job_id: str) -> RowPage:
     """Return the rows of one job's submission and cancellation, if they exist."""
     end = job_id + RANGE_END
--- a/pistachiodeal/leader/commits.py
+++ b/pistachiodeal/leader/commits.py
@@ -15,9 +15,11 @@
 from logbook import Logger
 
 from pistachiodeal.clock import read_boot_clock
+from pistachiodeal.config.deployment import DEFAULT_ROW_BYTES
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import FencedError, StoreError
 from pistachiodeal.jobs.progress import encode_progress
+from pistachiodeal.jobs.progress_rows import build_part_key, divide_progress
 from pistachiodeal.jobs.record import JobRecord
 from pistachiodeal.jobs.rows import (
     JOBS_TABLE,
@@ -40,9 +42,10 @@
 
 CONTROL_TABLE = "control"
 LEADER_KEY = "leader"
-# A transaction holds at most 100 entries: one condition and one write for each job,
-# and one condition on the leader's row.
+# A transaction holds at most 100 entries: one condition and one write for each job, or
+# more if its progress is divided, and one condition on the leader's row.
 MAX_JOBS_PER_TRANSACTION = 49
+MAX_ENTRIES = 99
 # Half the limit of one call, since values grow by a third on the wire.
 MAX_TRANSACTION_BYTES = 500_000
 RETRY_S = 0.1
@@ -54,6 +57,10 @@
 MAX_REMOVALS = 30
 
 
+Batch = list[tuple[JobRecord, list[Callback]]]
+"""Jobs to write, each with what is called once its row is durable."""
+
+
 @dataclass(frozen=True, slots=True)
 class LeaderTerm:
     """One term of a leader, as established by the leader's row.
@@ -72,12 +79,24 @@
 
 
 class FencedWriter:
-    """Writes rows on condition that this process still leads."""
+    """Writes rows on condition that this process still leads.
+
+    :param row_bytes: largest row that the store accepts, bytes.
+    """
 
-    def __init__(self, store: RowStore, term: LeaderTerm, events: EventLog) -> None:
+    def __init__(
+        self,
+        store: RowStore,
+        term: LeaderTerm,
+        events: EventLog,
+        row_bytes: int = DEFAULT_ROW_BYTES,
+    ) -> None:
         self._store = store
         self._term = term
         self._events = events
+        self._row_bytes = row_bytes
+        # Jobs that were last written without their checkpoints.
+        self._reduced: set[str] = set()
         self._confirmed_at = term.asked_at
         self._last_write_s = 0.0
 
@@ -111,7 +130,7 @@
         """
         batch = registry.begin_writes(MAX_JOBS_PER_TRANSACTION)
         while batch:
-            part, batch = _split(batch)
+            part, batch = self._split(batch)
             await self._write_part(registry, part)
 
     async def confirm(self) -> None:
@@ -157,9 +176,15 @@
         except StoreError as error:
             log.debug("leader: cannot remove old jobs: {}", error)
             return False
-        return await self.write_rows(
-            *(RowWrite(PROGRESS_TABLE, record.job_id, None) for record in records)
-        )
+        removals = [
+            RowWrite(PROGRESS_TABLE, key, None)
+            for record in records
+            for key in _list_row_keys(record)
+        ]
+        for start in range(0, len(removals), MAX_ENTRIES):
+            if not await self.write_rows(*removals[start : start + MAX_ENTRIES]):
+                return False
+        return True
 
     async def write_rows(self, *writes: RowWrite) -> bool:
         """Write rows if this process still leads; tell whether they were written.
@@ -175,13 +200,11 @@
         self._check_fence(result)
         return result.committed
 
-    async def _write_part(
-        self, registry: JobRegistry, part: list[tuple[JobRecord, list[Callback]]]
-    ) -> None:
+    async def _write_part(self, registry: JobRegistry, part: Batch) -> None:
         pause = RETRY_S
         while True:
             asked_at = read_boot_clock()
-            values = [(record, encode_progress(record)) for record, _ in part]
+            values = [(record, self._encode(record)) for record, _ in part]
             try:
                 result = await self._store.commit(self._build(values))
             except StoreError as error:
@@ -190,8 +213,9 @@
                 pause = min(pause * 2, MAX_RETRY_S)
                 continue
             if result.committed:
-                for record, _ in part:
+                for record, rows in values:
                     record.row_version = result.version
+                    record.part_rows = len(rows) - 1
                 break
             self._check_fence(result)
             self._adopt_row_versions(result, part)
@@ -207,16 +231,51 @@
             for callback in callbacks:
                 callback()
 
-    def _build(self, values: list[tuple[JobRecord, bytes]]) -> Transaction:
+    def _encode(self, record: JobRecord) -> tuple[bytes, ...]:
+        """Return the values of a job's rows, the head first."""
+        state, limit = record.state, self._row_bytes
+        rows = divide_progress(encode_progress(record), state, limit)
+        size = sum(map(len, rows))
+        if size <= MAX_TRANSACTION_BYTES:
+            self._reduced.discard(record.job_id)
+            return rows
+        # Tasks that start from the beginning under the next leader are better than a
+        # job of which nothing can be written, so that none of its tasks is started.
+        if record.job_id not in self._reduced:
+            self._reduced.add(record.job_id)
+            self._events.emit("progress.reduced", job=record.job_id, bytes=size)
+        value = encode_progress(record, checkpoints=False)
+        return divide_progress(value, state, limit)
+
+    def _build(self, values: list[tuple[JobRecord, tuple[bytes, ...]]]) -> Transaction:
         conditions = [self._build_leader_condition()]
         writes = []
-        for record, value in values:
+        for record, rows in values:
             conditions.append(
                 RowCondition(PROGRESS_TABLE, record.job_id, record.row_version)
             )
-            writes.append(RowWrite(PROGRESS_TABLE, record.job_id, value))
+            # If the answer is lost, these rows may exist or may still be written.
+            record.part_rows = max(record.part_rows, len(rows) - 1)
+            unused = (None,) * (record.part_rows + 1 - len(rows))
+            writes += [
+                RowWrite(PROGRESS_TABLE, key, value)
+                for key, value in zip(
+                    _list_row_keys(record), (*rows, *unused), strict=True
+                )
+            ]
         return Transaction(tuple(conditions), tuple(writes))
 
+    def _split(self, batch: Batch) -> tuple[Batch, Batch]:
+        """Return the jobs that fit into one transaction, and the rest."""
+        size, entries = 0, 0
+        for number, (record, _) in enumerate(batch):
+            rows = self._encode(record)
+            size += sum(map(len, rows))
+            entries += 2 + max(record.part_rows, len(rows) - 1)
+            if number and (size > MAX_TRANSACTION_BYTES or entries > MAX_ENTRIES):
+                return batch[:number], batch[number:]
+        return batch, []
+
     def _build_leader_condition(self) -> RowCondition:
         version = self._term.row_version
         return RowCondition(CONTROL_TABLE, LEADER_KEY, version)
@@ -228,9 +287,7 @@
         if row is None or row.version != self._term.row_version:
             raise FencedError(step="leader.commit")
 
-    def _adopt_row_versions(
-        self, result: TransactionResult, part: list[tuple[JobRecord, list[Callback]]]
-    ) -> None:
+    def _adopt_row_versions(self, result: TransactionResult, part: Batch) -> None:
         # Only the leader of this epoch writes these rows, so a different version stems
         # from an earlier attempt whose answer was lost.
         for record, _ in part:
@@ -238,27 +295,22 @@
             record.row_version = row.version if row and not row.removed else 0
 
 
+def _list_row_keys(record: JobRecord) -> list[str]:
+    """Return the keys of all progress rows that a job may have, the head first."""
+    numbers = range(1, record.part_rows + 1)
+    return [record.job_id, *(build_part_key(record.job_id, one) for one in numbers)]
+
+
 def _is_written(
-    values: list[tuple[JobRecord, bytes]], result: TransactionResult
+    values: list[tuple[JobRecord, tuple[bytes, ...]]], result: TransactionResult
 ) -> bool:
-    """Tell whether the rows already hold the values to be written."""
+    """Tell whether the rows already hold the values to be written.
+
+    Equal heads have equal rows beside them.
+    """
     found = result.found
     rows = [found.get((PROGRESS_TABLE, record.job_id)) for record, _ in values]
     return all(
-        row is not None and not row.removed and row.value == value
-        for row, (_, value) in zip(rows, values, strict=True)
+        row is not None and not row.removed and row.value == head
+        for row, (_, (head, *_)) in zip(rows, values, strict=True)
     )
-
-
-def _split(
-    batch: list[tuple[JobRecord, list[Callback]]],
-) -> tuple[
-    list[tuple[JobRecord, list[Callback]]], list[tuple[JobRecord, list[Callback]]]
-]:
-    """Return the jobs that fit into one transaction, and the rest."""
-    size = 0
-    for number, (record, _) in enumerate(batch):
-        size += len(encode_progress(record))
-        if size > MAX_TRANSACTION_BYTES and number:
-            return batch[:number], batch[number:]
-    return batch, []
--- a/pistachiodeal/leader/leadership.py
+++ b/pistachiodeal/leader/leadership.py
@@ -11,6 +11,7 @@
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.config.deployment import (
     DEFAULT_LINK_MBPS,
+    DEFAULT_ROW_BYTES,
     NO_FEATURES,
     FeatureSettings,
     LimitSettings,
@@ -77,6 +78,7 @@
         adviser: Adviser | None = None,
         features: FeatureSettings = NO_FEATURES,
         link_mbps: float = DEFAULT_LINK_MBPS,
+        row_bytes: int = DEFAULT_ROW_BYTES,
     ) -> None:
         self._store = store
         self._term = term
@@ -102,7 +104,7 @@
         loader = JobLoader(
             store, self._registry, self._feed, self._cancel, events, link_mbps=link_mbps
         )
-        self._writer = FencedWriter(store, term, events)
+        self._writer = FencedWriter(store, term, events, row_bytes)
         self._takeover = Takeover(loader, self._closures, self._writer, term, events)
         self._compactor = EndedJobCompactor(store, self._registry, self._writer, events)
         self._tombstones = TombstoneCollector(
--- a/pistachiodeal/leader/loader.py
+++ b/pistachiodeal/leader/loader.py
@@ -11,6 +11,7 @@
 from pistachiodeal.events import EventLog
 from pistachiodeal.exceptions import ProtocolError
 from pistachiodeal.jobs.progress import apply_progress
+from pistachiodeal.jobs.progress_rows import ProgressRows, collect_progress
 from pistachiodeal.jobs.record import build_record
 from pistachiodeal.jobs.rows import (
     JOBS_TABLE,
@@ -80,7 +81,7 @@
         await self._scan.run()
         jobs = self._scan.tables[JOBS_TABLE]
         progress = self._scan.tables[PROGRESS_TABLE]
-        values = {row.key: row for row in progress.rows}
+        progress_rows = collect_progress(progress.rows)
         cancelled = []
         for number, row in enumerate(jobs.rows):
             if number % ROWS_PER_SLICE == 0:
@@ -93,7 +94,7 @@
                 self._tombstones.observe(row)
             else:
                 with self._events.confine("row.failed", table=JOBS_TABLE, key=row.key):
-                    self._restore(row, values.get(job_id))
+                    self._restore(row, progress_rows.get(job_id))
                 if job_id not in self._registry.records:
                     self._feed.exclude(row)
         for row in cancelled:
@@ -105,7 +106,7 @@
         self._feed.apply_early_cancellations()
         self._feed.start_after(jobs.version or 0)
 
-    def _restore(self, row: StoredRow, progress: StoredRow | None) -> None:
+    def _restore(self, row: StoredRow, progress: ProgressRows | None) -> None:
         known = self._registry.records.get(row.key)
         undivided = row.partition == UNDIVIDED_PARTITION
         if known is not None:
@@ -120,7 +121,9 @@
         try:
             record = build_record(decode(row.key, row.value))
             if progress is not None:
-                apply_progress(record, progress.value, progress.version)
+                record.part_rows = max(progress.parts, default=0)
+                if progress.head is not None:
+                    apply_progress(record, progress.join(), progress.head.version)
             if ended and not record.state.final:
                 raise ProtocolError("an ended job has no final state")
         except ProtocolError as error:
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -15,6 +15,7 @@
 import curio
 
 from pistachiodeal.config.deployment import (
+    DEFAULT_ROW_BYTES,
     NO_FEATURES,
     FeatureSettings,
     LimitSettings,
@@ -110,6 +111,7 @@
             LimitSettings(kept_s=100.0),
             answer_configuration=lambda query: ConfigurationAnswer(0, b"", 0),
             features=self.features,
+            row_bytes=self.state.row_bytes,
         )
         self.election = Election(
             self.store, peers, self.seat.lead, fitness=self.fitness
@@ -261,12 +263,14 @@
     work_s: float = 0.2,
     seed: int = 1,
     features: FeatureSettings = NO_FEATURES,
+    row_bytes: int = DEFAULT_ROW_BYTES,
 ) -> AsyncIterator[JobCluster]:
     """Run a cluster until the end of the block.
 
     :param work_s: how long a task runs, in seconds.
+    :param row_bytes: largest row that the store accepts, bytes.
     """
-    state, checker = RowsState(), InvariantChecker()
+    state, checker = RowsState(row_bytes=row_bytes), InvariantChecker()
     state.rng.seed(seed)
     addresses = [f"127.0.0.1:{reserve_port()}" for _ in range(entries)]
     cluster = JobCluster(
--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -9,7 +9,12 @@
 import curio
 
 from pistachiodeal.clock import read_boot_clock
-from pistachiodeal.exceptions import StoreUnavailableError, StoreUncertainError
+from pistachiodeal.config.deployment import DEFAULT_ROW_BYTES
+from pistachiodeal.exceptions import (
+    StoreError,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
 from pistachiodeal.jobs.rows import UNDIVIDED_PARTITION, find_partition
 from pistachiodeal.store.row_store import (
     HistoryLostError,
@@ -22,6 +27,10 @@
 Key = tuple[str, str]
 # The store refuses a transaction if its partition's queue is longer than this.
 MAX_QUEUE_S = 1.0
+# Limits of one transaction: conditions and writes, and the bytes of all values, which
+# grow by a third on the wire.
+MAX_ENTRIES = 100
+MAX_BYTES = 750_000
 
 
 @dataclass
@@ -61,6 +70,7 @@
     :ivar refused: number of calls refused because their partition's queue was too long.
     :ivar undivided: rows of the jobs table in their old partition.
     :ivar busy_until: when the last queued transaction ends, by partition.
+    :ivar row_bytes: largest row that the store accepts, bytes.
     """
 
     version: int = 0
@@ -74,6 +84,15 @@
     refused: int = 0
     undivided: dict[Key, StoredRow] = field(default_factory=dict)
     busy_until: dict[str, float] = field(default_factory=dict)
+    row_bytes: int = DEFAULT_ROW_BYTES
+
+    def check_limits(self, transaction: Transaction) -> None:
+        """Refuse a transaction that exceeds a limit of the store."""
+        values = [write.value or b"" for write in transaction.writes]
+        entries = len(transaction.conditions) + len(values)
+        too_large = any(len(value) > self.row_bytes for value in values)
+        if too_large or entries > MAX_ENTRIES or sum(map(len, values)) > MAX_BYTES:
+            raise StoreError("status 400", step="commit")
 
     def apply(self, transaction: Transaction) -> TransactionResult:
         """Apply a transaction if its conditions hold."""
@@ -123,6 +142,7 @@
         state = self._state
         state.commits += 1
         await self._simulate_call("commit")
+        state.check_limits(transaction)
         if state.faults.busy:
             raise StoreUnavailableError("busy", step="commit")
         draw = state.rng.random()
