Leader: a job whose row the store rejects holds up no other job

Cause: any error of the store counted as passing, so the same batch was written again without end. Its jobs waited with it, and so did one of the leader's three writers.

The client of the store now says in one place which answers no repetition can change (400, 413, 422). A transaction that is rejected so is written in two halves, down to the row that is at fault. That job is postponed for 5 s and logged as commit.rejected; its callbacks wait with it, so no order leaves before its decision is durable. All other errors are retried as before; 403 stays an error of unknown kind, as a test demands.

--- a/pistachiodeal/exceptions.py
+++ b/pistachiodeal/exceptions.py
@@ -117,6 +117,12 @@
     code = "store_unavailable"
 
 
+class StoreRejectedError(StoreError):
+    """The store rejected the call as it is: it had no effect, nor will a repetition."""
+
+    code = "store_rejected"
+
+
 class StoreUncertainError(StoreError):
     """The answer was lost or late: a write may or may not have taken effect."""
 
--- a/pistachiodeal/leader/commits.py
+++ b/pistachiodeal/leader/commits.py
@@ -17,7 +17,7 @@
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.config.deployment import DEFAULT_ROW_BYTES
 from pistachiodeal.events import EventLog
-from pistachiodeal.exceptions import FencedError, StoreError
+from pistachiodeal.exceptions import FencedError, StoreError, StoreRejectedError
 from pistachiodeal.jobs.progress import encode_progress
 from pistachiodeal.jobs.progress_rows import build_part_key, divide_progress
 from pistachiodeal.jobs.record import JobRecord
@@ -50,6 +50,8 @@
 MAX_TRANSACTION_BYTES = 500_000
 RETRY_S = 0.1
 MAX_RETRY_S = 0.5
+# A job whose row the store rejects is written again after this long.
+REJECTED_RETRY_S = 5.0
 # How often the leader reads its row if it writes nothing. Leases are granted for a
 # time that counts from the last confirmation.
 CONFIRM_INTERVAL_S = 0.4
@@ -207,6 +209,9 @@
             values = [(record, self._encode(record)) for record, _ in part]
             try:
                 result = await self._store.commit(self._build(values))
+            except StoreRejectedError as error:
+                await self._isolate(registry, part, error)
+                return
             except StoreError as error:
                 self._events.emit("commit.retry", jobs=len(part), cause=str(error))
                 await curio.sleep(pause)
@@ -231,6 +236,20 @@
             for callback in callbacks:
                 callback()
 
+    async def _isolate(
+        self, registry: JobRegistry, part: Batch, error: StoreRejectedError
+    ) -> None:
+        """Write the jobs of a rejected transaction in two, or postpone a single one."""
+        if len(part) > 1:
+            middle = len(part) // 2
+            await self._write_part(registry, part[:middle])
+            await self._write_part(registry, part[middle:])
+            return
+        [(record, callbacks)] = part
+        self._events.emit("commit.rejected", job=record.job_id, cause=str(error))
+        until = read_boot_clock() + REJECTED_RETRY_S
+        registry.postpone_write(record.job_id, callbacks, until)
+
     def _encode(self, record: JobRecord) -> tuple[bytes, ...]:
         """Return the values of a job's rows, the head first."""
         state, limit = record.state, self._row_bytes
--- a/pistachiodeal/leader/registry.py
+++ b/pistachiodeal/leader/registry.py
@@ -31,6 +31,8 @@
         self._open: dict[str, JobRecord] = {}
         self._unsaved: dict[str, list[Callback]] = {}
         self._writing: set[str] = set()
+        # When a write that the store has rejected is tried again, by job.
+        self._postponed: dict[str, float] = {}
         self._estimator = JobEstimator()
         self._tombstones = TombstoneBook()
         self._runs: dict[str, dict[str, Task]] = {}
@@ -68,7 +70,8 @@
         A job whose previous write is in flight waits for its answer, because two
         concurrent writes of one row could arrive in the wrong order.
         """
-        return any(job_id not in self._writing for job_id in self._unsaved)
+        now = read_boot_clock()
+        return any(self._is_writable(job_id, now) for job_id in self._unsaved)
 
     def is_unsaved(self, job_id: str) -> bool:
         """Tell whether a change of a job is not yet durable in its row."""
@@ -260,7 +263,8 @@
 
     def begin_writes(self, limit: int) -> list[tuple[JobRecord, list[Callback]]]:
         """Return up to ``limit`` jobs to write, oldest change first, with callbacks."""
-        writable = [one for one in self._unsaved if one not in self._writing][:limit]
+        now = read_boot_clock()
+        writable = [one for one in self._unsaved if self._is_writable(one, now)][:limit]
         self._writing.update(writable)
         return [
             (self._records[job_id], self._unsaved.pop(job_id)) for job_id in writable
@@ -269,6 +273,19 @@
     def finish_write(self, job_id: str) -> None:
         """Record that a job's row is written; the caller then runs its callbacks."""
         self._writing.discard(job_id)
+        self._postponed.pop(job_id, None)
+
+    def postpone_write(
+        self, job_id: str, callbacks: list[Callback], until: float
+    ) -> None:
+        """Record that a job's row could not be written.
+
+        :param callbacks: as returned by :meth:`begin_writes`.
+        :param until: no write of the job begins before, seconds of the boot clock.
+        """
+        self._writing.discard(job_id)
+        self._unsaved[job_id] = callbacks + self._unsaved.pop(job_id, [])
+        self._postponed[job_id] = until
 
     def count_pending(self, queue: str) -> int:
         """Return how many open jobs of a queue have not begun."""
@@ -353,6 +370,11 @@
     def _bump_generation(self, place: str) -> None:
         self._generations[place] = self._generations.get(place, 0) + 1
 
+    def _is_writable(self, job_id: str, now: float) -> bool:
+        if job_id in self._writing:
+            return False
+        return not self._postponed or now >= self._postponed.get(job_id, 0.0)
+
     def _record_change(self, record: JobRecord, callback: Callback | None) -> None:
         callbacks = self._unsaved.setdefault(record.job_id, [])
         if callback is not None:
--- a/pistachiodeal/platform/rows.py
+++ b/pistachiodeal/platform/rows.py
@@ -14,6 +14,7 @@
 from pistachiodeal.exceptions import (
     Outcome,
     StoreError,
+    StoreRejectedError,
     StoreUnavailableError,
     StoreUncertainError,
 )
@@ -35,6 +36,8 @@
 HISTORY_GONE = 410
 # 429: rate limit exceeded, 503: refused; neither has any effect.
 REFUSALS = (429, 503)
+# The call is malformed or exceeds a limit.
+REJECTIONS = (400, 413, 422)
 SERVER_ERROR = 500
 CONNECTIONS = 12
 JSON_TYPE = (("content-type", "application/json"),)
@@ -234,8 +237,9 @@
         decode: Callable[[dict[str, Any]], Decoded],
     ) -> Decoded:
         if response.status != OK:
+            kind = StoreRejectedError if response.status in REJECTIONS else StoreError
             detail = f"status {response.status}"
-            raise StoreError(detail, step=step, peer=self._client.address)
+            raise kind(detail, step=step, peer=self._client.address)
         return self._parse(response, step, decode)
 
     def _parse(
--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -11,7 +11,7 @@
 from pistachiodeal.clock import read_boot_clock
 from pistachiodeal.config.deployment import DEFAULT_ROW_BYTES
 from pistachiodeal.exceptions import (
-    StoreError,
+    StoreRejectedError,
     StoreUnavailableError,
     StoreUncertainError,
 )
@@ -92,7 +92,7 @@
         entries = len(transaction.conditions) + len(values)
         too_large = any(len(value) > self.row_bytes for value in values)
         if too_large or entries > MAX_ENTRIES or sum(map(len, values)) > MAX_BYTES:
-            raise StoreError("status 400", step="commit")
+            raise StoreRejectedError("status 400", step="commit")
 
     def apply(self, transaction: Transaction) -> TransactionResult:
         """Apply a transaction if its conditions hold."""
--- a/tests/unit/test_leader_commits.py
+++ b/tests/unit/test_leader_commits.py
@@ -11,6 +11,7 @@
 from pistachiodeal.jobs.model import EndKind, JobState
 from pistachiodeal.jobs.progress import read_state
 from pistachiodeal.jobs.rows import UNDIVIDED_PARTITION
+from pistachiodeal.leader import commits
 from pistachiodeal.leader.commits import FencedWriter, LeaderTerm
 from pistachiodeal.leader.leadership import WRITERS, Leadership
 from pistachiodeal.leader.registry import JobRegistry
@@ -277,3 +278,33 @@
 
     confirmed_at, asked_at = curio.run(main)
     assert asked_at <= confirmed_at < asked_at + 0.2
+
+
+def test_a_job_whose_row_is_rejected_does_not_hold_up_others(monkeypatch):
+    """Guards against jobs that never begin since they share a transaction with it.
+
+    The same batch was written again without end.
+    """
+    monkeypatch.setattr(commits, "REJECTED_RETRY_S", 0.2)
+
+    async def main():
+        state = RowsState(row_bytes=1_000)
+        registry, writer, seen = create_leader(state)
+        registry.add(build_job(2, count=100, steps=1), 0.0)
+        wide = registry.records[build_job(2).job_id]
+        for task in wide.iterate_tasks():
+            registry.place(task, 1, "node/worker", lambda: seen.append("wide"))
+        await curio.timeout_after(1.0, writer.write, registry)
+        assert seen == ["ordered"]
+        assert registry.is_unsaved(wide.job_id)
+        assert not registry.has_writable
+        assert registry.begin_writes(10) == []
+        state.row_bytes = 65_536
+        await curio.sleep(0.25)
+        assert registry.has_writable
+        registry.mark_unsaved(task)
+        await curio.timeout_after(1.0, writer.write, registry)
+        assert seen == ["ordered", *["wide"] * 100]
+        assert not registry.is_unsaved(wide.job_id)
+
+    curio.run(main)
--- a/tests/unit/test_platform_rows.py
+++ b/tests/unit/test_platform_rows.py
@@ -6,7 +6,11 @@
 import orjson
 import pytest
 
-from pistachiodeal.exceptions import StoreError, StoreUncertainError
+from pistachiodeal.exceptions import (
+    StoreError,
+    StoreRejectedError,
+    StoreUncertainError,
+)
 from pistachiodeal.platform.rows import PlatformRows
 from pistachiodeal.store.row_store import (
     HistoryLostError,
@@ -98,3 +102,14 @@
     with pytest.raises(StoreError) as caught:
         call(name, status, PAGE)
     assert type(caught.value) is StoreError
+
+
+@pytest.mark.parametrize("name", CALLS)
+@pytest.mark.parametrize(
+    ("status", "permanent"), [(400, True), (413, True), (403, False), (404, False)]
+)
+def test_a_call_that_can_never_succeed_is_told_from_others(name, status, permanent):
+    """Guards against a call that is repeated without end, and one that never is."""
+    with pytest.raises(StoreError) as caught:
+        call(name, status, {})
+    assert isinstance(caught.value, StoreRejectedError) == permanent
