Entries: a rejected row is not taken for an outage of the store

Callers would see: while one request's row is rejected by the store, the inserts of its batch are refused with 503, and all others of the entry until a probe answers. The entry may also use the leader's calls from then on.

Cause: an error without an effect counted as an outage, whatever the store answered.

An insert that is rejected is now found by halving its batch and answered with 422, `store_rejected`, as not run; the others are inserted.

Tests: test_a_row_that_the_store_rejects_does_not_refuse_others and test_a_rejected_call_is_not_taken_for_an_outage (two cases), red before.

--- a/pistachiodeal/jobentry/acceptance.py
+++ b/pistachiodeal/jobentry/acceptance.py
@@ -13,6 +13,7 @@
     Outcome,
     RequestError,
     StoreError,
+    StoreRejectedError,
     StoreUncertainError,
 )
 from pistachiodeal.jobentry.insert_queue import Insert, InsertQueue
@@ -135,6 +136,10 @@
             await self._mark_unavailable(error)
             await self._defer_or_refuse(batch, str(error))
             return []
+        except StoreRejectedError as error:
+            for insert in batch:
+                insert.tries -= 1
+            return await self._isolate(batch, error)
         except StoreError as error:
             # This try took no effect.
             for insert in batch:
@@ -148,6 +153,20 @@
             return []
         return await self._resolve_conflict(batch, result)
 
+    async def _isolate(
+        self, batch: list[Insert], error: StoreRejectedError
+    ) -> list[Insert]:
+        """Insert the rows of a rejected batch in two, or refuse a single one."""
+        if len(batch) > 1:
+            middle = len(batch) // 2
+            first = await self._write(batch[:middle])
+            return first + await self._write(_drop_expired(batch[middle:]))
+        [insert] = batch
+        self._events.emit("insert.rejected", key=insert.key, cause=str(error))
+        insert.error = self._build_rejection(insert, error)
+        await insert.done.set()
+        return []
+
     async def _resolve_conflict(
         self, batch: list[Insert], result: TransactionResult
     ) -> list[Insert]:
@@ -209,6 +228,18 @@
             step="jobs.accept",
         )
 
+    def _build_rejection(
+        self, insert: Insert, error: StoreRejectedError
+    ) -> RequestError:
+        if insert.tries:
+            return self._build_failure(insert, str(error))
+        return RequestError(
+            f"the store rejects the row of the request: {error}",
+            code=StoreRejectedError.code,
+            status=422,
+            step="jobs.accept",
+        )
+
     def _build_refusal(self, detail: str) -> RequestError:
         away_s = (
             read_boot_clock() - self._unavailable_since
--- a/pistachiodeal/jobentry/relay.py
+++ b/pistachiodeal/jobentry/relay.py
@@ -21,6 +21,7 @@
     LinkClosedError,
     PistachiodealError,
     StoreError,
+    StoreRejectedError,
     StoreUnavailableError,
     StoreUncertainError,
 )
@@ -64,6 +65,7 @@
 class _Failure(StrEnum):
     NONE = ""
     REFUSED = "refused"
+    REJECTED = "rejected"
     UNCERTAIN = "uncertain"
 
 
@@ -90,6 +92,9 @@
         except StoreUncertainError as error:
             log.debug("relay: the store does not answer: {}", error)
             answer = _build_failure(call, _Failure.UNCERTAIN)
+        except StoreRejectedError as error:
+            log.debug("relay: the store rejects the call: {}", error)
+            answer = _build_failure(call, _Failure.REJECTED)
         except StoreError as error:
             log.debug("relay: the store refuses the call: {}", error)
             answer = _build_failure(call, _Failure.REFUSED)
@@ -158,6 +163,8 @@
                 # caller that sends it again sees from the rows whether it was.
                 await self._mark_unavailable(error)
                 raise
+            except StoreRejectedError:
+                raise
             except StoreError as error:
                 await self._mark_unavailable(error)
                 link = self._find_relay_link()
@@ -184,6 +191,8 @@
                 return await self._store.read(
                     table, start, end, limit, partition, on_progress=on_progress
                 )
+            except StoreRejectedError:
+                raise
             except StoreError as error:
                 await self._mark_unavailable(error)
                 link = self._find_relay_link()
@@ -227,6 +236,8 @@
             del self._waiting[number]
         if answer is None or answer.failure == _Failure.UNCERTAIN:
             raise StoreUncertainError("no answer", step=STEP, peer=link.address)
+        if answer.failure == _Failure.REJECTED:
+            raise StoreRejectedError("rejected", step=STEP, peer=link.address)
         if answer.failure:
             raise StoreUnavailableError("refused", step=STEP, peer=link.address)
         return answer
--- a/tests/unit/test_jobentry_acceptance.py
+++ b/tests/unit/test_jobentry_acceptance.py
@@ -31,9 +31,9 @@
     budget_s: float = BUDGET_S
     outcomes: dict[str, str] = field(default_factory=dict)
 
-    async def call(self, key: str) -> None:
+    async def call(self, key: str, value: bytes = b"row") -> None:
         try:
-            await self.acceptance.insert(key, b"row", self.budget_s)
+            await self.acceptance.insert(key, value, self.budget_s)
         except RequestError as error:
             self.outcomes[key] = str(error.outcome)
         else:
@@ -174,3 +174,23 @@
 
 def test_a_caller_without_time_is_told_that_nothing_ran():
     assert call_with_little_time(0.01) == (str(Outcome.NOT_RUN), 0)
+
+
+def test_a_row_that_the_store_rejects_does_not_refuse_others():
+    """Guards against callers that are turned away because of another one's request.
+
+    A rejected transaction was taken for an outage of the store, for all of its rows.
+    """
+
+    async def main():
+        async with run_acceptance() as (state, callers):
+            state.row_bytes, state.faults.slow_s = 10, 0.02
+            async with curio.TaskGroup() as group:
+                for number in range(20):
+                    await group.spawn(callers.call, f"{number:04d}")
+                await group.spawn(callers.call, "0020", b"row of over ten bytes")
+            return callers.outcomes
+
+    outcomes = curio.run(main)
+    assert outcomes.pop("0020") == Outcome.NOT_RUN
+    assert set(outcomes.values()) == {ACCEPTED}
--- a/tests/unit/test_jobentry_relay.py
+++ b/tests/unit/test_jobentry_relay.py
@@ -9,7 +9,12 @@
 import curio
 import pytest
 
-from pistachiodeal.exceptions import Outcome, RequestError, StoreError
+from pistachiodeal.exceptions import (
+    Outcome,
+    RequestError,
+    StoreError,
+    StoreRejectedError,
+)
 from pistachiodeal.jobentry.relay import (
     ANSWER_TIMEOUT_S,
     MAX_RELAYED_CALLS,
@@ -19,6 +24,7 @@
 )
 from pistachiodeal.jobs.model import JobState
 from pistachiodeal.jobs.rows import JOBS_TABLE, encode_job
+from pistachiodeal.store.row_store import RowWrite, Transaction
 from pistachiodeal.wire.relay_messages import RelayRead
 from tests.standins.job_cluster import (
     EntryProcess,
@@ -156,3 +162,27 @@
     failures = curio.run(main).failures
     assert failures.count("refused") == 5
     assert failures.count("") == MAX_RELAYED_CALLS
+
+
+@pytest.mark.parametrize("cut", [False, True])
+def test_a_rejected_call_is_not_taken_for_an_outage(cut):
+    """Guards against callers that are turned away because of another one's request.
+
+    The entry whose call the store rejected used the leader's calls from then on, and
+    that leader's answer said that the store refuses.
+    """
+
+    async def main() -> None:
+        async with run_with_refused_entry() as (cluster, refused):
+            refused.store.cut = cut
+            cluster.state.row_bytes = 600
+            rows = refused.acceptance._store  # noqa: SLF001
+            large = Transaction((), (RowWrite(JOBS_TABLE, "0", bytes(601)),))
+            if cut:
+                with pytest.raises(StoreError):
+                    await rows.commit(large)
+            with pytest.raises(StoreRejectedError):
+                await rows.commit(large)
+            assert bool(rows._find_relay_link()) == cut  # noqa: SLF001
+
+    curio.run(main)
