Leader: orders wait until their agent has listed its worker on the link

Cause: a restarted agent is on the leader's link before it hears its runner, and drops orders for a worker that it doesn't know. The leader counts a stop as sent once for a link. Evidence: agent.unlisted of the agent at 446.470 s, run.stop for the task at 446.626 s, and no run.stopped until the end.

Stops, descriptions and learned interference now wait for the worker's next listing, as starts did before; starts that wait anyway become stops. And when a worker isn't listed any more, the stops that were sent on its link are forgotten, so that a listing of the run orders them again: an agent that takes its worker for gone gives its stops up. It works since only an agent that lists a worker carries orders out, and a stop may come twice.

--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -104,6 +104,7 @@
                 )
         if not report.worker:
             worker.listed = False
+            attachment.forget_stops()
             return
         previous_place = worker.place if worker.worker else ""
         worker.apply_report(report)
@@ -111,6 +112,7 @@
             self._events.emit("worker.known", place=worker.place, was=previous_place)
         worker.leaving_at = now + report.leaving_ms / 1000 if report.draining else 0.0
         if not report.listed:
+            attachment.forget_stops()
             return
         # The agent has reached the current worker of the node, so all earlier
         # incarnations are gone.
--- a/pistachiodeal/leader/sessions.py
+++ b/pistachiodeal/leader/sessions.py
@@ -76,7 +76,7 @@
         """Send the contents of all outboxes."""
         for node, (link, attachment) in list(self._links.items()):
             worker = self._fleet.get(node)
-            if attachment.beat and not attachment.outbox.empty:
+            if attachment.beat and worker.listed and not attachment.outbox.empty:
                 await self._send(link, worker, attachment)
 
     def is_lost(self, acquired_by: float, place: str) -> bool:
@@ -111,7 +111,7 @@
     async def _send(
         self, link: Link, worker: WorkerState, attachment: Attachment
     ) -> None:
-        if worker.closed:
+        if worker.closed or not worker.listed:
             attachment.withdraw_starts()
         # With a grant in advance, an agent could extend leases as soon as its worker
         # answers, while the leader, which hears of that later, takes them for expired.
@@ -122,6 +122,7 @@
             worker.ends_noted,
             grant_ms,
             _compute_ms_after_report(attachment, self._closures.starts_until),
+            listed=worker.listed,
         )
         await link.send(directive)
 
--- a/pistachiodeal/leader/workers.py
+++ b/pistachiodeal/leader/workers.py
@@ -79,6 +79,13 @@
         self.stopped.add((task, run))
         self.outbox.stops.append(RunRef(task, run))
 
+    def forget_stops(self) -> None:
+        """Forget the stops that were sent, as the agent has lost its worker.
+
+        It gives up its stops then, and may have lost some that were on their way.
+        """
+        self.stopped = {(ref.task, ref.run) for ref in self.outbox.stops}
+
     def order_start(self, order: RunOrder, job_id: str, text: str) -> None:
         """Order the agent to start a run."""
         self.ordered.add((order.task, order.run))
@@ -105,10 +112,23 @@
             self.outbox.presses.append(PairPress(*pair, int(interference * 1000)))
 
     def build_directive(
-        self, epoch: int, worker: str, ends_noted: int, grant_ms: int, starts_ms: int
+        self,
+        epoch: int,
+        worker: str,
+        ends_noted: int,
+        grant_ms: int,
+        starts_ms: int,
+        *,
+        listed: bool = True,
     ) -> Directive:
-        """Return a directive with all queued messages, and clear the outbox."""
-        outbox, self.outbox = self.outbox, Outbox()
+        """Return a directive with all queued messages, and clear the outbox.
+
+        :param listed: whether the agent knows its worker. One that doesn't drops all
+            orders, which therefore wait for its next listing.
+        """
+        outbox = Outbox()
+        if listed:
+            outbox, self.outbox = self.outbox, outbox
         self.answered = self.beat
         return Directive(
             epoch,
--- a/tests/standins/job_cluster.py
+++ b/tests/standins/job_cluster.py
@@ -162,6 +162,8 @@
         self.addresses = addresses
         self.runner = runner
         self.incarnation = 0
+        # Whether the runner's heartbeats are delayed.
+        self.silent = False
 
     async def boot(self) -> None:
         """Start the process with a new incarnation; the runner keeps running."""
@@ -189,7 +191,7 @@
 
     async def _send_heartbeats(self) -> None:
         while True:
-            if not self.runner.down:
+            if not self.runner.down and not self.silent:
                 await self.heartbeats.process_heartbeat(self.runner.build_heartbeat())
             await curio.sleep(HEARTBEAT_S)
 
--- a/tests/unit/test_job_cluster.py
+++ b/tests/unit/test_job_cluster.py
@@ -166,6 +166,41 @@
     curio.run(main)
 
 
+def test_a_job_that_is_cancelled_while_its_agent_restarts_is_stopped():
+    """Guards against tasks of a cancelled job that run on for good.
+
+    The restarted agent is on the leader's link before it knows its runner, dropped the
+    stops, and the leader took them for sent.
+    """
+
+    async def main():
+        async with run_cluster(agents=1, work_s=60.0) as cluster:
+            job, agent = build_job(1, steps=1), cluster.agents[0]
+            await cluster.entries[0].submit(job)
+            await wait_for_starts(cluster, 3)
+            leader = cluster.find_leader()
+            assert leader is not None
+            leadership = leader.seat.leadership
+            record = leadership.registry.records[job.job_id]
+            await wait_for(lambda: all(one.running for one in record.iterate_tasks()))
+            await agent.kill()
+            agent.silent = True
+            await agent.boot()
+            worker = leadership.fleet.get("node-0")
+            await wait_for(lambda: worker.attachment and worker.attachment.beat)
+            assert not worker.listed
+            await cluster.entries[0].cancel(job)
+            await cluster.wait_for_state(job, JobState.CANCELLED)
+            # The leader sends its orders meanwhile.
+            await curio.sleep(0.3)
+            agent.silent = False
+            tasks = cluster.checker.tasks
+            await wait_for(lambda: not any(history.alive for history in tasks.values()))
+            check_invariants(cluster)
+
+    curio.run(main)
+
+
 def test_an_order_that_comes_late_starts_nothing():
     """Guards against a task that runs twice.
 
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -515,3 +515,32 @@
     harness.write()
     harness.report(ends=[DONE])
     assert harness.fleet.get("node").ends_noted == 1
+
+
+def test_a_stop_is_ordered_again_after_its_agent_has_lost_the_worker():
+    """Guards against a run that is never stopped since its stop counts as sent.
+
+    An agent that takes its worker for gone gives up the stops. It hears the worker
+    again on the same link.
+    """
+    harness = LeaderHarness()
+    running = [RunningTask(TASK, 1, "", 0, 0)]
+    harness.report(running=running)
+    harness.reconciler.stop(harness.task, "its job is cancelled")
+    harness.attachment.build_directive(1, "w1", 0, 1, 1)
+    harness.report(running=running)
+    assert not harness.attachment.outbox.stops
+    harness.report(worker="")
+    harness.report(running=running)
+    assert [ref.task for ref in harness.attachment.outbox.stops] == [TASK]
+
+
+def test_orders_wait_for_the_listing_of_a_worker():
+    """Guards against a stop that is sent to an agent which drops it."""
+    harness = LeaderHarness()
+    harness.report(running=[RunningTask(TASK, 1, "", 0, 0)])
+    harness.reconciler.stop(harness.task, "its job is cancelled")
+    early = harness.attachment.build_directive(1, "w1", 0, 1, 1, listed=False)
+    assert not early.stops
+    late = harness.attachment.build_directive(1, "w1", 0, 1, 1, listed=True)
+    assert [ref.task for ref in late.stops] == [TASK]
