Counts: a job has started once a task of it was seen at work

Cause: a job counted as begun once the leader had decided on a place, and nothing took that back if the run never started. The flag is in the job's row, so the next leader said the same.

A job has started now once a task of it was listed as running or has ended; that is what its row says and what `pending_jobs` goes by. The load summary, the drain rates and the report on queues read "begun": started, or with a task that is placed now. Both end by themselves when a placement comes to nothing. No write is added: until the next change of the job, a new leader learns of a start from the listing.

--- a/pistachiodeal/jobentry/states.py
+++ b/pistachiodeal/jobentry/states.py
@@ -94,7 +94,7 @@
         )
 
     async def count_pending(self, queue: Queue) -> int:
-        """Return the number of jobs of a queue that have not begun.
+        """Return the number of jobs of a queue of which no task has started.
 
         :raises RequestError: the leader doesn't answer and the last count is too old.
         """
--- a/pistachiodeal/jobs/progress.py
+++ b/pistachiodeal/jobs/progress.py
@@ -44,7 +44,8 @@
                 tasks[_build_key(task)] = [task.run, task.place, int(task.done), 0, ""]
     document = {
         "state": record.state.value,
-        "begun": record.begun,
+        # Earlier versions wrote whether any task had been placed.
+        "begun": record.started,
         "completed": sorted(record.completed),
         "tasks": tasks,
         "crashes": crashes,
@@ -61,7 +62,7 @@
     try:
         document = orjson.loads(value)
         record.state = record.durable_state = JobState(document["state"])
-        record.begun = bool(document["begun"])
+        record.started = bool(document["begun"])
         for number in document["completed"]:
             _check_occurrence(record.job, number)
             record.completed.add(number)
--- a/pistachiodeal/jobs/record.py
+++ b/pistachiodeal/jobs/record.py
@@ -137,7 +137,8 @@
 
     :param state: as decided by the leader.
     :param durable_state: as stored; the state that callers see.
-    :param begun: whether any task has ever been placed.
+    :param started: whether any task has ever been seen at work, or its end.
+    :param placed: number of its tasks that are placed.
     :param completed: numbers of the occurrences that are complete.
     :param undivided: whether the job has rows in the partition that held all
         submissions before they were partitioned; a removal must delete those too.
@@ -152,7 +153,8 @@
     job: Job
     state: JobState = JobState.QUEUED
     durable_state: JobState = JobState.QUEUED
-    begun: bool = False
+    started: bool = False
+    placed: int = 0
     row_version: int = 0
     finished_at: float = 0.0
     completed: set[int] = field(default_factory=set)
@@ -169,6 +171,11 @@
         """Return the job's id."""
         return self.job.job_id
 
+    @property
+    def begun(self) -> bool:
+        """Return whether any task has started, or may be starting now."""
+        return self.started or self.placed > 0
+
     def iterate_tasks(self) -> Iterator[Task]:
         """Return the tasks of all open occurrences."""
         for steps in self.occurrences.values():
--- a/pistachiodeal/leader/reconcile.py
+++ b/pistachiodeal/leader/reconcile.py
@@ -272,6 +272,7 @@
     def _update_running(self, task: Task, seen: RunningTask, now: float) -> None:
         if not task.running:
             task.running, task.began_at, task.progressed_at = True, now, now
+            self._registry.record_start(task)
         self._add_work(task, seen.worked_milli / 1000, now)
         if seen.percent != task.percent:
             task.percent, task.progressed_at = seen.percent, now
--- a/pistachiodeal/leader/registry.py
+++ b/pistachiodeal/leader/registry.py
@@ -101,10 +101,12 @@
         if not record.state.final:
             self._open[record.job_id] = record
         now = read_boot_clock()
+        record.placed = 0
         for task in record.iterate_tasks():
             # The time that a task waited under an earlier leader is unknown.
             task.ready_at = now
             if task.place:
+                record.placed += 1
                 self._runs.setdefault(task.place, {})[str(task.name)] = task
 
     def add(self, job: Job, time_of_day_s: float, row_version: int = 0) -> None:
@@ -149,6 +151,8 @@
     def place(self, task: Task, run: int, place: str, on_durable: Callback) -> None:
         """Place a run; ``on_durable`` is called once the decision is durable."""
         now = read_boot_clock()
+        record = self._records[task.name.job_id]
+        record.placed += not task.place
         task.run, task.place = run, place
         task.running, task.percent, task.stopping = False, 0, ""
         task.worked = task.slow_since = 0.0
@@ -156,8 +160,6 @@
         task.placed_at = task.progressed_at = now
         self._runs.setdefault(place, {})[str(task.name)] = task
         self._bump_generation(place)
-        record = self._records[task.name.job_id]
-        record.begun = True
         if record.state is JobState.QUEUED:
             record.state = JobState.ACTIVE
         self._record_change(record, on_durable)
@@ -175,6 +177,7 @@
         :return: tasks whose runs have to be stopped because the job is over.
         """
         record = self._records[task.name.job_id]
+        record.started = True
         self._release(task, checkpoint)
         if task.proven:
             kind = EndKind.DONE
@@ -287,12 +290,20 @@
         self._unsaved[job_id] = callbacks + self._unsaved.pop(job_id, [])
         self._postponed[job_id] = until
 
+    def record_start(self, task: Task) -> None:
+        """Record that a task has been seen at work.
+
+        That is written with the job's next change: if this leader ends before, the
+        next one learns it from a listing.
+        """
+        self._records[task.name.job_id].started = True
+
     def count_pending(self, queue: str) -> int:
-        """Return how many open jobs of a queue have not begun."""
+        """Return how many open jobs of a queue have no task that has started."""
         return sum(
             1
             for record in self._open.values()
-            if record.job.queue.name == queue and not record.begun
+            if record.job.queue.name == queue and not record.started
         )
 
     def list_expired(self, now: float, kept_s: float) -> list[JobRecord]:
@@ -359,6 +370,7 @@
             self._bump_generation(task.place)
 
     def _release(self, task: Task, checkpoint: str) -> None:
+        self._records[task.name.job_id].placed -= bool(task.place)
         self._remove_from_place(task)
         task.place, task.running, task.stopping = "", False, ""
         task.ready_at = read_boot_clock()
--- a/tests/unit/test_leader_reconcile.py
+++ b/tests/unit/test_leader_reconcile.py
@@ -11,6 +11,8 @@
 from pistachiodeal.events import EventLog
 from pistachiodeal.jobagent.authority import LEASE_S, SLOWEST_CLOCK, Lease
 from pistachiodeal.jobs.model import EndKind
+from pistachiodeal.jobs.progress import apply_progress, encode_progress
+from pistachiodeal.jobs.record import build_record
 from pistachiodeal.leader.descheduler import HELD_BACK_S, STALL_S, Descheduler
 from pistachiodeal.leader.reconcile import Reconciler
 from pistachiodeal.leader.registry import JobRegistry
@@ -24,7 +26,7 @@
     WorkerLoss,
     WorkerReport,
 )
-from tests.standins.job_cluster import build_job, create_quiet_log
+from tests.standins.job_cluster import QUEUE, build_job, create_quiet_log
 
 TASK = "0000000000000001.0.0.0"
 
@@ -544,3 +546,51 @@
     assert not early.stops
     late = harness.attachment.build_directive(1, "w1", 0, 1, 1, listed=True)
     assert [ref.task for ref in late.stops] == [TASK]
+
+
+def refuse(harness: LeaderHarness) -> None:
+    harness.report(outcomes=[OrderOutcome(TASK, 1, "refused", "no room")])
+
+
+def end_worker(harness: LeaderHarness) -> None:
+    harness.report(worker="w2")
+
+
+def expire_leases(harness: LeaderHarness) -> None:
+    harness.reconciler.requeue_lost_runs("node/w1", "its leases have run out")
+
+
+@pytest.mark.parametrize("lose", [refuse, end_worker, expire_leases])
+@pytest.mark.parametrize("listed", [False, True])
+def test_a_job_is_pending_until_a_task_of_it_has_started(lose, listed):
+    """Guards against waiting jobs that are missing in ``pending_jobs`` for good.
+
+    The runner went dark before the run that was placed there began; the job counted as
+    begun since it had been placed once, also under the next leader.
+    """
+    harness = LeaderHarness()
+    registry = harness.registry
+    assert registry.count_pending(QUEUE.name) == 1
+    if listed:
+        harness.report(running=[RunningTask(TASK, 1, "", 0, 0)])
+    lose(harness)
+    assert harness.task.waits
+    record = registry.records[harness.task.name.job_id]
+    successor = build_record(record.job)
+    apply_progress(successor, encode_progress(record), 1)
+    after = JobRegistry(create_quiet_log())
+    after.restore(successor)
+    for one in (registry, after):
+        assert one.count_pending(QUEUE.name) == (0 if listed else 1)
+        assert [found.begun for found in one.open_records.values()] == [listed]
+
+
+def test_a_job_counts_as_begun_while_a_run_may_be_starting():
+    """Guards against a load summary that takes each placed job for one that waits."""
+    harness = LeaderHarness()
+    record = harness.registry.records[harness.task.name.job_id]
+    assert record.begun
+    harness.registry.move_run(harness.task, "node/w2")
+    assert record.begun
+    harness.registry.requeue(harness.task)
+    assert not record.begun
