--- a/pistachiodeal/jobentry/api.py
+++ b/pistachiodeal/jobentry/api.py
@@ -145,7 +145,10 @@
         value = encode_job(job)
         if len(value) > self._row_bytes:
             raise RequestError(
-                "the job is too large", code="job_too_large", status=413, step="jobs"
+                f"the row of the job has more than {self._row_bytes} bytes",
+                code="job_too_large",
+                status=413,
+                step="jobs",
             )
         began = time.monotonic()
         budget_s = read_budget_s(request)
--- a/pistachiodeal/jobs/checks.py
+++ b/pistachiodeal/jobs/checks.py
@@ -58,13 +58,15 @@
     if len(job.text.encode()) > MAX_TEXT_BYTES:
         raise ValueError(f"the text has more than {MAX_TEXT_BYTES} bytes")
     if not 0 <= job.repeats <= MAX_OCCURRENCES or job.interval_s < 0:
-        raise ValueError("the job's occurrences or their interval are out of bounds")
+        raise ValueError(
+            f"a job has 0 to {MAX_OCCURRENCES} occurrences, and no negative interval"
+        )
     if not 0 < len(job.steps) <= MAX_STEPS:
         raise ValueError(f"a job has 1 to {MAX_STEPS} steps")
     for number, step in enumerate(job.steps):
         _check_step(number, step)
     if sum(step.count for step in job.steps) > MAX_TASKS:
-        raise ValueError("the job has too many tasks")
+        raise ValueError(f"the job has more than {MAX_TASKS} tasks")
 
 
 def _check_step(number: int, step: Step) -> None:
@@ -76,13 +78,15 @@
     others = (step.estimate_s, step.spread, step.serves_ms, step.may_be_away)
     if min(*sizes, *others) < 0:
         raise ValueError(f"step {number} has a negative value")
-    if max(*sizes, *others[1:]) > MAX_NUMBER or sizes[2] > MAX_ACCELERATORS:
-        raise ValueError(f"step {number} has a number that is out of bounds")
+    if max(*sizes, *others[1:]) > MAX_NUMBER:
+        raise ValueError(f"step {number} has a number over {MAX_NUMBER}")
+    if step.size.accelerators > MAX_ACCELERATORS:
+        raise ValueError(f"step {number} has more than {MAX_ACCELERATORS} accelerators")
     names = (step.label, step.data_rack, step.image)
     if any(len(name.encode()) > MAX_NAME_BYTES for name in names):
         raise ValueError(f"step {number} has a name of over {MAX_NAME_BYTES} bytes")
     if step.estimate_s > MAX_ESTIMATE_S:
-        raise ValueError(f"step {number} has an estimate that is out of bounds")
+        raise ValueError(f"step {number} has an estimate over {MAX_ESTIMATE_S:.0e} s")
     for earlier in step.after:
         if type(earlier) is not int or not 0 <= earlier < number:
             raise ValueError(
