Suspects: a crash under a group counts, and a task with three crashes starts alone

A crash under a group now counts as one for each of its tasks and, as before, blames none. A task with three crashes neither joins a group nor is joined. So the limit of five crashes bounds a task's starts again, and two starts alone are left to be sure; an innocent task gets three crashes by groups at most, and is given up at five.

Tests: test_a_group_of_suspects_that_crashes_its_worker_fails_no_innocent_job, now at seven positions with and without another unexplained crash (one of fourteen red before), and test_a_task_that_has_crashed_in_groups_starts_alone (red before). The test of the attribution asserts the same and that the group is involved; it no longer asks for the flag that is gone.

--- a/pistachiodeal/leader/crashes.py
+++ b/pistachiodeal/leader/crashes.py
@@ -118,10 +118,9 @@
             if run.task not in attribution.involved:
                 continue
             task = runs[run.task]
-            if attribution.counts:
-                crash.counted_tasks.append(task)
-                task.crashes += 1
-                task.blames += blames.get(run.task, 0)
+            crash.counted_tasks.append(task)
+            task.crashes += 1
+            task.blames += blames.get(run.task, 0)
             if is_suspect(task):
                 # The worker itself may be faulty and crash under every task. The crash
                 # leaves it empty, which would make it the first choice again.
--- a/pistachiodeal/leader/suspect_placer.py
+++ b/pistachiodeal/leader/suspect_placer.py
@@ -46,10 +46,12 @@
 class _Group:
     """Suspects that start together on one worker, in one round.
 
+    :param limit: the least size that one of them allows.
     :param size: number of its suspects.
     """
 
     view: WorkerView
+    limit: int
     size: int = 1
 
 
@@ -117,10 +119,12 @@
             # show which of the two is the cause.
             choice = others if quiet and others else views
             view = choose_worker(alone, choice, self._interference)
+        waited_s = self._now - task.ready_at
+        size = compute_group_size(task, waited_s)
         if view is not None:
-            self._groups.append(_Group(view))
-        else:
-            view = self._join_group(task, request, views)
+            self._groups.append(_Group(view, size))
+        elif size > 1:
+            view = self._join_group(task, request, views, size)
         if view is None:
             self._explain_wait(task, request.key, exposed, limit)
             return None
@@ -129,12 +133,15 @@
         return view
 
     def _join_group(
-        self, task: Task, request: PlacementRequest, views: list[WorkerView]
+        self, task: Task, request: PlacementRequest, views: list[WorkerView], size: int
     ) -> WorkerView | None:
-        """Return a worker on which other suspects start in this round."""
-        waited_s = self._now - task.ready_at
-        size = compute_group_size(waited_s)
-        joinable = [group for group in self._groups if group.size < size]
+        """Return a worker on which other suspects start in this round.
+
+        :param size: in how large a group the task may start.
+        """
+        joinable = [
+            group for group in self._groups if group.size < min(group.limit, size)
+        ]
         if not joinable:
             return None
         by_place = {view.place: view for view in views}
@@ -143,12 +150,14 @@
             if view is None or not self._has_room(request, view):
                 continue
             group.size += 1
+            group.limit = min(group.limit, size)
             self._events.emit(
                 "task.joins_suspects",
                 task=str(task.name),
                 place=view.place,
                 size=group.size,
-                waited_ms=int(waited_s * 1000),
+                crashes=task.crashes,
+                waited_ms=int((self._now - task.ready_at) * 1000),
             )
             return view
         return None
--- a/pistachiodeal/scheduling/crash_attribution.py
+++ b/pistachiodeal/scheduling/crash_attribution.py
@@ -5,8 +5,8 @@
 tasks on it. So the runs that had just started are blamed for a crash. A blamed task is
 then started in isolation on one worker, and is given up if it crashes that one as well.
 Other tasks are cleared as soon as they have run in isolation for a moment. Tasks that
-have waited long for that start in groups; a crash under a group blames none of it, and
-its tasks start in isolation again.
+have waited long for that start in groups; a crash under a group counts against its
+tasks and blames none of them. After the second one a task starts in isolation only.
 
 Only crashes without another explanation count. A worker that had announced its
 departure, that only lost its connection, or that failed together with its rack does not
@@ -51,6 +51,9 @@
 # large after each further second.
 GROUP_WAIT_S = 3.0
 MAX_GROUP_DOUBLINGS = 6
+# A task that crashes its workers must be given up after five crashes, and two in
+# isolation may be needed to be sure.
+MAX_CRASHES_IN_GROUPS = 3
 # Suspect tasks are started in isolation on at most this share of the workers, and on at
 # least one: all at once, they could crash the whole fleet.
 MAX_ISOLATION_SHARE = 1 / 4
@@ -88,13 +91,11 @@
     :param blames: added blame by task, for the likely causes.
     :param involved: all tasks that may be the cause, including the blamed ones.
     :param explained: whether a task had started so shortly before that it is the cause.
-    :param counts: whether the crash counts against the tasks involved.
     """
 
     blames: dict[str, int]
     involved: frozenset[str]
     explained: bool = False
-    counts: bool = True
 
 
 def attribute_crash(
@@ -116,7 +117,7 @@
     if len(suspects) > 1:
         # A group of suspects: all but one of them are innocent.
         weights = {run.task: 0 for run in suspects}
-        return CrashAttribution(weights, frozenset(weights), explained, counts=False)
+        return CrashAttribution(weights, frozenset(weights), explained)
     weights = {run.task: _compute_weight(run, recent_unexplained) for run in blamed}
     return CrashAttribution(weights, involved, explained)
 
@@ -136,9 +137,12 @@
     return task.crashes == CRASHES_TO_GIVE_UP - 1
 
 
-def compute_group_size(waited_s: float) -> int:
-    """Return how many suspects may start together if one of them has waited so long."""
-    if waited_s < GROUP_WAIT_S:
+def compute_group_size(task: CrashCounts, waited_s: float) -> int:
+    """Return in how large a group a suspect may start.
+
+    :param waited_s: time that it has waited, seconds.
+    """
+    if waited_s < GROUP_WAIT_S or task.crashes >= MAX_CRASHES_IN_GROUPS:
         return 1
     return 2 ** min(1 + int(waited_s - GROUP_WAIT_S), MAX_GROUP_DOUBLINGS)
 
--- a/tests/unit/test_leader_crashes.py
+++ b/tests/unit/test_leader_crashes.py
@@ -12,7 +12,7 @@
 from pistachiodeal.config.deployment import LimitSettings
 from pistachiodeal.jobs.model import Job, JobState, LossCause, Queue, Step
 from pistachiodeal.jobs.progress import apply_progress, encode_progress
-from pistachiodeal.jobs.record import Task, build_record
+from pistachiodeal.jobs.record import Task, TaskName, build_record
 from pistachiodeal.leader.crashes import RACK_CHECK_DELAY_S
 from pistachiodeal.leader.planner import Planner
 from pistachiodeal.leader.reconcile import Reconciler
@@ -25,10 +25,12 @@
     BLAME_STARTUP,
     CRASH_RESET_S,
     CRASHES_TO_GIVE_UP,
+    GROUP_WAIT_S,
     OBSERVATION_S,
     STARTUP_S,
     CrashedRun,
     attribute_crash,
+    compute_group_size,
     compute_isolation_limit,
     is_suspect,
 )
@@ -517,13 +519,21 @@
     assert run_until_back(harness, tasks) <= 9.0
 
 
-@pytest.mark.parametrize("position", [0, 10, 19])
-def test_a_group_of_suspects_that_crashes_its_worker_blames_no_innocent_task(
-    harness, position
+@pytest.mark.parametrize("position", range(0, 20, 3))
+@pytest.mark.parametrize("unexplained", [False, True])
+def test_a_group_of_suspects_that_crashes_its_worker_fails_no_innocent_job(
+    harness, position, unexplained
 ):
-    """Guards against jobs that fail because they started beside a crashing task."""
+    """Guards against jobs that fail because they started beside a crashing task.
+
+    The task itself is given up after five crashes at the latest, also while another
+    crash without an explanation makes each blame weigh less.
+    """
     tasks = add_lasting(harness, 20, 1)
     culprit = tasks.pop(position)
+    if unexplained:
+        harness.lose(5, {})
+    before = sum(harness.lives)
     harness.lose(0, {str(task.name): 8 for task in [*tasks, culprit]})
     run_until_back(harness, tasks, culprit)
     records = harness.registry.records
@@ -531,17 +541,25 @@
         record.job_id for record in records.values() if record.state == JobState.FAILED
     ]
     assert failed == [culprit.name.job_id]
-    assert sum(harness.lives) - len(harness.lives) <= 5
+    assert sum(harness.lives) - before <= CRASHES_TO_GIVE_UP
 
 
-def test_a_crash_under_a_group_of_suspects_counts_against_none():
-    """Guards against innocent tasks that are given up after some crashes."""
+def test_a_crash_under_a_group_of_suspects_blames_none():
+    """Guards against innocent tasks that are given up after two crashes."""
     runs = [CrashedRun("a", 0.01, True), CrashedRun("b", 0.01, True)]
     attribution = attribute_crash([*runs, CrashedRun("c", 0.01, False)])
-    assert not attribution.counts
     assert attribution.blames == {"a": 0, "b": 0}
+    assert attribution.involved == {"a", "b"}
     assert attribution.explained
-    assert attribute_crash(runs[:1]).counts
+    assert attribute_crash(runs[:1]).blames == {"a": BLAME_IMMEDIATE}
+
+
+@pytest.mark.parametrize(("crashes", "alone"), [(1, False), (2, False), (3, True)])
+def test_a_task_that_has_crashed_in_groups_starts_alone(crashes, alone):
+    """Guards against a task that crashes more workers than the platform allows."""
+    task = Task(TaskName("0" * 16, 0, 0, 0), LASTING, crashes=crashes, blames=3)
+    assert compute_group_size(task, GROUP_WAIT_S - 0.1) == 1
+    assert (compute_group_size(task, 60.0) == 1) == alone
 
 
 def test_two_crashes_a_moment_after_a_start_do_not_fail_the_job(harness):
