Progress: ignore foreign rows beside those of a divided progress

Cause: any number behind the job's id in a key counted as one of its rows. A row of another writer with the number made the leader list a billion removals at the job's next write; one with 01 took the place of row 1, so that the digest didn't match and the job counted as unreadable.

Only the numbers that a leader can write are read now, in their one spelling. A leader writes 90 at most, as a transaction has 100 entries.

Test: test_a_foreign_row_beside_the_progress_changes_nothing, two of six cases red before.

--- a/pistachiodeal/jobs/progress_rows.py
+++ b/pistachiodeal/jobs/progress_rows.py
@@ -26,6 +26,9 @@
 COMPRESSION_LEVEL = 1
 # Rows of another writer could be decompressed to any size.
 MAX_PROGRESS_BYTES = 64_000_000
+# A transaction has room for no more. Rows with other numbers are of another writer.
+MAX_PARTS = 90
+_NUMBERS = {str(number): number for number in range(1, MAX_PARTS + 1)}
 
 
 @dataclass(slots=True)
@@ -92,8 +95,8 @@
         progress = found.setdefault(job_id, ProgressRows())
         if not separator:
             progress.head = row
-        elif number.isdecimal() and len(number) < 10:
-            progress.parts[int(number)] = row.value
+        elif number in _NUMBERS:
+            progress.parts[_NUMBERS[number]] = row.value
     return found
 
 
--- a/tests/unit/test_large_progress.py
+++ b/tests/unit/test_large_progress.py
@@ -168,3 +168,21 @@
             check_invariants(cluster)
 
     curio.run(main)
+
+
+@pytest.mark.parametrize("number", ["01", "999999999", "0", "-1", "x", "1/2"])
+def test_a_foreign_row_beside_the_progress_changes_nothing(number):
+    """Guards against a leader that removes a billion rows, or takes a row for another.
+
+    Another writer left a row beside those of a divided progress.
+    """
+    registry = JobRegistry(create_quiet_log())
+    record = place_all(registry, 3_000, 100)
+    value = encode_progress(record)
+    head, *parts = divide_progress(value, record.state, 65_536)
+    rows = [StoredRow(JOB.job_id, head, 1)]
+    rows += [StoredRow(f"{JOB.job_id}/{n}", part, 1) for n, part in enumerate(parts, 1)]
+    rows.append(StoredRow(f"{JOB.job_id}/{number}", b"odd", 1))
+    found = collect_progress(rows)[JOB.job_id]
+    assert max(found.parts) == len(parts)
+    assert found.join() == value
